--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Front door to the CMake build: `make setup`, `make build`, `make test`, `make demo`.
+
+BUILD_DIR ?= build
+BUILD_TYPE ?= Release
+SANITIZE ?=
+JOBS ?= $(shell nproc)
+
+PACKAGES = g++ cmake ninja-build clang-format clang-tidy libasio-dev \
+  libwebsocketpp-dev nlohmann-json3-dev libcpp-httplib-dev libboost-dev \
+  libcxxopts-dev liblog4cplus-dev catch2 librapidcheck-dev libxxhash-dev \
+  libssl-dev pkg-config python3 curl
+
+.PHONY: all setup configure build test unit-test e2e-test demo format \
+  check-format lint clean
+
+all: build
+
+setup:
+	bash src/cmake/setup.sh $(PACKAGES)
+
+configure: setup
+	cmake -S . -B $(BUILD_DIR) -G Ninja -DCMAKE_BUILD_TYPE=$(BUILD_TYPE) \
+	  -DDOGWOODLATCH_SANITIZE=$(SANITIZE) -DCMAKE_EXPORT_COMPILE_COMMANDS=ON
+
+build: configure
+	cmake --build $(BUILD_DIR) -j $(JOBS)
+
+test: build
+	cd $(BUILD_DIR) && ctest --output-on-failure -j $(JOBS)
+
+unit-test: configure
+	cmake --build $(BUILD_DIR) -j $(JOBS) --target dogwoodlatch_unit_tests
+	cd $(BUILD_DIR) && ctest --output-on-failure -j $(JOBS) -L unit
+
+e2e-test: build
+	cd $(BUILD_DIR) && ctest --output-on-failure -j $(JOBS) -L e2e
+
+demo: build
+	python3 testsuite/demo/run.py --bin-dir $(BUILD_DIR)/bin
+
+format:
+	git ls-files '*.h' '*.cc' | xargs clang-format -i
+
+check-format:
+	git ls-files '*.h' '*.cc' | xargs clang-format --dry-run --Werror
+
+lint: configure
+	git ls-files '*.cc' | xargs -P $(JOBS) -n 2 clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p $(BUILD_DIR)
+
+clean:
+	rm -rf $(BUILD_DIR)
--- /dev/null
+++ b/src/dogwoodlatch-agent/agent.h
@@ -0,0 +1,75 @@
+// The agent: takes orders from routers, decides by AgentCore, runs what is
+// admitted at the target.
+#pragma once
+
+#include <asio/thread_pool.hpp>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "agent_settings.h"
+#include "dogwoodlatch/agent_core.h"
+#include "dogwoodlatch/transport.h"
+#include "target_client.h"
+
+namespace dogwoodlatch::agent {
+
+class Agent {
+ public:
+  explicit Agent(const AgentSettings& settings);
+  ~Agent();
+  Agent(const Agent&) = delete;
+  Agent& operator=(const Agent&) = delete;
+
+  // False when the address cannot be bound.
+  bool Start();
+
+  // Refuses new work, finishes what runs for at most the drain time-out, then
+  // closes connections.
+  void DrainAndStop();
+
+  bool is_ready() const { return target_up_; }
+  nlohmann::json Status() const;
+  std::string Metrics() const;
+
+ private:
+  // One admitted attempt.
+  struct Run {
+    Submit order;
+    ConnectionId connection = 0;
+    std::atomic<bool> cancelled{false};
+    uint64_t next_sequence = 0;
+  };
+
+  void OnReceived(ConnectionId connection, const std::string& bytes);
+  void OnClosed(ConnectionId connection);
+  void Handle(ConnectionId connection, const Probe& probe);
+  void Handle(ConnectionId connection, Submit& submit);
+  void Handle(ConnectionId connection, const Cancel& cancel);
+  void Execute(const std::shared_ptr<Run>& run);
+  void Report(const Run& run, const CallResult& result);
+  void MonitorTarget();
+  void SetTargetHealth(const std::optional<TargetHealth>& health);
+  void Send(ConnectionId connection, const Message& message) {
+    node_.Send(connection, Encode(message));
+  }
+
+  const AgentSettings& settings_;
+  TargetClient target_;
+  std::string boot_id_;
+  mutable std::mutex mutex_;
+  AgentCore core_;
+  std::string target_boot_id_;
+  std::map<RequestId, std::shared_ptr<Run>> runs_;
+  std::atomic<bool> target_up_{false};
+  std::atomic<bool> stopping_{false};
+  std::atomic<uint64_t> finished_{0};
+  asio::thread_pool pool_;
+  TransportNode node_;
+  std::thread monitor_;
+};
+
+}  // namespace dogwoodlatch::agent
--- /dev/null
+++ b/src/dogwoodlatch-agent/agent_settings.cc
@@ -0,0 +1,59 @@
+#include "agent_settings.h"
+
+#include <array>
+
+namespace dogwoodlatch::agent {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::array kSchema = {
+    KeySpec{"id", ValueType::kString, "characters", 1, 64, "",
+            "Name of this process."},
+    KeySpec{"router_address", ValueType::kString, "characters", 3, 64, "",
+            "ip:port that routers reach."},
+    KeySpec{"ops_address", ValueType::kString, "characters", 3, 64, "",
+            "ip:port of health, metrics and status."},
+    KeySpec{"target", ValueType::kObject, "", 0, 0, "",
+            "The target beside this agent."},
+    KeySpec{"target.kind", ValueType::kString, "characters", 6, 7, "\"engine\"",
+            "engine or service."},
+    KeySpec{"target.address", ValueType::kString, "characters", 3, 64, "",
+            "ip:port of the target."},
+    KeySpec{"target.health_interval_ms", ValueType::kInteger, "ms", 10, 60000,
+            "100", "Time between health checks."},
+    KeySpec{"target.timeout_ms", ValueType::kInteger, "ms", 10, 3600000,
+            "60000", "Longest wait for the next part of an answer."},
+    KeySpec{"limits", ValueType::kObject, "", 0, 0, "{}",
+            "Limits of work in flight."},
+    KeySpec{"limits.max_running", ValueType::kInteger, "requests", 1, 4096,
+            "64", "Requests at the target at once."},
+    KeySpec{"drain_timeout_ms", ValueType::kInteger, "ms", 0, 600000, "30000",
+            "Longest graceful shutdown."},
+};
+
+milliseconds Millis(const nlohmann::json& value) {
+  return milliseconds(value.get<int64_t>());
+}
+
+}  // namespace
+
+std::span<const KeySpec> AgentSchema() { return kSchema; }
+
+AgentSettings ParseAgentSettings(const nlohmann::json& document) {
+  AgentSettings settings;
+  settings.id = document["id"];
+  settings.router_address = document["router_address"];
+  settings.ops_address = document["ops_address"];
+  const auto& target = document["target"];
+  settings.target_kind =
+      target["kind"] == "engine" ? RequestKind::kChat : RequestKind::kService;
+  settings.target_address = target["address"];
+  settings.health_interval = Millis(target["health_interval_ms"]);
+  settings.target_timeout = Millis(target["timeout_ms"]);
+  settings.limits.max_running = document["limits"]["max_running"];
+  settings.drain_timeout = Millis(document["drain_timeout_ms"]);
+  return settings;
+}
+
+}  // namespace dogwoodlatch::agent
--- /dev/null
+++ b/src/dogwoodlatch-agent/agent_settings.h
@@ -0,0 +1,32 @@
+// The agent's settings file.
+#pragma once
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <span>
+#include <string>
+
+#include "dogwoodlatch/agent_core.h"
+#include "dogwoodlatch/messages.h"
+#include "dogwoodlatch/schema.h"
+
+namespace dogwoodlatch::agent {
+
+struct AgentSettings {
+  std::string id;
+  std::string router_address;
+  std::string ops_address;
+  RequestKind target_kind = RequestKind::kChat;
+  std::string target_address;
+  std::chrono::milliseconds health_interval{0};
+  std::chrono::milliseconds target_timeout{0};
+  AgentLimits limits;
+  std::chrono::milliseconds drain_timeout{0};
+};
+
+std::span<const KeySpec> AgentSchema();
+
+// Reads a document without faults and with its defaults filled in.
+AgentSettings ParseAgentSettings(const nlohmann::json& document);
+
+}  // namespace dogwoodlatch::agent
--- /dev/null
+++ b/src/dogwoodlatch-router/agent_links.h
@@ -0,0 +1,93 @@
+// The router's connections to agents, opened on demand, and the mailboxes that
+// wait for their answers.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "dogwoodlatch/ids.h"
+#include "dogwoodlatch/messages.h"
+#include "dogwoodlatch/time.h"
+#include "dogwoodlatch/transport.h"
+
+namespace dogwoodlatch::router {
+
+// The connection to an agent was lost or could not be opened.
+struct LinkLost {};
+
+struct MailItem {
+  std::string agent_address;
+  std::variant<Message, LinkLost> content;
+};
+
+// What arrives for one request. Thread-safe.
+class Mailbox {
+ public:
+  void Put(MailItem item);
+
+  // The next item, or none once `until` has passed.
+  std::optional<MailItem> Wait(TimePoint until);
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable filled_;
+  std::deque<MailItem> items_;
+};
+
+// Thread-safe.
+class AgentLinks {
+ public:
+  AgentLinks(std::string router_id, std::chrono::milliseconds connect_timeout);
+
+  // Sends a probe; its answer, or the loss of the connection, goes to the
+  // mailbox.
+  void SendProbe(const std::string& address, Probe probe,
+                 const std::shared_ptr<Mailbox>& mailbox);
+
+  // Sends a message of a request; all that comes back for that request goes to
+  // the mailbox.
+  void SendForRequest(const std::string& address, const RequestId& request_id,
+                      const Message& message,
+                      const std::shared_ptr<Mailbox>& mailbox);
+
+  // Nothing more is put into this mailbox for the request.
+  void Forget(const RequestId& request_id,
+              const std::shared_ptr<Mailbox>& mailbox);
+
+  void Stop() { node_.Stop(); }
+
+ private:
+  struct Link {
+    ConnectionId connection = 0;
+    bool open = false;
+    std::vector<std::string> queued;
+    std::set<std::shared_ptr<Mailbox>> waiting;
+  };
+
+  void Send(const std::string& address, const std::string& bytes,
+            const std::shared_ptr<Mailbox>& mailbox);
+  void OnOpened(ConnectionId connection);
+  void OnReceived(ConnectionId connection, const std::string& bytes);
+  void OnClosed(ConnectionId connection);
+  std::shared_ptr<Mailbox> FindMailbox(const Message& message);
+
+  std::string router_id_;
+  std::mutex mutex_;
+  std::map<std::string, Link> links_;
+  std::unordered_map<ConnectionId, std::string> addresses_;
+  std::unordered_map<RequestId, std::shared_ptr<Mailbox>> requests_;
+  std::unordered_map<uint64_t, std::shared_ptr<Mailbox>> probes_;
+  uint64_t next_probe_ = 1;
+  TransportNode node_;
+};
+
+}  // namespace dogwoodlatch::router
--- /dev/null
+++ b/src/dogwoodlatch-router/http_answers.cc
@@ -0,0 +1,131 @@
+#include "http_answers.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace dogwoodlatch::router {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kJsonType = "application/json";
+constexpr const char* kOutcomeHeader = "X-Dogwoodlatch-Outcome";
+
+Json ErrorJson(std::string_view type, std::string_view code,
+               std::string_view message) {
+  return {{"error", {{"type", type}, {"code", code}, {"message", message}}}};
+}
+
+int StatusOf(const Outcome& outcome) {
+  switch (outcome.kind) {
+    case OutcomeKind::kComplete:
+      return 200;
+    case OutcomeKind::kNotRun:
+      return outcome.reason == OutcomeReason::kDeadline ? 504 : 503;
+    case OutcomeKind::kUnknown:
+      return 502;
+    case OutcomeKind::kRejected:
+      return outcome.reason == OutcomeReason::kKeyReused ? 409 : 422;
+  }
+  return 500;
+}
+
+std::string_view MessageOf(OutcomeKind kind) {
+  switch (kind) {
+    case OutcomeKind::kNotRun:
+      return "the request was not run; it may be sent again";
+    case OutcomeKind::kUnknown:
+      return "the request may or may not have run; check before sending a new "
+             "one";
+    case OutcomeKind::kRejected:
+      return "the request is refused and would be refused again";
+    case OutcomeKind::kComplete:
+      return "";
+  }
+  return "";
+}
+
+void SetRetryAfter(httplib::Response& response, Duration retry_after) {
+  if (retry_after <= Duration(0)) return;
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
+  response.set_header("Retry-After", std::to_string(seconds.count()));
+}
+
+Json ChatJson(const Finished& answer, const std::string& text) {
+  const Json usage = {
+      {"prompt_tokens", answer.prompt_tokens},
+      {"completion_tokens", answer.output_tokens},
+      {"prompt_tokens_details", {{"cached_tokens", answer.cached_tokens}}}};
+  const Json message = {{"role", "assistant"}, {"content", text}};
+  return {
+      {"object", "chat.completion"},
+      {"choices",
+       Json::array(
+           {{{"index", 0}, {"message", message}, {"finish_reason", "stop"}}})},
+      {"usage", usage}};
+}
+
+}  // namespace
+
+void Reject(httplib::Response& response, int status, std::string_view code,
+            std::string_view message) {
+  response.status = status;
+  response.set_header(kOutcomeHeader, "rejected");
+  response.set_content(ErrorJson("rejected", code, message).dump(), kJsonType);
+}
+
+void GiveError(httplib::Response& response, const Outcome& outcome) {
+  response.status = StatusOf(outcome);
+  response.set_header(kOutcomeHeader, std::string(ToString(outcome.kind)));
+  SetRetryAfter(response, outcome.retry_after);
+  response.set_content(
+      ErrorJson(ToString(outcome.kind), ToString(outcome.reason),
+                MessageOf(outcome.kind))
+          .dump(),
+      kJsonType);
+}
+
+void GiveWhole(httplib::Response& response, const Outcome& outcome,
+               RequestKind kind, const std::string& answer) {
+  response.status = outcome.answer.status;
+  response.set_header(kOutcomeHeader, "complete");
+  if (kind == RequestKind::kChat) {
+    response.set_content(ChatJson(outcome.answer, answer).dump(), kJsonType);
+  } else {
+    response.set_content(answer, outcome.answer.content_type);
+  }
+}
+
+std::string StreamEvent(const std::string& text) {
+  const Json choice = {{"index", 0}, {"delta", {{"content", text}}}};
+  return "data: " +
+         Json({{"object", "chat.completion.chunk"},
+               {"choices", Json::array({choice})}})
+             .dump() +
+         "\n\n";
+}
+
+std::string StreamEvent(const Outcome& outcome) {
+  if (outcome.kind != OutcomeKind::kComplete) {
+    const Json error =
+        ErrorJson(ToString(outcome.kind), ToString(outcome.reason),
+                  MessageOf(outcome.kind));
+    return "event: error\ndata: " + error.dump() + "\n\n";
+  }
+  Json last = ChatJson(outcome.answer, "");
+  last["object"] = "chat.completion.chunk";
+  last["choices"] = Json::array(
+      {{{"index", 0}, {"delta", Json::object()}, {"finish_reason", "stop"}}});
+  return "data: " + last.dump() + "\n\ndata: [DONE]\n\n";
+}
+
+void DescribeBareError(httplib::Response& response) {
+  if (!response.body.empty()) return;
+  const int status = response.status;
+  const std::string_view code = status == 413   ? "body_too_large"
+                                : status == 404 ? "unknown_path"
+                                                : "bad_request";
+  Reject(response, status, code, "the request cannot be taken");
+}
+
+}  // namespace dogwoodlatch::router
--- /dev/null
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -0,0 +1,284 @@
+#include "http_front.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+#include "dogwoodlatch/prefix_key.h"
+#include "dogwoodlatch/util/address.h"
+#include "dogwoodlatch/util/log.h"
+#include "http_answers.h"
+
+namespace dogwoodlatch::router {
+namespace {
+
+using Json = nlohmann::json;
+using httplib::Request;
+using httplib::Response;
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::chrono::milliseconds kDrainPoll{10};
+
+// The text whose prefixes engines cache; empty when the body has no messages.
+std::string PromptOf(const Json& body) {
+  std::string prompt;
+  for (const Json& message : body.value("messages", Json::array())) {
+    if (!message.is_object()) return "";
+    prompt += message.value("role", "") + "\n";
+    prompt += message.value("content", "") + "\n";
+  }
+  return prompt;
+}
+
+}  // namespace
+
+// Counts one request from its arrival to the end of its answer.
+class HttpFront::InFlight {
+ public:
+  explicit InFlight(std::atomic<int>& count) : count_(count) { ++count_; }
+  ~InFlight() { --count_; }
+  InFlight(const InFlight&) = delete;
+  InFlight& operator=(const InFlight&) = delete;
+
+ private:
+  std::atomic<int>& count_;
+};
+
+HttpFront::HttpFront(const RouterSettings& settings, const PlatformSync& sync,
+                     AgentLinks& links)
+    : settings_(settings), sync_(sync), links_(links) {
+  server_.new_task_queue = [this] {
+    return new httplib::ThreadPool(settings_.threads);
+  };
+  server_.set_payload_max_length(settings_.max_body_bytes);
+  server_.set_read_timeout(settings_.read_timeout);
+  server_.set_keep_alive_timeout(
+      std::chrono::duration_cast<std::chrono::seconds>(settings_.idle_timeout)
+          .count());
+  server_.set_keep_alive_max_count(std::numeric_limits<size_t>::max());
+  server_.set_tcp_nodelay(true);
+  server_.set_error_handler(
+      [](const Request&, Response& response) { DescribeBareError(response); });
+  server_.Post("/v1/chat/completions",
+               [this](const Request& request, Response& response) {
+                 HandleChat(request, response);
+               });
+  const auto service = [this](const Request& request, Response& response) {
+    HandleService(request, response);
+  };
+  const char* const pattern = "/services/([^/]+)(/.*)";
+  server_.Get(pattern, service)
+      .Post(pattern, service)
+      .Put(pattern, service)
+      .Patch(pattern, service);
+  server_.Delete(pattern, service);
+}
+
+HttpFront::~HttpFront() {
+  server_.stop();
+  if (thread_.joinable()) thread_.join();
+}
+
+bool HttpFront::Start() {
+  const Address address = ParseAddress(settings_.caller_address);
+  if (!server_.bind_to_port(address.host, address.port)) return false;
+  thread_ = std::thread([this] { server_.listen_after_bind(); });
+  return true;
+}
+
+void HttpFront::DrainAndStop() {
+  draining_ = true;
+  const TimePoint end = SteadyNow() + settings_.drain_timeout;
+  while (in_flight_ > 0 && SteadyNow() < end) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  server_.stop();
+}
+
+std::string HttpFront::Metrics() const {
+  std::ostringstream out;
+  out << "dogwoodlatch_requests_in_flight " << in_flight_.load() << "\n";
+  const std::lock_guard lock(counts_mutex_);
+  for (const auto& [labels, count] : outcome_counts_) {
+    out << "dogwoodlatch_requests_total{" << labels << "} " << count << "\n";
+  }
+  return out.str();
+}
+
+void HttpFront::HandleChat(const Request& request, Response& response) {
+  const auto settings = sync_.settings();
+  const WorkspaceSettings* workspace =
+      Authenticate(*settings, request, response);
+  if (workspace == nullptr) return;
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    return Reject(response, 400, "bad_json", "the body is not a JSON object");
+  }
+  // The library reports wrong field types by exception only.
+  try {
+    const ModelSettings* model = settings->FindModel(body.value("model", ""));
+    if (model == nullptr) {
+      return Reject(response, 404, "unknown_model", "no such model");
+    }
+    const std::string prompt = PromptOf(body);
+    if (prompt.empty()) {
+      return Reject(response, 400, "bad_messages",
+                    "messages must be a list of role and content");
+    }
+    RequestContext context =
+        MakeContext(RequestKind::kChat, *workspace, request);
+    context.serves = model->name;
+    context.order.idempotent = true;
+    context.prompt.piece_keys =
+        ChainPieceKeys(workspace->id, model->name, prompt, model->piece_bytes);
+    context.prompt.prompt_tokens =
+        static_cast<uint32_t>(prompt.size() / kBytesPerToken);
+    context.prompt.piece_tokens = model->piece_bytes / kBytesPerToken;
+    context.order.piece_keys = context.prompt.piece_keys;
+    context.order.prompt_tokens = context.prompt.prompt_tokens;
+    context.policy.recompute_weight = model->recompute_weight;
+    context.deadline = SteadyNow() + model->deadline;
+    Answer(std::move(context), body.value("stream", false), response);
+  } catch (const Json::exception& e) {
+    Reject(response, 400, "bad_field", e.what());
+  }
+}
+
+void HttpFront::HandleService(const Request& request, Response& response) {
+  const auto settings = sync_.settings();
+  const WorkspaceSettings* workspace =
+      Authenticate(*settings, request, response);
+  if (workspace == nullptr) return;
+  const ServiceSettings* service =
+      settings->FindService(request.matches[1].str());
+  if (service == nullptr) {
+    return Reject(response, 404, "unknown_service", "no such service");
+  }
+  RequestContext context =
+      MakeContext(RequestKind::kService, *workspace, request);
+  context.serves = service->name;
+  context.order.path = request.matches[2];
+  context.order.idempotent =
+      service->IsIdempotent(request.method, context.order.path);
+  context.order.idempotency_key = request.get_header_value("Idempotency-Key");
+  if (!context.order.idempotent && context.order.idempotency_key.empty()) {
+    return Reject(response, 400, "missing_idempotency_key",
+                  "a non-idempotent call needs an Idempotency-Key header");
+  }
+  const std::string spread = context.order.idempotent
+                                 ? context.order.request_id.value
+                                 : context.order.idempotency_key;
+  context.prompt.piece_keys = {DigestOf({workspace->id.value, spread})};
+  context.deadline = SteadyNow() + service->deadline;
+  Answer(std::move(context), false, response);
+}
+
+void HttpFront::Answer(RequestContext context, bool stream,
+                       Response& response) {
+  if (draining_) {
+    return GiveError(response, {OutcomeKind::kNotRun,
+                                OutcomeReason::kNoTarget,
+                                std::chrono::seconds(1),
+                                {}});
+  }
+  auto in_flight = std::make_shared<InFlight>(in_flight_);
+  const RequestKind kind = context.order.kind;
+  response.set_header("X-Request-Id", context.order.request_id.value);
+  auto driver =
+      std::make_shared<RequestDriver>(std::move(context), links_, settings_);
+  DriverStep first = driver->Next();
+  if (stream && std::holds_alternative<std::string>(first)) {
+    return AnswerStreamed(driver, in_flight,
+                          std::get<std::string>(std::move(first)), response);
+  }
+  AnswerWhole(*driver, std::move(first), kind, response);
+}
+
+void HttpFront::AnswerStreamed(const std::shared_ptr<RequestDriver>& driver,
+                               const std::shared_ptr<InFlight>& in_flight,
+                               std::string first, Response& response) {
+  response.set_chunked_content_provider(
+      "text/event-stream",
+      [this, driver, in_flight, pending = std::move(first)](
+          size_t, httplib::DataSink& sink) mutable {
+        DriverStep step = pending.empty()
+                              ? driver->Next()
+                              : DriverStep(std::exchange(pending, ""));
+        const std::string event =
+            std::visit([](const auto& s) { return StreamEvent(s); }, step);
+        const bool written = sink.write(event.data(), event.size());
+        if (const auto* outcome = std::get_if<Outcome>(&step)) {
+          Count(*outcome);
+          sink.done();
+        } else if (!written) {
+          driver->Abandon();
+        }
+        return written;
+      });
+}
+
+void HttpFront::AnswerWhole(RequestDriver& driver, DriverStep first,
+                            RequestKind kind, Response& response) {
+  std::string answer;
+  DriverStep step = std::move(first);
+  while (const auto* data = std::get_if<std::string>(&step)) {
+    answer += *data;
+    step = driver.Next();
+  }
+  const Outcome& outcome = std::get<Outcome>(step);
+  Count(outcome);
+  if (outcome.kind != OutcomeKind::kComplete) {
+    return GiveError(response, outcome);
+  }
+  GiveWhole(response, outcome, kind, answer);
+}
+
+const WorkspaceSettings* HttpFront::Authenticate(
+    const SettingsSnapshot& settings, const Request& request,
+    Response& response) const {
+  const std::string header = request.get_header_value("Authorization");
+  const WorkspaceSettings* workspace = nullptr;
+  if (header.starts_with(kBearer)) {
+    workspace =
+        settings.FindWorkspaceByKey(Sha256Hex(header.substr(kBearer.size())));
+  }
+  if (workspace == nullptr) {
+    Reject(response, 401, "unknown_workspace_key", "no workspace has this key");
+  }
+  return workspace;
+}
+
+RequestContext HttpFront::MakeContext(RequestKind kind,
+                                      const WorkspaceSettings& workspace,
+                                      const Request& request) {
+  RequestContext context;
+  context.vms = sync_.vms();
+  context.policy.max_candidates = settings_.max_candidates;
+  context.policy.failure_domain = settings_.failure_domain;
+  Submit& order = context.order;
+  order.request_id = NextRequestId();
+  order.kind = kind;
+  order.workspace = workspace.id;
+  order.priority = workspace.priority;
+  order.method = request.method;
+  order.path = request.path;
+  order.content_type = request.get_header_value("Content-Type");
+  order.body = request.body;
+  order.digest = DigestOf({request.method, request.path, request.body});
+  return context;
+}
+
+RequestId HttpFront::NextRequestId() {
+  const std::lock_guard lock(random_mutex_);
+  return {MakeRandomHex(random_)};
+}
+
+void HttpFront::Count(const Outcome& outcome) {
+  const std::string labels =
+      "outcome=\"" + std::string(ToString(outcome.kind)) + "\",reason=\"" +
+      std::string(ToString(outcome.reason)) + "\"";
+  const std::lock_guard lock(counts_mutex_);
+  ++outcome_counts_[labels];
+}
+
+}  // namespace dogwoodlatch::router
--- /dev/null
+++ b/src/dogwoodlatch-router/http_front.h
@@ -0,0 +1,72 @@
+// The router's HTTP side towards callers.
+#pragma once
+
+#include <httplib.h>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "agent_links.h"
+#include "dogwoodlatch/util/platform_sync.h"
+#include "request_driver.h"
+#include "router_settings.h"
+
+namespace dogwoodlatch::router {
+
+class HttpFront {
+ public:
+  HttpFront(const RouterSettings& settings, const PlatformSync& sync,
+            AgentLinks& links);
+  ~HttpFront();
+  HttpFront(const HttpFront&) = delete;
+  HttpFront& operator=(const HttpFront&) = delete;
+
+  // False when the address cannot be bound.
+  bool Start();
+
+  // Refuses new requests, lets those in flight finish for at most the drain
+  // time-out, then closes the listener.
+  void DrainAndStop();
+
+  // Text lines of figures.
+  std::string Metrics() const;
+
+ private:
+  class InFlight;
+
+  void HandleChat(const httplib::Request& request, httplib::Response& response);
+  void HandleService(const httplib::Request& request,
+                     httplib::Response& response);
+  void Answer(RequestContext context, bool stream, httplib::Response& response);
+  void AnswerStreamed(const std::shared_ptr<RequestDriver>& driver,
+                      const std::shared_ptr<InFlight>& in_flight,
+                      std::string first, httplib::Response& response);
+  void AnswerWhole(RequestDriver& driver, DriverStep first, RequestKind kind,
+                   httplib::Response& response);
+  const WorkspaceSettings* Authenticate(const SettingsSnapshot& settings,
+                                        const httplib::Request& request,
+                                        httplib::Response& response) const;
+  RequestContext MakeContext(RequestKind kind,
+                             const WorkspaceSettings& workspace,
+                             const httplib::Request& request);
+  RequestId NextRequestId();
+  void Count(const Outcome& outcome);
+
+  const RouterSettings& settings_;
+  const PlatformSync& sync_;
+  AgentLinks& links_;
+  httplib::Server server_;
+  std::thread thread_;
+  std::atomic<bool> draining_{false};
+  std::atomic<int> in_flight_{0};
+  std::mutex random_mutex_;
+  std::mt19937_64 random_ = MakeSeededRandom();
+  mutable std::mutex counts_mutex_;
+  std::map<std::string, uint64_t> outcome_counts_;
+};
+
+}  // namespace dogwoodlatch::router
--- /dev/null
+++ b/src/dogwoodlatch-router/router_settings.h
@@ -0,0 +1,35 @@
+// The router's settings file.
+#pragma once
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <span>
+#include <string>
+
+#include "dogwoodlatch/schema.h"
+#include "dogwoodlatch/util/platform_sync.h"
+
+namespace dogwoodlatch::router {
+
+struct RouterSettings {
+  std::string id;
+  std::string failure_domain;
+  std::string caller_address;
+  std::string ops_address;
+  PlatformSyncOptions platform;
+  size_t threads = 0;
+  size_t max_body_bytes = 0;
+  std::chrono::milliseconds read_timeout{0};
+  std::chrono::milliseconds idle_timeout{0};
+  std::chrono::milliseconds probe_timeout{0};
+  std::chrono::milliseconds connect_timeout{0};
+  size_t max_candidates = 0;
+  std::chrono::milliseconds drain_timeout{0};
+};
+
+std::span<const KeySpec> RouterSchema();
+
+// Reads a document without faults and with its defaults filled in.
+RouterSettings ParseRouterSettings(const nlohmann::json& document);
+
+}  // namespace dogwoodlatch::router
--- /dev/null
+++ b/src/dogwoodlatch-standin/platform.cc
@@ -0,0 +1,251 @@
+// The platform stand-in: object API, VM list, and a control path that makes it
+// fail on demand.
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "dogwoodlatch/standin/object_store.h"
+#include "serve.h"
+#include "standin.h"
+
+namespace dogwoodlatch::standin {
+namespace {
+
+using Json = nlohmann::json;
+using httplib::Request;
+using httplib::Response;
+
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kConflict = 412;
+constexpr int kDown = 503;
+
+Json ToJson(const StoredObject& object) {
+  return {{"path", object.path},
+          {"version", object.version},
+          {"value", object.value}};
+}
+
+uint64_t ParamOr(const Request& request, const char* name, uint64_t fallback) {
+  return request.has_param(name) ? std::stoull(request.get_param_value(name))
+                                 : fallback;
+}
+
+class Platform {
+ public:
+  void Install(httplib::Server& server) {
+    server.set_pre_routing_handler(
+        [this](const Request& request, Response& response) {
+          return Fail(request, response);
+        });
+    server.set_post_routing_handler(
+        [this](const Request& request, Response& response) {
+          LoseAnswer(request, response);
+        });
+    server.Get("/objects", [this](const Request& request, Response& response) {
+      List(request, response);
+    });
+    server.Get("/objects/(.+)",
+               [this](const Request& request, Response& response) {
+                 Get(request, response);
+               });
+    server.Put("/objects/(.+)",
+               [this](const Request& request, Response& response) {
+                 Put(request, response);
+               });
+    server.Delete("/objects/(.+)",
+                  [this](const Request& request, Response& response) {
+                    Delete(request, response);
+                  });
+    server.Get("/watch", [this](const Request& request, Response& response) {
+      Watch(request, response);
+    });
+    server.Get("/vms", [this](const Request& request, Response& response) {
+      Vms(request, response);
+    });
+    server.Put("/vms", [this](const Request& request, Response& response) {
+      PutVms(request, response);
+    });
+    server.Post("/control", [this](const Request& request, Response& response) {
+      Control(request, response);
+    });
+    server.Get("/control",
+               [this](const Request&, Response& response) { Stats(response); });
+  }
+
+ private:
+  static bool IsControl(const Request& request) {
+    return request.path == "/control";
+  }
+
+  httplib::Server::HandlerResponse Fail(const Request& request,
+                                        Response& response) {
+    if (IsControl(request)) return httplib::Server::HandlerResponse::Unhandled;
+    ++(request.method == "GET" ? reads_ : writes_);
+    std::this_thread::sleep_for(std::chrono::milliseconds(delay_ms_.load()));
+    if (!down_) return httplib::Server::HandlerResponse::Unhandled;
+    response.status = kDown;
+    return httplib::Server::HandlerResponse::Handled;
+  }
+
+  // The write took effect; its answer becomes one that tells nothing.
+  void LoseAnswer(const Request& request, Response& response) {
+    if (IsControl(request) || request.method == "GET" || lose_answers_ <= 0) {
+      return;
+    }
+    --lose_answers_;
+    response.status = 200;
+    response.set_content("answer lost", "text/plain");
+  }
+
+  void List(const Request& request, Response& response) {
+    const std::lock_guard lock(mutex_);
+    Json objects = Json::array();
+    for (const StoredObject& object :
+         store_.List(request.get_param_value("prefix"))) {
+      objects.push_back(ToJson(object));
+    }
+    Answer(response, {{"revision", store_.revision()}, {"objects", objects}});
+  }
+
+  void Get(const Request& request, Response& response) {
+    const std::lock_guard lock(mutex_);
+    const std::string path = request.matches[1];
+    const auto object =
+        request.has_param("version")
+            ? store_.GetVersion(path, ParamOr(request, "version", 0))
+            : store_.Get(path);
+    if (!object) {
+      response.status = kNotFound;
+      return;
+    }
+    Answer(response, ToJson(*object));
+  }
+
+  void Put(const Request& request, Response& response) {
+    Json value = Json::parse(request.body, nullptr, false);
+    if (value.is_discarded()) {
+      response.status = 400;
+      return;
+    }
+    const std::lock_guard lock(mutex_);
+    AnswerWrite(response, store_.Put(request.matches[1].str(), std::move(value),
+                                     ExpectedVersion(request)));
+  }
+
+  void Delete(const Request& request, Response& response) {
+    const std::lock_guard lock(mutex_);
+    AnswerWrite(response, store_.Delete(request.matches[1].str(),
+                                        ExpectedVersion(request)));
+  }
+
+  static uint64_t ExpectedVersion(const Request& request) {
+    return request.has_header("If-Match")
+               ? std::stoull(request.get_header_value("If-Match"))
+               : 0;
+  }
+
+  void AnswerWrite(Response& response, const Result<uint64_t>& version) {
+    if (!version) {
+      response.status =
+          version.error().code == ErrorCode::kNotFound ? kNotFound : kConflict;
+      return;
+    }
+    changed_.notify_all();
+    Answer(response, {{"version", version.value()}});
+  }
+
+  void Watch(const Request& request, Response& response) {
+    const std::string prefix = request.get_param_value("prefix");
+    const uint64_t revision = ParamOr(request, "revision", 0);
+    std::unique_lock lock(mutex_);
+    std::optional<std::vector<StoredChange>> changes;
+    changed_.wait_for(
+        lock, std::chrono::milliseconds(ParamOr(request, "wait_ms", 0)), [&] {
+          changes = store_.ChangesAfter(prefix, revision);
+          return down_ || !changes || !changes->empty();
+        });
+    if (!changes) {
+      response.status = kGone;
+      return;
+    }
+    if (down_) {
+      response.status = kDown;
+      return;
+    }
+    Json list = Json::array();
+    for (const StoredChange& change : *changes) {
+      Json item = ToJson(change.object);
+      item["deleted"] = change.deleted;
+      list.push_back(std::move(item));
+    }
+    Answer(response, {{"revision", store_.revision()}, {"changes", list}});
+  }
+
+  void Vms(const Request& request, Response& response) {
+    const uint64_t known = ParamOr(request, "revision", 0);
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock,
+                      std::chrono::milliseconds(ParamOr(request, "wait_ms", 0)),
+                      [&] { return down_ || vms_revision_ != known; });
+    if (down_) {
+      response.status = kDown;
+      return;
+    }
+    Answer(response, {{"revision", vms_revision_}, {"vms", vms_}});
+  }
+
+  void PutVms(const Request& request, Response& response) {
+    const std::lock_guard lock(mutex_);
+    vms_ = Json::parse(request.body, nullptr, false);
+    ++vms_revision_;
+    changed_.notify_all();
+    Answer(response, {{"revision", vms_revision_}});
+  }
+
+  void Control(const Request& request, Response& response) {
+    const Json order = Json::parse(request.body, nullptr, false);
+    down_ = order.value("down", down_.load());
+    delay_ms_ = order.value("delay_ms", delay_ms_.load());
+    lose_answers_ = order.value("lose_answers", lose_answers_.load());
+    changed_.notify_all();
+    Stats(response);
+  }
+
+  void Stats(Response& response) {
+    Answer(response, {{"reads", reads_.load()},
+                      {"writes", writes_.load()},
+                      {"down", down_.load()}});
+  }
+
+  static void Answer(Response& response, const Json& json) {
+    response.status = 200;
+    response.set_content(json.dump(), "application/json");
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  ObjectStore store_;
+  Json vms_ = Json::array();
+  uint64_t vms_revision_ = 1;
+  std::atomic<bool> down_{false};
+  std::atomic<int> delay_ms_{0};
+  std::atomic<int> lose_answers_{0};
+  std::atomic<uint64_t> reads_{0};
+  std::atomic<uint64_t> writes_{0};
+};
+
+}  // namespace
+
+int RunPlatform(const std::string& address) {
+  httplib::Server server;
+  Platform platform;
+  platform.Install(server);
+  return ServeUntilStopped(server, address);
+}
+
+}  // namespace dogwoodlatch::standin
--- /dev/null
+++ b/src/dogwoodlatch-standin/serve.h
@@ -0,0 +1,15 @@
+// Runs one HTTP server until a stop signal.
+#pragma once
+
+#include <httplib.h>
+
+#include <string>
+
+namespace dogwoodlatch::standin {
+
+inline constexpr size_t kServerThreads = 256;
+
+// Returns the process's exit code.
+int ServeUntilStopped(httplib::Server& server, const std::string& address);
+
+}  // namespace dogwoodlatch::standin
--- /dev/null
+++ b/src/dogwoodlatch-standin/service.cc
@@ -0,0 +1,83 @@
+// The plain service stand-in: answers any call and keeps a journal of what it
+// ran.
+
+#include <atomic>
+#include <fstream>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "dogwoodlatch/ids.h"
+#include "serve.h"
+#include "standin.h"
+
+namespace dogwoodlatch::standin {
+namespace {
+
+using httplib::Request;
+using httplib::Response;
+
+class Service {
+ public:
+  explicit Service(const ServiceOptions& options) : options_(options) {
+    std::mt19937_64 random = MakeSeededRandom();
+    boot_id_ = MakeRandomHex(random);
+    if (!options.journal.empty()) journal_.open(options.journal, std::ios::app);
+  }
+
+  void Install(httplib::Server& server) {
+    server.Get("/service/state", [this](const Request&, Response& response) {
+      response.set_content(
+          nlohmann::json({{"boot_id", boot_id_}, {"name", options_.name}})
+              .dump(),
+          "application/json");
+    });
+    const auto run = [this](const Request& request, Response& response) {
+      Run(request, response);
+    };
+    server.Get("/.*", run)
+        .Post("/.*", run)
+        .Put("/.*", run)
+        .Patch("/.*", run)
+        .Delete("/.*", run);
+  }
+
+ private:
+  // The call takes effect first and answers after its latency, so a kill in
+  // between loses only the answer.
+  void Run(const Request& request, Response& response) {
+    const std::string key = request.get_header_value("Idempotency-Key");
+    const uint64_t ran = ++ran_;
+    {
+      const std::lock_guard lock(mutex_);
+      if (journal_.is_open()) {
+        journal_ << request.method << ' ' << request.path << ' ' << key
+                 << std::endl;
+      }
+    }
+    std::this_thread::sleep_for(options_.latency);
+    const nlohmann::json answer = {{"service", options_.name},
+                                   {"method", request.method},
+                                   {"path", request.path},
+                                   {"key", key},
+                                   {"ran", ran}};
+    response.set_content(answer.dump(), "application/json");
+  }
+
+  ServiceOptions options_;
+  std::string boot_id_;
+  std::atomic<uint64_t> ran_{0};
+  std::mutex mutex_;
+  std::ofstream journal_;
+};
+
+}  // namespace
+
+int RunService(const ServiceOptions& options) {
+  httplib::Server server;
+  Service service(options);
+  service.Install(server);
+  return ServeUntilStopped(server, options.address);
+}
+
+}  // namespace dogwoodlatch::standin
--- /dev/null
+++ b/src/include/dogwoodlatch/membership.h
@@ -0,0 +1,45 @@
+/// The VM list as routing sees it: which targets exist, where, and which of
+/// them are leaving.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dogwoodlatch/error.h"
+#include "dogwoodlatch/ids.h"
+#include "dogwoodlatch/messages.h"
+
+namespace dogwoodlatch {
+
+/// One target VM as the platform lists it.
+struct TargetEntry {
+  TargetId id;
+  std::string vm_id;  ///< identity of the VM; a replaced VM behind the same
+                      ///< address has another
+  RequestKind kind = RequestKind::kChat;
+  std::string serves;         ///< model or service name
+  std::string agent_address;  ///< "ip:port" of the agent beside the target
+  std::string failure_domain;
+  std::string region;
+  bool leaving = false;
+
+  bool operator==(const TargetEntry&) const = default;
+};
+
+/// One version of the VM list.
+struct VmList {
+  uint64_t revision = 0;
+  std::vector<TargetEntry> targets;
+
+  /// The targets that serve `name` and are not leaving.
+  std::vector<const TargetEntry*> Serving(RequestKind kind,
+                                          std::string_view name) const;
+  const TargetEntry* Find(const TargetId& id) const;
+};
+
+/// Reads the platform's JSON; fails with kWrongType on malformed entries.
+Result<VmList> ParseVmList(const nlohmann::json& document);
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/src/include/dogwoodlatch/routing.h
@@ -0,0 +1,49 @@
+/// Routing: which few targets to probe for a prompt, and which of those that
+/// answered to use.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "dogwoodlatch/membership.h"
+#include "dogwoodlatch/messages.h"
+
+namespace dogwoodlatch {
+
+struct RoutingPolicy {
+  size_t max_candidates = 4;  ///< targets probed for one request
+  double recompute_weight =
+      1.0;  ///< seconds charged for a second of recomputed prefill
+  std::string failure_domain;  ///< the router's own
+};
+
+/// A probed target and its answer.
+struct ProbedTarget {
+  TargetId target;
+  ProbeReply reply;
+};
+
+/// What is known of the prompt.
+struct PromptShape {
+  std::vector<PieceKey> piece_keys;
+  uint32_t prompt_tokens = 0;
+  size_t piece_tokens = 0;
+};
+
+/// The targets to probe, best first, by weighted rendezvous hashing on the keys
+/// of the chain. Depends on its arguments alone, so every router and every
+/// restart picks the same.
+std::vector<TargetId> PickCandidates(
+    std::span<const TargetEntry* const> serving, const PromptShape& prompt,
+    const RoutingPolicy& policy);
+
+/// The index of the probed target with the lowest cost, or none when no target
+/// can take work.
+std::optional<size_t> ChooseTarget(std::span<const ProbedTarget> probed,
+                                   const PromptShape& prompt,
+                                   const RoutingPolicy& policy);
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/src/include/dogwoodlatch/schema.h
@@ -0,0 +1,49 @@
+/// Checked settings: one table a kind of file gives every key's type, unit,
+/// bounds, default and meaning. The checker and the printed reference walk the
+/// same table.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dogwoodlatch/error.h"
+
+namespace dogwoodlatch {
+
+enum class ValueType { kString, kInteger, kNumber, kBoolean, kObject, kArray };
+
+/// One key. `path` joins steps with '.'; '*' stands for any name, "[]" for any
+/// element of an array.
+struct KeySpec {
+  std::string_view path;
+  ValueType type;
+  std::string_view unit;
+  double minimum = 0;  ///< smallest number, or shortest string or array
+  double maximum = 0;  ///< largest number, or longest string or array
+  std::string_view
+      default_value;  ///< JSON text; empty when the key is required
+  std::string_view meaning;
+};
+
+/// Parses JSON with comments; fails with kBadJson and the position.
+Result<nlohmann::json> ParseJsonWithComments(std::string_view text,
+                                             std::string_view where);
+
+/// Every fault of `document` against `schema`, in document order; `where` names
+/// the file or object.
+std::vector<Error> FindFaults(const nlohmann::json& document,
+                              std::span<const KeySpec> schema,
+                              std::string_view where);
+
+/// `document` with the schema's defaults filled in; call it on documents
+/// without faults.
+nlohmann::json FillDefaults(const nlohmann::json& document,
+                            std::span<const KeySpec> schema);
+
+/// The reference of a table, a line a key, for `settings explain`.
+std::string Explain(std::span<const KeySpec> schema);
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/src/include/dogwoodlatch/settings.h
@@ -0,0 +1,86 @@
+/// Routing settings: the objects that teams write to the platform, and the
+/// snapshot that requests read.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dogwoodlatch/error.h"
+#include "dogwoodlatch/ids.h"
+#include "dogwoodlatch/schema.h"
+
+namespace dogwoodlatch {
+
+inline constexpr std::string_view kSettingsPrefix = "settings/";
+
+struct WorkspaceSettings {
+  WorkspaceId id;
+  std::string key_sha256;  ///< of the caller's bearer key, in hexadecimal
+  double share = 1;        ///< weight in fair sharing
+  double requests_per_second = 0;
+  int priority = 0;
+};
+
+struct ModelSettings {
+  std::string name;
+  size_t piece_bytes = 0;
+  double recompute_weight =
+      0;  ///< seconds charged for a second of recomputation
+  std::chrono::milliseconds deadline{0};
+};
+
+struct RouteRule {
+  std::string method;
+  std::string path;  ///< exact, or a prefix when it ends in '*'
+};
+
+struct ServiceSettings {
+  std::string name;
+  std::vector<RouteRule> idempotent_routes;
+  std::chrono::milliseconds deadline{0};
+
+  /// Whether a call is declared idempotent; an undeclared one is not.
+  bool IsIdempotent(std::string_view method, std::string_view path) const;
+};
+
+/// One team's object in force.
+struct TeamSettings {
+  std::string team;
+  uint64_t version = 0;
+  nlohmann::json document;
+  std::vector<WorkspaceSettings> workspaces;
+  std::vector<ModelSettings> models;
+  std::vector<ServiceSettings> services;
+};
+
+/// Everything in force at one moment; immutable once published.
+struct SettingsSnapshot {
+  std::map<std::string, TeamSettings> teams;
+
+  /// The workspace whose key has this digest; compares in constant time.
+  const WorkspaceSettings* FindWorkspaceByKey(
+      std::string_view key_sha256) const;
+  const ModelSettings* FindModel(std::string_view name) const;
+  const ServiceSettings* FindService(std::string_view name) const;
+};
+
+/// The table of a team's object.
+std::span<const KeySpec> TeamSchema();
+
+/// Every fault of one team's object.
+std::vector<Error> FindTeamFaults(const nlohmann::json& document,
+                                  std::string_view where);
+
+/// Reads an object without faults.
+TeamSettings ParseTeam(std::string_view team, uint64_t version,
+                       const nlohmann::json& document);
+
+/// SHA-256 of `text` in hexadecimal.
+std::string Sha256Hex(std::string_view text);
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/src/include/dogwoodlatch/standin/object_store.h
@@ -0,0 +1,64 @@
+/// The platform stand-in's object store: versions, conditional updates, history
+/// and a change log for watches.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dogwoodlatch/error.h"
+
+namespace dogwoodlatch::standin {
+
+struct StoredObject {
+  std::string path;
+  uint64_t version = 0;
+  nlohmann::json value;
+};
+
+struct StoredChange {
+  uint64_t revision = 0;
+  StoredObject object;
+  bool deleted = false;
+};
+
+/// Not thread-safe. Versions are store revisions, so they grow over deletion
+/// and re-creation too.
+class ObjectStore {
+ public:
+  std::optional<StoredObject> Get(std::string_view path) const;
+  std::optional<StoredObject> GetVersion(std::string_view path,
+                                         uint64_t version) const;
+  std::vector<StoredObject> List(std::string_view prefix) const;
+
+  /// Writes when the object's version is `expected` (0: absent); fails with
+  /// kConflict.
+  Result<uint64_t> Put(std::string_view path, nlohmann::json value,
+                       uint64_t expected);
+  Result<uint64_t> Delete(std::string_view path, uint64_t expected);
+
+  /// Changes below `prefix` after `revision`; none when the log no longer
+  /// reaches back that far.
+  std::optional<std::vector<StoredChange>> ChangesAfter(
+      std::string_view prefix, uint64_t revision) const;
+
+  uint64_t revision() const { return revision_; }
+
+ private:
+  static constexpr size_t kMaxLog = 10000;
+
+  uint64_t VersionOf(std::string_view path) const;
+  void Record(StoredObject object, bool deleted);
+
+  uint64_t revision_ = 0;
+  std::map<std::string, StoredObject, std::less<>> objects_;
+  std::map<std::string, std::vector<StoredObject>, std::less<>> history_;
+  std::deque<StoredChange> log_;
+};
+
+}  // namespace dogwoodlatch::standin
--- /dev/null
+++ b/src/include/dogwoodlatch/util/address.h
@@ -0,0 +1,17 @@
+/// Network addresses as settings write them.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace dogwoodlatch {
+
+struct Address {
+  std::string host;
+  int port = 0;
+};
+
+/// Splits "ip:port"; the port is 0 when the text has none.
+Address ParseAddress(std::string_view text);
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/src/libdogwoodlatch/membership.cc
@@ -0,0 +1,48 @@
+#include "dogwoodlatch/membership.h"
+
+#include <algorithm>
+
+namespace dogwoodlatch {
+
+std::vector<const TargetEntry*> VmList::Serving(RequestKind kind,
+                                                std::string_view name) const {
+  std::vector<const TargetEntry*> serving;
+  for (const TargetEntry& target : targets) {
+    if (target.kind == kind && target.serves == name && !target.leaving) {
+      serving.push_back(&target);
+    }
+  }
+  return serving;
+}
+
+const TargetEntry* VmList::Find(const TargetId& id) const {
+  const auto found = std::ranges::find(targets, id, &TargetEntry::id);
+  return found == targets.end() ? nullptr : &*found;
+}
+
+Result<VmList> ParseVmList(const nlohmann::json& document) {
+  // The library reports wrong field types by exception only.
+  try {
+    VmList list;
+    document.at("revision").get_to(list.revision);
+    for (const auto& vm : document.at("vms")) {
+      TargetEntry entry;
+      vm.at("id").get_to(entry.id.value);
+      entry.vm_id = vm.value("vm_id", entry.id.value);
+      entry.kind = vm.at("kind").get<std::string>() == "engine"
+                       ? RequestKind::kChat
+                       : RequestKind::kService;
+      vm.at("serves").get_to(entry.serves);
+      vm.at("agent").get_to(entry.agent_address);
+      entry.failure_domain = vm.value("failure_domain", "");
+      entry.region = vm.value("region", "");
+      entry.leaving = vm.value("state", "live") == "leaving";
+      list.targets.push_back(std::move(entry));
+    }
+    return list;
+  } catch (const nlohmann::json::exception& e) {
+    return Error{ErrorCode::kWrongType, "vm list", e.what()};
+  }
+}
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/src/libdogwoodlatch/messages_test.cc
@@ -0,0 +1,41 @@
+#include "dogwoodlatch/messages.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+
+namespace dogwoodlatch {
+
+TEST_CASE("a submit survives the wire unchanged") {
+  rc::prop("encode then decode",
+           [](const std::string& key, const std::string& body,
+              const std::vector<PieceKey>& keys, uint32_t attempt) {
+             Submit submit;
+             submit.request_id.value = "r1";
+             submit.attempt = attempt;
+             submit.idempotency_key = key;
+             submit.body = body;
+             submit.piece_keys = keys;
+             submit.time_left = std::chrono::seconds(3);
+             const auto decoded = Decode(Encode(submit));
+             RC_ASSERT(decoded.has_value());
+             const auto& copy = std::get<Submit>(decoded.value());
+             RC_ASSERT(copy.idempotency_key == key);
+             RC_ASSERT(copy.body == body);
+             RC_ASSERT(copy.piece_keys == keys);
+             RC_ASSERT(copy.attempt == attempt);
+             RC_ASSERT(copy.time_left == submit.time_left);
+           });
+}
+
+TEST_CASE("bytes that no message encodes to are refused with a type") {
+  rc::prop("arbitrary bytes never crash", [](const std::string& bytes) {
+    const auto decoded = Decode(bytes);
+    if (!decoded) RC_ASSERT(decoded.error().code == ErrorCode::kBadMessage);
+  });
+  std::string truncated = Encode(Cancel{{"r1"}, 2});
+  truncated.pop_back();
+  CHECK(Decode(truncated).error().code == ErrorCode::kBadMessage);
+}
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/testsuite/cluster.py
@@ -0,0 +1,262 @@
+"""Starts and stops the project's processes for end-to-end cases and the demo, on loopback only."""
+
+import hashlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+HOST = "127.0.0.1"
+WAIT_SECONDS = 10.0
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def request(port, method, path, body=None, headers=None, timeout=30.0):
+    """One HTTP exchange: (status, headers, text)."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=timeout)
+    try:
+        data = body if isinstance(body, (str, bytes, type(None))) else json.dumps(body)
+        connection.request(method, path, data, headers or {})
+        answer = connection.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read().decode()
+    finally:
+        connection.close()
+
+
+def wait_until(condition, what, seconds=WAIT_SECONDS):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.02)
+    raise TimeoutError("waited in vain for " + what)
+
+
+class Process:
+    """One daemon or stand-in; `restart` starts it again with the same command line."""
+
+    def __init__(self, name, command, log_dir):
+        self.name = name
+        self.command = command
+        self.log_path = os.path.join(log_dir, name + ".log")
+        self.child = None
+        self.start()
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.child = subprocess.Popen(self.command, stdout=log, stderr=log)
+
+    def send(self, signal_number):
+        self.child.send_signal(signal_number)
+
+    def kill(self):
+        """kill -9 and wait."""
+        self.child.kill()
+        self.child.wait()
+
+    def stop(self, seconds=WAIT_SECONDS):
+        """SIGTERM and wait; returns the exit code."""
+        if self.child.poll() is not None:
+            return self.child.returncode
+        self.child.send_signal(signal.SIGCONT)
+        self.child.terminate()
+        try:
+            return self.child.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return None
+
+    def restart(self):
+        self.start()
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8", errors="replace") as log:
+            return log.read()
+
+
+class Target:
+    """A target with the agent beside it."""
+
+    def __init__(self, target_id, kind, serves, process, agent, target_port, agent_port, ops_port, domain):
+        self.id = target_id
+        self.kind = kind
+        self.serves = serves
+        self.process = process
+        self.agent = agent
+        self.target_port = target_port
+        self.agent_port = agent_port
+        self.ops_port = ops_port
+        self.domain = domain
+        self.state = "live"
+        self.journal = None
+
+    def vm(self):
+        return {"id": self.id, "kind": self.kind, "serves": self.serves, "state": self.state,
+                "agent": f"{HOST}:{self.agent_port}", "failure_domain": self.domain}
+
+
+class Router:
+    def __init__(self, process, port, ops_port):
+        self.process = process
+        self.port = port
+        self.ops_port = ops_port
+
+
+class Cluster:
+    """A platform, targets with agents, and routers. Use it in a with statement."""
+
+    def __init__(self, bin_dir):
+        self.bin_dir = bin_dir
+        self.directory = tempfile.TemporaryDirectory()
+        self.processes = []
+        self.targets = []
+        self.routers = []
+        self.platform_port = free_port()
+        self.platform = self.spawn("platform", self.standin("platform", self.platform_port))
+        wait_until(lambda: self.control({}) is not None, "the platform")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for process in reversed(self.processes):
+            process.stop(3.0)
+        self.directory.cleanup()
+
+    def path(self, name):
+        return os.path.join(self.directory.name, name)
+
+    def spawn(self, name, command):
+        process = Process(name, command, self.directory.name)
+        self.processes.append(process)
+        return process
+
+    def program(self, name):
+        return os.path.join(self.bin_dir, name)
+
+    def standin(self, role, port, *options):
+        return [self.program("dogwoodlatch-standin"), role, "--listen", f"{HOST}:{port}", *options]
+
+    def daemon(self, program, name, settings):
+        file = self.path(name + ".json")
+        with open(file, "w", encoding="utf-8") as out:
+            json.dump(settings, out, indent=2)
+        return self.spawn(name, [self.program(program), "--config", file])
+
+    def control(self, order):
+        return json.loads(request(self.platform_port, "POST", "/control", order)[2])
+
+    def put_object(self, path, value, version=0):
+        status, _, text = request(self.platform_port, "PUT", "/objects/" + path, value, {"If-Match": str(version)})
+        assert status == 200, text
+        return json.loads(text)["version"]
+
+    def publish_vms(self):
+        request(self.platform_port, "PUT", "/vms", [target.vm() for target in self.targets])
+
+    def add_target(self, target_id, kind, serves, options, domain="a", agent_settings=None):
+        target_port, agent_port, ops_port = free_port(), free_port(), free_port()
+        process = self.spawn(target_id, self.standin(kind, target_port, *options))
+        settings = {"id": target_id + "-agent", "router_address": f"{HOST}:{agent_port}",
+                    "ops_address": f"{HOST}:{ops_port}",
+                    "target": {"kind": kind, "address": f"{HOST}:{target_port}"}}
+        settings.update(agent_settings or {})
+        agent = self.daemon("dogwoodlatch-agent", settings["id"], settings)
+        target = Target(target_id, kind, serves, process, agent, target_port, agent_port, ops_port, domain)
+        self.targets.append(target)
+        return target
+
+    def add_engine(self, target_id, model="assistant", domain="a", options=(), agent_settings=None):
+        return self.add_target(target_id, "engine", model, ["--model", model, *options], domain, agent_settings)
+
+    def add_service(self, target_id, service, domain="a", options=(), agent_settings=None):
+        journal = self.path(service + ".journal")
+        target = self.add_target(target_id, "service", service, ["--name", service, "--journal", journal, *options],
+                                 domain, agent_settings)
+        target.journal = journal
+        return target
+
+    def add_router(self, name, extra=None):
+        port, ops_port = free_port(), free_port()
+        settings = {"id": name, "caller_address": f"{HOST}:{port}", "ops_address": f"{HOST}:{ops_port}",
+                    "platform": {"address": f"{HOST}:{self.platform_port}"}}
+        settings.update(extra or {})
+        router = Router(self.daemon("dogwoodlatch-router", name, settings), port, ops_port)
+        self.routers.append(router)
+        return router
+
+    def wait_ready(self):
+        for target in self.targets:
+            wait_until(lambda t=target: request(t.ops_port, "GET", "/readyz")[0] == 200, target.id)
+        self.publish_vms()
+        for router in self.routers:
+            self.wait_router(router)
+
+    def wait_router(self, router):
+        def has_all():
+            if request(router.ops_port, "GET", "/readyz")[0] != 200:
+                return False
+            return json.loads(request(router.ops_port, "GET", "/status")[2])["vm_list"] > 1
+        wait_until(has_all, router.process.name)
+
+
+def team(workspaces=("tengri",), models=("assistant",), services=None, model_settings=None):
+    """A team's settings object; the bearer key of workspace W is "key-W"."""
+    return {
+        "workspaces": {w: {"key_sha256": hashlib.sha256(f"key-{w}".encode()).hexdigest()} for w in workspaces},
+        "models": {m: dict(model_settings or {}) for m in models},
+        "services": services or {},
+    }
+
+
+def bearer(workspace):
+    return {"Authorization": f"Bearer key-{workspace}", "Content-Type": "application/json"}
+
+
+def chat_body(text, max_tokens=8, stream=False, model="assistant"):
+    return {"model": model, "messages": [{"role": "user", "content": text}], "max_tokens": max_tokens,
+            "stream": stream}
+
+
+def stream_chat(port, workspace, text, max_tokens=8, on_part=None, timeout=30.0):
+    """One streamed completion: (text, whether it ended with [DONE], error event or None)."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=timeout)
+    parts, done, error = [], False, None
+    try:
+        connection.request("POST", "/v1/chat/completions", json.dumps(chat_body(text, max_tokens, True)),
+                           bearer(workspace))
+        answer = connection.getresponse()
+        if answer.status != 200:
+            return "", False, json.loads(answer.read())
+        for line in answer:
+            line = line.decode().strip()
+            if not line.startswith("data: "):
+                continue
+            data = line[len("data: "):]
+            if data == "[DONE]":
+                done = True
+                continue
+            event = json.loads(data)
+            if "error" in event:
+                error = event
+                continue
+            for choice in event["choices"]:
+                if choice["delta"].get("content"):
+                    parts.append(choice["delta"]["content"])
+                    if on_part:
+                        on_part(len(parts))
+        return "".join(parts), done, error
+    finally:
+        connection.close()
--- /dev/null
+++ b/testsuite/run_case.py
@@ -0,0 +1,35 @@
+"""Runs one end-to-end case: its run.py prints lines, which must equal ref/out.txt."""
+
+import argparse
+import contextlib
+import difflib
+import importlib.util
+import io
+import os
+import sys
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("case")
+    parser.add_argument("--bin-dir", required=True)
+    arguments = parser.parse_args()
+    spec = importlib.util.spec_from_file_location("case", os.path.join(arguments.case, "run.py"))
+    case = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(case)
+    printed = io.StringIO()
+    with contextlib.redirect_stdout(printed):
+        case.run(arguments.bin_dir)
+    with open(os.path.join(arguments.case, "ref", "out.txt"), encoding="utf-8") as file:
+        expected = file.read()
+    if printed.getvalue() == expected:
+        return 0
+    sys.stdout.writelines(difflib.unified_diff(expected.splitlines(True), printed.getvalue().splitlines(True),
+                                               "expected", "printed"))
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
