Split request life by idempotence and give the bench subcommands

Cause: idempotent and non-idempotent requests share events and commands but no rule, and one class for both would mix them; the transport test held fixed ports, so two checkouts could not test at once.

--- a/src/dogwoodlatch-agent/agent.cc
+++ b/src/dogwoodlatch-agent/agent.cc
@@ -48,7 +48,7 @@
 
 bool Agent::Start() {
   SetTargetHealth(target_.CheckHealth());
-  if (!node_.Listen(settings_.router_address)) return false;
+  if (node_.Listen(settings_.router_address) == 0) return false;
   monitor_ = std::thread([this] { MonitorTarget(); });
   return true;
 }
--- a/src/dogwoodlatch-bench/main.cc
+++ b/src/dogwoodlatch-bench/main.cc
@@ -1,37 +1,37 @@
-// dogwoodlatch-bench: measurements on the decision code and against running
-// daemons.
+// dogwoodlatch-bench: measurements on the decision code and on running daemons.
 
-#include <chrono>
+#include <algorithm>
+#include <array>
 #include <iostream>
-#include <string>
+#include <vector>
 
-#include "dogwoodlatch/prefix_key.h"
+#include "bench.h"
+#include "dogwoodlatch/util/program.h"
 
+namespace dogwoodlatch::bench {
 namespace {
 
-// Prints the rate at which a prompt of 400 KB is keyed.
-void MeasureKeying() {
-  constexpr size_t kPromptBytes = size_t{400} * 1024;
-  constexpr size_t kPieceBytes = 8192;
-  constexpr int kRounds = 2000;
-  const std::string prompt(kPromptBytes, 'x');
-  size_t pieces = 0;
-  const auto start = std::chrono::steady_clock::now();
-  for (int i = 0; i < kRounds; ++i) {
-    pieces +=
-        dogwoodlatch::ChainPieceKeys({"w"}, "m", prompt, kPieceBytes).size();
+constexpr std::array kSubcommands = {
+    Subcommand{"keying", "rate of keying a long prompt", RunKeying},
+};
+
+int Run(const std::vector<std::string>& arguments) {
+  const std::string name = arguments.empty() ? "--help" : arguments.front();
+  const auto found = std::ranges::find(kSubcommands, name, &Subcommand::name);
+  if (found != kSubcommands.end()) {
+    return found->run(std::span(arguments).subspan(1));
+  }
+  std::cout << "usage: dogwoodlatch-bench SUBCOMMAND\n";
+  for (const Subcommand& subcommand : kSubcommands) {
+    std::cout << "  " << subcommand.name << "  " << subcommand.summary << "\n";
   }
-  const std::chrono::duration<double> elapsed =
-      std::chrono::steady_clock::now() - start;
-  std::cout << "keying "
-            << static_cast<double>(kPromptBytes) * kRounds / elapsed.count() /
-                   1e9
-            << " GB/s over " << pieces << " pieces\n";
+  const bool asked = name == "--help" || name == "--version";
+  return static_cast<int>(asked ? ExitCode::kOk : ExitCode::kBadUsage);
 }
 
 }  // namespace
+}  // namespace dogwoodlatch::bench
 
-int main() {
-  MeasureKeying();
-  return 0;
+int main(int argc, char** argv) {
+  return dogwoodlatch::bench::Run({argv + 1, argv + argc});
 }
--- a/src/dogwoodlatch-router/request_driver.cc
+++ b/src/dogwoodlatch-router/request_driver.cc
@@ -23,8 +23,8 @@
     : context_(std::move(context)),
       links_(links),
       settings_(settings),
-      life_(PlanOf(context_)) {
-  Push(life_.Start());
+      life_(MakeRequestLife(PlanOf(context_))) {
+  Push(life_->Start());
 }
 
 RequestDriver::~RequestDriver() {
@@ -54,7 +54,7 @@
 }
 
 void RequestDriver::Abandon() {
-  Push(life_.Handle(CallerGone{}));
+  Push(life_->Handle(CallerGone{}));
   for (const RequestCommand& command : commands_) {
     if (const auto* cancel = std::get_if<CancelAttempt>(&command)) {
       Execute(*cancel);
@@ -73,12 +73,12 @@
   const std::optional<size_t> best =
       ChooseTarget(probed, context_.prompt, context_.policy);
   if (!best) {
-    Push(life_.Handle(NoTargetFound{kNoTargetRetryAfter}));
+    Push(life_->Handle(NoTargetFound{kNoTargetRetryAfter}));
     return;
   }
   const ProbedTarget& chosen = probed[*best];
-  Push(life_.Handle(TargetChosen{chosen.target, chosen.reply.incarnation,
-                                 chosen.reply.weights_version}));
+  Push(life_->Handle(TargetChosen{chosen.target, chosen.reply.incarnation,
+                                  chosen.reply.weights_version}));
 }
 
 void RequestDriver::Execute(const SendAttempt& command) {
@@ -102,11 +102,11 @@
 void RequestDriver::WaitForEvent() {
   std::optional<MailItem> item = mailbox_->Wait(context_.deadline);
   if (!item) {
-    Push(life_.Handle(DeadlineReached{}));
+    Push(life_->Handle(DeadlineReached{}));
     return;
   }
   const std::optional<RequestEvent> event = ToEvent(std::move(*item));
-  if (event) Push(life_.Handle(*event));
+  if (event) Push(life_->Handle(*event));
 }
 
 std::optional<RequestEvent> RequestDriver::ToEvent(MailItem item) const {
--- a/src/dogwoodlatch-router/request_driver.h
+++ b/src/dogwoodlatch-router/request_driver.h
@@ -63,7 +63,7 @@
   AgentLinks& links_;
   const RouterSettings& settings_;
   std::shared_ptr<Mailbox> mailbox_ = std::make_shared<Mailbox>();
-  RequestLife life_;
+  std::unique_ptr<RequestLife> life_;
   std::deque<RequestCommand> commands_;
   std::string current_address_;
   uint32_t current_attempt_ = 0;
--- a/src/include/dogwoodlatch/request_life.h
+++ b/src/include/dogwoodlatch/request_life.h
@@ -1,8 +1,9 @@
 /// The life of one request at the router, from its arrival to its one final
-/// outcome.
+/// outcome: what can happen to it, what is to be done, and who decides.
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -98,43 +99,18 @@
 /// thread.
 class RequestLife {
  public:
-  explicit RequestLife(RequestPlan plan);
+  virtual ~RequestLife() = default;
 
   /// The first commands.
-  std::vector<RequestCommand> Start();
+  virtual std::vector<RequestCommand> Start() = 0;
 
   /// Takes one event; messages of superseded attempts and events after the
   /// outcome give no commands.
-  std::vector<RequestCommand> Handle(const RequestEvent& event);
-
-  bool IsOver() const { return over_; }
-
- private:
-  using Commands = std::vector<RequestCommand>;
-
-  Commands On(const TargetChosen& event);
-  Commands On(const NoTargetFound& event);
-  Commands On(const Refused& event);
-  Commands On(const Chunk& event);
-  Commands On(const Finished& event);
-  Commands On(const Broken& event);
-  Commands On(const ConnectionLost& event);
-  Commands On(const CallerGone& event);
-  Commands On(const DeadlineReached& event);
-
-  bool IsCurrent(const RequestId& request_id, uint32_t attempt) const;
-  Commands RetryElsewhere(Outcome otherwise);
-  Commands AfterLoss(OutcomeReason reason);
-  Commands End(Outcome outcome);
-
-  RequestPlan plan_;
-  uint32_t attempt_ = 0;
-  bool attempt_open_ = false;
-  bool over_ = false;
-  uint64_t next_sequence_ = 0;
-  TargetId target_;
-  std::vector<TargetId> avoid_;
-  std::string delivered_text_;
+  virtual std::vector<RequestCommand> Handle(const RequestEvent& event) = 0;
 };
 
+/// The life that fits the plan: of an idempotent or of a non-idempotent
+/// request.
+std::unique_ptr<RequestLife> MakeRequestLife(RequestPlan plan);
+
 }  // namespace dogwoodlatch
--- a/src/include/dogwoodlatch/transport.h
+++ b/src/include/dogwoodlatch/transport.h
@@ -35,8 +35,9 @@
   TransportNode(const TransportNode&) = delete;
   TransportNode& operator=(const TransportNode&) = delete;
 
-  /// Listens on "ip:port"; false when the address cannot be bound.
-  bool Listen(const std::string& address);
+  /// Listens on "ip:port", with port 0 on any free one. Returns the port, or 0
+  /// when the address cannot be bound.
+  uint16_t Listen(const std::string& address);
 
   /// Starts to open a connection to "ip:port"; `opened` or `closed` follows.
   ConnectionId Connect(const std::string& address);
--- a/src/libtransport/transport.cc
+++ b/src/libtransport/transport.cc
@@ -36,13 +36,15 @@
 
   ~Impl() { Stop(); }
 
-  bool Listen(const std::string& address) {
+  uint16_t Listen(const std::string& address) {
     const size_t colon = address.rfind(':');
     websocketpp::lib::error_code error;
     server_.listen(address.substr(0, colon), address.substr(colon + 1), error);
-    if (error) return false;
+    if (error) return 0;
     server_.start_accept(error);
-    return !error;
+    if (error) return 0;
+    asio::error_code endpoint_error;
+    return server_.get_local_endpoint(endpoint_error).port();
   }
 
   ConnectionId Connect(const std::string& address) {
@@ -195,7 +197,7 @@
                              TransportHandlers handlers)
     : impl_(std::make_unique<Impl>(options, std::move(handlers))) {}
 TransportNode::~TransportNode() = default;
-bool TransportNode::Listen(const std::string& address) {
+uint16_t TransportNode::Listen(const std::string& address) {
   return impl_->Listen(address);
 }
 ConnectionId TransportNode::Connect(const std::string& address) {
--- a/src/libtransport/transport_test.cc
+++ b/src/libtransport/transport_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr TransportOptions kOptions{1 << 20, std::chrono::milliseconds(1000)};
-constexpr char kAddress[] = "127.0.0.1:18431";
+constexpr char kAnyPort[] = "127.0.0.1:0";
 
 // Collects what a node reports and lets the test wait for it.
 class Recorder {
@@ -56,8 +56,10 @@
   Recorder client_events;
   TransportNode server(kOptions, server_events.Handlers());
   TransportNode client(kOptions, client_events.Handlers());
-  REQUIRE(server.Listen(kAddress));
-  const ConnectionId outbound = client.Connect(kAddress);
+  const uint16_t port = server.Listen(kAnyPort);
+  REQUIRE(port != 0);
+  const ConnectionId outbound =
+      client.Connect("127.0.0.1:" + std::to_string(port));
   CHECK(client_events.WaitOpened() == outbound);
   const ConnectionId inbound = server_events.WaitOpened();
   CHECK(client.Send(outbound, "ping"));
@@ -72,7 +74,7 @@
 TEST_CASE("a connect to nobody is reported as closed") {
   Recorder events;
   TransportNode client(kOptions, events.Handlers());
-  const ConnectionId outbound = client.Connect("127.0.0.1:18439");
+  const ConnectionId outbound = client.Connect("127.0.0.1:1");
   CHECK(events.WaitClosed() == outbound);
 }
 
