--- a/src/dogwoodlatch-bench/bench.h
+++ b/src/dogwoodlatch-bench/bench.h
@@ -14,5 +14,7 @@
 };
 
 int RunKeying(std::span<const std::string> arguments);
+int RunLoadBench(std::span<const std::string> arguments);
+int RunSlopes(std::span<const std::string> arguments);
 
 }  // namespace dogwoodlatch::bench
--- a/src/dogwoodlatch-bench/main.cc
+++ b/src/dogwoodlatch-bench/main.cc
@@ -13,6 +13,8 @@
 
 constexpr std::array kSubcommands = {
     Subcommand{"keying", "rate of keying a long prompt", RunKeying},
+    Subcommand{"load", "requests against running daemons", RunLoadBench},
+    Subcommand{"slopes", "growth of time, bytes and memory", RunSlopes},
 };
 
 int Run(const std::vector<std::string>& arguments) {
--- /dev/null
+++ b/src/dogwoodlatch-bench/slope_fit.h
@@ -0,0 +1,31 @@
+// Least-squares lines through measured points, printed as JSON lines.
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+namespace dogwoodlatch::bench {
+
+// Collects points (size, figure) and fits figure = base + slope * size.
+class SlopeFit {
+ public:
+  void Add(size_t size, double figure);
+  double Slope() const;
+  double Base() const;
+
+ private:
+  double count_ = 0;
+  double sum_x_ = 0;
+  double sum_y_ = 0;
+  double sum_xx_ = 0;
+  double sum_xy_ = 0;
+};
+
+// One JSON line: a figure that grows by `slope` for each `per`.
+void PrintSlope(std::string_view name, std::string_view per,
+                std::string_view unit, const SlopeFit& fit);
+
+// One JSON line: a figure that does not grow.
+void PrintFigure(std::string_view name, std::string_view unit, double value);
+
+}  // namespace dogwoodlatch::bench
