Set TCP_NODELAY on open sockets

Cause: websocketpp's socket init handler runs before the socket is open, so setting the option failed silently and Nagle's algorithm held the last message of an answer for the peer's delayed acknowledgement (40 ms). Ruled out: the HTTP sides, whose option is set by their library, and the engine (direct calls had no such step). Change: the option is set by the handler that runs once TCP is connected.

--- a/src/libtransport/transport.cc
+++ b/src/libtransport/transport.cc
@@ -99,12 +99,13 @@
     endpoint.set_max_message_size(options_.max_message_bytes);
     endpoint.set_open_handshake_timeout(
         static_cast<int>(options_.open_timeout.count()));
-    // Small messages must not wait for the peer's acknowledgement.
-    endpoint.set_socket_init_handler(
-        [](const Handle&, asio::ip::tcp::socket& socket) {
-          asio::error_code ignored;
-          socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        });
+    // Small messages must not wait for the peer's acknowledgement. The option
+    // needs an open socket, which the library's socket init handler has not.
+    endpoint.set_tcp_pre_init_handler([&endpoint](const Handle& handle) {
+      asio::error_code ignored;
+      endpoint.get_con_from_hdl(handle)->get_raw_socket().set_option(
+          asio::ip::tcp::no_delay(true), ignored);
+    });
   }
 
   void OnAccepted(Handle handle) {
