--- /dev/null
+++ b/docs/examples/embed_decisions.cc
@@ -0,0 +1,43 @@
+// Uses the decision library alone: feeds one request's life with events and
+// carries out its commands by printing them. No socket, thread or clock.
+
+#include <iostream>
+
+#include "dogwoodlatch/request_life.h"
+
+namespace {
+
+using namespace dogwoodlatch;  // NOLINT(google-build-using-namespace)
+
+void Print(const std::vector<RequestCommand>& commands) {
+  for (const RequestCommand& command : commands) {
+    if (const auto* send = std::get_if<SendAttempt>(&command)) {
+      std::cout << "send attempt " << send->attempt << " to "
+                << send->target.value << " after \"" << send->delivered_text
+                << "\"\n";
+    } else if (const auto* deliver = std::get_if<Deliver>(&command)) {
+      std::cout << "deliver \"" << deliver->data << "\"\n";
+    } else if (const auto* give = std::get_if<GiveOutcome>(&command)) {
+      std::cout << "outcome " << ToString(give->outcome.kind) << "\n";
+    }
+  }
+}
+
+}  // namespace
+
+int main() {
+  const RequestId id{"request-1"};
+  RequestPlan plan;
+  plan.request_id = id;
+  plan.idempotent = true;
+  plan.deadline = TimePoint(std::chrono::seconds(60));
+  const auto life = MakeRequestLife(plan);
+  Print(life->Start());
+  Print(life->Handle(TargetChosen{{"engine-1"}, {"life-1"}, "v1"}));
+  Print(life->Handle(Chunk{id, 1, 0, "It "}));
+  Print(life->Handle(ConnectionLost{1}));
+  Print(life->Handle(TargetChosen{{"engine-2"}, {"life-2"}, "v1"}));
+  Print(life->Handle(Chunk{id, 2, 0, "works."}));
+  Print(life->Handle(Finished{id, 2, 1, 200, "", 0, 0, 0}));
+  return 0;
+}
