Measure connections between our own processes

Cause: docs/CAPACITY.md needs the memory of a connection and the cost of a probe. Change: dogwoodlatch-bench transport.

--- a/src/dogwoodlatch-bench/bench.h
+++ b/src/dogwoodlatch-bench/bench.h
@@ -16,5 +16,6 @@
 int RunKeying(std::span<const std::string> arguments);
 int RunLoadBench(std::span<const std::string> arguments);
 int RunSlopes(std::span<const std::string> arguments);
+int RunTransportSlopes(std::span<const std::string> arguments);
 
 }  // namespace dogwoodlatch::bench
--- a/src/dogwoodlatch-bench/main.cc
+++ b/src/dogwoodlatch-bench/main.cc
@@ -15,6 +15,8 @@
     Subcommand{"keying", "rate of keying a long prompt", RunKeying},
     Subcommand{"load", "requests against running daemons", RunLoadBench},
     Subcommand{"slopes", "growth of time, bytes and memory", RunSlopes},
+    Subcommand{"transport", "connections between our processes",
+               RunTransportSlopes},
 };
 
 int Run(const std::vector<std::string>& arguments) {
