Work out the capacity tables from measured slopes

Cause: docs/CAPACITY.md must follow from measured slopes and be worked out anew after each change. Change: testsuite/measure/capacity.py reads the bench's JSON lines.

--- /dev/null
+++ b/testsuite/measure/capacity.py
@@ -0,0 +1,127 @@
+"""Works out docs/CAPACITY.md's tables from measured slopes.
+
+usage: dogwoodlatch-bench slopes > F1; dogwoodlatch-bench transport > F2; ...
+       capacity.py F1 F2 ...
+Reads JSON lines with "figure" and prints the budget of each role at the size
+the system is built for.
+"""
+
+import json
+import sys
+
+# The size, from the letter.
+ROUTERS = 340
+AGENTS = 760
+REQUESTS_PER_SECOND = 3100
+TOKENS_PER_SECOND = 1.1e6
+BLOCKS = 27e6
+CACHE_EVENTS_PER_SECOND = 250e3
+WORKSPACES = 11000
+CHANGES_PER_DAY = 4200
+RESTARTS_PER_DAY = 340
+SECONDS_PER_DAY = 86400
+
+# What the workload and the settings are taken to be; none of it is measured.
+CANDIDATES = 4
+PROBE_KEYS = 16
+WORKSPACES_PER_TEAM = 100
+VM_ENTRY_BYTES = 150
+WATCH_WAIT_SECONDS = 30
+HEALTH_CHECKS_PER_SECOND = 10
+NON_IDEMPOTENT_SHARE = 0.1
+
+# Budgets of one daemon for control.
+CORE_SHARE = 0.04
+MEMORY_MB = 128
+BYTES_PER_SECOND = 10e3
+
+
+class Figures:
+    def __init__(self, paths):
+        self.lines = {}
+        for path in paths:
+            with open(path, encoding="utf-8") as file:
+                for line in file:
+                    if line.startswith("{"):
+                        item = json.loads(line)
+                        if "figure" in item:
+                            self.lines[item["figure"]] = item
+
+    def at(self, name, size=0):
+        item = self.lines[name]
+        return item["value"] if "value" in item else item["base"] + item["slope"] * size
+
+    def slope(self, name):
+        return self.lines[name]["slope"]
+
+    def has(self, name):
+        return name in self.lines
+
+
+def table(title, rows, unit, budget):
+    print(f"\n### {title}\n\n| part | {unit} |\n|---|---|")
+    for name, value in rows:
+        print(f"| {name} | {value:.3g} |")
+    total = sum(value for _, value in rows)
+    print(f"| **sum** | **{total:.3g}** of {budget:g} ({100 * total / budget:.0f}%) |")
+
+
+def router_rows(figures):
+    requests = REQUESTS_PER_SECOND / ROUTERS
+    probes = requests * CANDIDATES
+    changes = CHANGES_PER_DAY / SECONDS_PER_DAY
+    team = figures.at("team_object_bytes", WORKSPACES_PER_TEAM)
+    vm_changes = 2 * RESTARTS_PER_DAY / SECONDS_PER_DAY
+    probe_us = figures.at("probe_round_trip_processor_time_both_ends") / 2
+    decide_us = figures.at("pick_candidates_time", AGENTS) / 1000
+    adopt_us = (figures.at("settings_copy_time", WORKSPACES) +
+                figures.at("team_check_and_parse_time", WORKSPACES_PER_TEAM)) / 1000
+    cpu = [("probes", 100 * probes * probe_us / 1e6),
+           ("choice of candidates among 760", 100 * requests * decide_us / 1e6),
+           ("keying, 50 pieces", 100 * requests * figures.at("keying_time", 50) / 1e9),
+           ("workspace lookup", 100 * requests * figures.at("workspace_lookup_time", WORKSPACES) / 1e9),
+           ("adoption of settings", 100 * changes * adopt_us / 1e6)]
+    sent = [("probes and replies", probes * (figures.at("probe_bytes", PROBE_KEYS) + figures.at("probe_reply_bytes"))),
+            ("settings changes", changes * team),
+            ("VM list", vm_changes * AGENTS * VM_ENTRY_BYTES)]
+    memory = [("settings, two snapshots", 2 * figures.at("settings_memory", WORKSPACES) / 1e6),
+              ("VM list", figures.at("vm_list_memory", AGENTS) / 1e6),
+              ("connections to all agents", AGENTS * figures.slope("connection_memory_both_ends") / 2 / 1e6)]
+    return cpu, sent, memory
+
+
+def agent_rows(figures):
+    probes = REQUESTS_PER_SECOND * CANDIDATES / AGENTS
+    events = CACHE_EVENTS_PER_SECOND / AGENTS
+    blocks = BLOCKS / AGENTS
+    probe_us = figures.at("probe_round_trip_processor_time_both_ends") / 2
+    cpu = [("probes", 100 * probes * probe_us / 1e6)]
+    memory = [("connections from all routers", ROUTERS * figures.slope("connection_memory_both_ends") / 2 / 1e6)]
+    if figures.has("cache_event_time"):
+        cpu.append(("cache events", 100 * events * figures.at("cache_event_time") / 1e9))
+        memory.append(("cache index", blocks * figures.slope("cache_index_memory") / 1e6))
+    sent = [("probes and replies", probes * (figures.at("probe_bytes", PROBE_KEYS) + figures.at("probe_reply_bytes")))]
+    return cpu, sent, memory
+
+
+def print_platform():
+    print("\n### Platform calls a second\n\n| call | a second |\n|---|---|")
+    watches = (ROUTERS * 2 + AGENTS) / WATCH_WAIT_SECONDS
+    changes = CHANGES_PER_DAY / SECONDS_PER_DAY
+    print(f"| watches that return on their own ({WATCH_WAIT_SECONDS} s) | {watches:.0f} |")
+    print(f"| watches that return with a change | {changes * (ROUTERS + AGENTS):.0f} |")
+    print(f"| claims before group commit | {REQUESTS_PER_SECOND * NON_IDEMPOTENT_SHARE:.0f} |")
+
+
+def main():
+    figures = Figures(sys.argv[1:])
+    for role, rows in (("Router", router_rows(figures)), ("Agent", agent_rows(figures))):
+        cpu, sent, memory = rows
+        table(f"{role}: processor time", cpu, "% of a core", 100 * CORE_SHARE)
+        table(f"{role}: bytes", sent, "B/s", BYTES_PER_SECOND)
+        table(f"{role}: memory", memory, "MB", MEMORY_MB)
+    print_platform()
+
+
+if __name__ == "__main__":
+    main()
