Add the demo: a recorded trace of nested prompts on a whole system

Cause: make demo called a script that did not exist, so nobody could see the system work by one command.

--- /dev/null
+++ b/testsuite/demo/replay.py
@@ -0,0 +1,143 @@
+"""Reads the recorded trace and sends its requests; each answer is checked for completeness."""
+
+import dataclasses
+import http.client
+import json
+import os
+import threading
+import time
+
+from cluster import HOST, bearer, chat_body, request
+
+TRACE = os.path.join(os.path.dirname(os.path.abspath(__file__)), "trace")
+PIECE_BYTES = 1024
+BYTES_PER_TOKEN = 4
+REQUESTS_PER_LINE = 16
+TIMEOUT_SECONDS = 30.0
+MODELS = {"tengri": "assistant", "ounje": "menu"}
+
+
+@dataclasses.dataclass
+class Result:
+    outcome: str
+    fault: str = ""
+    ttft: float = None
+    workspace: str = ""
+    prompt: str = ""
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+
+
+def load_trace():
+    with open(os.path.join(TRACE, "requests.jsonl"), encoding="utf-8") as lines:
+        return [json.loads(line) for line in lines]
+
+
+def compose(record):
+    """The prompt's messages: shared parts as the system's, the last part as the user's."""
+    texts = []
+    for part in record["parts"]:
+        with open(os.path.join(TRACE, part + ".txt"), encoding="utf-8") as text:
+            texts.append(text.read())
+    return [{"role": "system", "content": "\n".join(texts[:-1])}, {"role": "user", "content": texts[-1]}]
+
+
+def recomputation(chats):
+    """Tokens of whole pieces that were computed although an earlier request of the workspace had them computed."""
+    seen, wasted = set(), 0
+    for chat in chats:
+        size = len(chat.prompt.encode())
+        pieces = [chat.prompt.encode()[:end] for end in range(PIECE_BYTES, size + 1, PIECE_BYTES)]
+        known = sum(1 for piece in pieces if (chat.workspace, piece) in seen)
+        wasted += max(0, known * PIECE_BYTES // BYTES_PER_TOKEN - chat.cached_tokens)
+        seen.update((chat.workspace, piece) for piece in pieces)
+    return wasted
+
+
+class Replayer:
+    """Sends requests through the routers in turn."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.answers = {}
+        self.lock = threading.Lock()
+
+    def send(self, number, record):
+        router = self.cluster.routers[number % len(self.cluster.routers)]
+        try:
+            result = self.chat(router.port, record) if "parts" in record else self.call(router.port, record)
+        except (OSError, http.client.HTTPException, ValueError, KeyError) as error:
+            result = Result("none", f"no answer: {error!r}")
+        if result.fault:
+            result.fault = f"request {number}: {result.fault}"
+        return result
+
+    def call(self, port, record):
+        headers = bearer(record["workspace"])
+        if "key" in record:
+            headers["Idempotency-Key"] = record["key"]
+        body = "{}" if record["method"] == "POST" else None
+        status, answer_headers, text = request(port, record["method"],
+                                               f"/services/{record['service']}{record['path']}", body, headers)
+        outcome = answer_headers.get("X-Dogwoodlatch-Outcome", "none")
+        if status != 200 or outcome != "complete":
+            return Result(outcome, f"status {status}: {text}")
+        answer = json.loads(text)
+        if answer["path"] != record["path"] or answer["key"] != record.get("key", ""):
+            return Result(outcome, f"another call's answer: {text}")
+        return Result(outcome)
+
+    def chat(self, port, record):
+        messages = compose(record)
+        body = {**chat_body("", record["max_tokens"], True, MODELS[record["workspace"]]), "messages": messages}
+        words, done, usage, error, ttft = self.stream(port, record["workspace"], body)
+        result = Result("complete" if done else "none", ttft=ttft, workspace=record["workspace"],
+                        prompt="".join(f"{m['role']}\n{m['content']}\n" for m in messages))
+        if error:
+            result.outcome = error["type"]
+        if error or not done:
+            result.fault = f"stream ended with {error}"
+            return result
+        result.prompt_tokens = usage["prompt_tokens"]
+        result.cached_tokens = usage["prompt_tokens_details"]["cached_tokens"]
+        result.fault = self.check(result, words, record["max_tokens"])
+        return result
+
+    def check(self, result, words, expected):
+        """The same prompt gives the same words, of which a shorter answer has the first ones."""
+        if len(words) != expected:
+            return f"{len(words)} words in place of {expected}"
+        with self.lock:
+            known = self.answers.setdefault(result.prompt, words)
+        common = min(len(known), len(words))
+        return "" if known[:common] == words[:common] else "other words than the same prompt gave before"
+
+    @staticmethod
+    def stream(port, workspace, body):
+        """(words, whether [DONE] came, usage, error, seconds to the first token)"""
+        words, done, usage, error, ttft = [], False, {}, None, None
+        begin = time.monotonic()
+        connection = http.client.HTTPConnection(HOST, port, timeout=TIMEOUT_SECONDS)
+        try:
+            connection.request("POST", "/v1/chat/completions", json.dumps(body), bearer(workspace))
+            answer = connection.getresponse()
+            if answer.status != 200:
+                return words, done, usage, json.loads(answer.read())["error"], None
+            for line in answer:
+                line = line.decode().strip()
+                if not line.startswith("data: "):
+                    continue
+                if line == "data: [DONE]":
+                    done = True
+                    continue
+                event = json.loads(line[len("data: "):])
+                error = event.get("error", error)
+                usage = event.get("usage", usage)
+                for choice in event.get("choices", []):
+                    text = choice["delta"].get("content")
+                    if text:
+                        ttft = ttft or time.monotonic() - begin
+                        words.extend(text.split())
+            return words, done, usage, error, ttft
+        finally:
+            connection.close()
--- /dev/null
+++ b/testsuite/demo/run.py
@@ -0,0 +1,112 @@
+"""The demo: starts a whole system on loopback, runs the recorded trace on it and prints what came of it."""
+
+import argparse
+import collections
+import concurrent.futures
+import os
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
+
+from cluster import Cluster, team  # noqa: E402
+from replay import PIECE_BYTES, REQUESTS_PER_LINE, Replayer, load_trace, recomputation  # noqa: E402
+
+ENGINES = 4
+ROUTERS = 2
+DOMAINS = ("a", "b")
+CALLERS = 24
+MODEL_SETTINGS = {"piece_bytes": PIECE_BYTES}
+SERVICES = {
+    "fleet": {"idempotent_routes": [{"method": "GET", "path": "/devices/*"}]},
+    "orders": {"idempotent_routes": [{"method": "GET", "path": "/orders/*"}]},
+    "payments": {},
+}
+ENGINE_OPTIONS = ["--piece-bytes", str(PIECE_BYTES), "--cache-pieces", "40", "--prefill-rate", "20000",
+                  "--token-ms", "5"]
+
+
+def start(cluster):
+    cluster.put_object("settings/schools", team(("tengri",), ("assistant",), {"fleet": SERVICES["fleet"]},
+                                                MODEL_SETTINGS))
+    cluster.put_object("settings/meals", team(("ounje",), ("menu",), {"orders": SERVICES["orders"],
+                                                                      "payments": SERVICES["payments"]},
+                                              MODEL_SETTINGS))
+    for number in range(ENGINES):
+        model = "assistant" if number < ENGINES // 2 else "menu"
+        cluster.add_engine(f"engine-{number + 1}", model, DOMAINS[number % 2], ENGINE_OPTIONS)
+    for service in SERVICES:
+        cluster.add_service(service + "-1", service)
+    for number in range(ROUTERS):
+        cluster.add_router(f"router-{number + 1}", {"failure_domain": DOMAINS[number % 2]})
+    cluster.wait_ready()
+
+
+def run_trace(replayer, trace):
+    """Sends each request at its time; returns the results in the order of the trace."""
+    results = []
+    begin = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as callers:
+        pending = []
+        for number, record in enumerate(trace):
+            time.sleep(max(0.0, begin + record["at_ms"] / 1000 - time.monotonic()))
+            pending.append(callers.submit(replayer.send, number, record))
+            if (number + 1) % REQUESTS_PER_LINE == 0:
+                print(f"  {number + 1:3d} of {len(trace)} requests sent", flush=True)
+        results = [task.result() for task in pending]
+    return results
+
+
+def percentile(values, share):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def report(results):
+    chats = [r for r in results if r.ttft is not None]
+    cached = sum(r.cached_tokens for r in chats)
+    prompt = sum(r.prompt_tokens for r in chats)
+    wasted = recomputation(chats)
+    ttft = [r.ttft * 1000 for r in chats]
+    print(f"prefix hit rate       {cached / prompt:6.3f}  ({cached} of {prompt} prompt tokens came from a cache)")
+    print(f"wasted recomputation  {wasted / prompt:6.3f}  ({wasted} tokens computed that an engine had computed before)")
+    print("time to first token   " + "  ".join(f"p{int(s * 100)} {percentile(ttft, s):.0f} ms"
+                                               for s in (0.5, 0.95, 0.99)))
+    outcomes = collections.Counter(r.outcome for r in results)
+    print("outcomes              " + "  ".join(f"{name} {count}" for name, count in sorted(outcomes.items())))
+
+
+def journal_faults(cluster, trace):
+    """Confirmations that a service ran another number of times than once."""
+    ran = collections.Counter()
+    for target in cluster.targets:
+        if target.journal:
+            with open(target.journal, encoding="utf-8") as lines:
+                ran.update(line.split()[2] for line in lines if len(line.split()) == 3)
+    keys = [record["key"] for record in trace if "key" in record]
+    return [f"{key} ran {ran[key]} times" for key in keys if ran[key] != 1]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin-dir", required=True)
+    arguments = parser.parse_args()
+    trace = load_trace()
+    print(f"starting a platform, {ENGINES} engines, {len(SERVICES)} services, their agents and {ROUTERS} routers")
+    with Cluster(arguments.bin_dir) as cluster:
+        start(cluster)
+        print("running the recorded trace")
+        results = run_trace(Replayer(cluster), trace)
+        report(results)
+        faults = [r.fault for r in results if r.fault] + journal_faults(cluster, trace)
+        exits = {p.name: p.stop() for p in reversed(cluster.processes)}
+    faults += [f"{name} ended with {code}" for name, code in exits.items() if code != 0]
+    print(f"stopped {len(exits)} processes")
+    for fault in faults:
+        print("FAULT", fault)
+    print("demo passed" if not faults else f"demo failed with {len(faults)} faults")
+    return 0 if not faults else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
