Record service-level burn and usage, and give operators their client

Cause: operators had only `settings explain`, and nothing showed how fast the service spends its error budgets or who spends them. The platform client lists the kept versions of an object, for `settings history`.

--- a/src/dogwoodlatch-agent/agent.cc
+++ b/src/dogwoodlatch-agent/agent.cc
@@ -72,6 +72,8 @@
   const std::lock_guard lock(mutex_);
   const ProbeReply state = core_.Answer({});
   return {{"id", settings_.id},
+          {"role", "agent"},
+          {"router_address", settings_.router_address},
           {"incarnation", state.incarnation.value},
           {"weights_version", state.weights_version},
           {"running", state.running},
--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -44,6 +44,14 @@
   std::atomic<int>& count_;
 };
 
+// What is known of one request before its outcome.
+struct HttpFront::Tally {
+  std::string serves;
+  WorkspaceId workspace;
+  TimePoint arrival;
+  std::optional<Duration> first_token;
+};
+
 HttpFront::HttpFront(const RouterSettings& settings, const PlatformSync& sync,
                      AgentLinks& links)
     : settings_(settings), sync_(sync), links_(links) {
@@ -98,10 +106,7 @@
 std::string HttpFront::Metrics() const {
   std::ostringstream out;
   out << "dogwoodlatch_requests_in_flight " << in_flight_.load() << "\n";
-  const std::lock_guard lock(counts_mutex_);
-  for (const auto& [labels, count] : outcome_counts_) {
-    out << "dogwoodlatch_requests_total{" << labels << "} " << count << "\n";
-  }
+  out << stats_.Metrics(SteadyNow());
   return out.str();
 }
 
@@ -183,23 +188,29 @@
   }
   auto in_flight = std::make_shared<InFlight>(in_flight_);
   const RequestKind kind = context.order.kind;
+  Tally tally{context.serves, context.order.workspace, SteadyNow(),
+              std::nullopt};
   response.set_header("X-Request-Id", context.order.request_id.value);
   auto driver =
       std::make_shared<RequestDriver>(std::move(context), links_, settings_);
   DriverStep first = driver->Next();
+  if (std::holds_alternative<std::string>(first)) {
+    tally.first_token = SteadyNow() - tally.arrival;
+  }
   if (stream && std::holds_alternative<std::string>(first)) {
-    return AnswerStreamed(driver, in_flight,
+    return AnswerStreamed(driver, in_flight, tally,
                           std::get<std::string>(std::move(first)), response);
   }
-  AnswerWhole(*driver, std::move(first), kind, response);
+  AnswerWhole(*driver, std::move(first), kind, tally, response);
 }
 
 void HttpFront::AnswerStreamed(const std::shared_ptr<RequestDriver>& driver,
                                const std::shared_ptr<InFlight>& in_flight,
-                               std::string first, Response& response) {
+                               const Tally& tally, std::string first,
+                               Response& response) {
   response.set_chunked_content_provider(
       "text/event-stream",
-      [this, driver, in_flight, pending = std::move(first)](
+      [this, driver, in_flight, tally, pending = std::move(first)](
           size_t, httplib::DataSink& sink) mutable {
         DriverStep step = pending.empty()
                               ? driver->Next()
@@ -208,7 +219,7 @@
             std::visit([](const auto& s) { return StreamEvent(s); }, step);
         const bool written = sink.write(event.data(), event.size());
         if (const auto* outcome = std::get_if<Outcome>(&step)) {
-          Count(*outcome);
+          Count(*driver, tally, *outcome);
           sink.done();
         } else if (!written) {
           driver->Abandon();
@@ -218,7 +229,8 @@
 }
 
 void HttpFront::AnswerWhole(RequestDriver& driver, DriverStep first,
-                            RequestKind kind, Response& response) {
+                            RequestKind kind, const Tally& tally,
+                            Response& response) {
   std::string answer;
   DriverStep step = std::move(first);
   while (const auto* data = std::get_if<std::string>(&step)) {
@@ -226,7 +238,7 @@
     step = driver.Next();
   }
   const Outcome& outcome = std::get<Outcome>(step);
-  Count(outcome);
+  Count(driver, tally, outcome);
   if (outcome.kind != OutcomeKind::kComplete) {
     return GiveError(response, outcome);
   }
@@ -273,12 +285,11 @@
   return {MakeRandomHex(random_)};
 }
 
-void HttpFront::Count(const Outcome& outcome) {
-  const std::string labels =
-      "outcome=\"" + std::string(ToString(outcome.kind)) + "\",reason=\"" +
-      std::string(ToString(outcome.reason)) + "\"";
-  const std::lock_guard lock(counts_mutex_);
-  ++outcome_counts_[labels];
+void HttpFront::Count(const RequestDriver& driver, const Tally& tally,
+                      const Outcome& outcome) {
+  const SloSample sample{tally.serves, tally.workspace, driver.target(),
+                         outcome.kind, outcome.reason,  tally.first_token};
+  stats_.Record(*sync_.settings(), sample, outcome, SteadyNow());
 }
 
 }  // namespace dogwoodlatch::router
--- a/src/dogwoodlatch-router/http_front.h
+++ b/src/dogwoodlatch-router/http_front.h
@@ -4,7 +4,6 @@
 #include <httplib.h>
 
 #include <atomic>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -13,6 +12,7 @@
 #include "agent_links.h"
 #include "dogwoodlatch/util/platform_sync.h"
 #include "request_driver.h"
+#include "request_stats.h"
 #include "router_settings.h"
 
 namespace dogwoodlatch::router {
@@ -35,8 +35,12 @@
   // Text lines of figures.
   std::string Metrics() const;
 
+  // What operators see of the requests.
+  nlohmann::json Status() const { return stats_.Status(SteadyNow()); }
+
  private:
   class InFlight;
+  struct Tally;
 
   void HandleChat(const httplib::Request& request, httplib::Response& response);
   void HandleService(const httplib::Request& request,
@@ -44,9 +48,10 @@
   void Answer(RequestContext context, bool stream, httplib::Response& response);
   void AnswerStreamed(const std::shared_ptr<RequestDriver>& driver,
                       const std::shared_ptr<InFlight>& in_flight,
-                      std::string first, httplib::Response& response);
+                      const Tally& tally, std::string first,
+                      httplib::Response& response);
   void AnswerWhole(RequestDriver& driver, DriverStep first, RequestKind kind,
-                   httplib::Response& response);
+                   const Tally& tally, httplib::Response& response);
   const WorkspaceSettings* Authenticate(const SettingsSnapshot& settings,
                                         const httplib::Request& request,
                                         httplib::Response& response) const;
@@ -54,7 +59,8 @@
                              const WorkspaceSettings& workspace,
                              const httplib::Request& request);
   RequestId NextRequestId();
-  void Count(const Outcome& outcome);
+  void Count(const RequestDriver& driver, const Tally& tally,
+             const Outcome& outcome);
 
   const RouterSettings& settings_;
   const PlatformSync& sync_;
@@ -65,8 +71,7 @@
   std::atomic<int> in_flight_{0};
   std::mutex random_mutex_;
   std::mt19937_64 random_ = MakeSeededRandom();
-  mutable std::mutex counts_mutex_;
-  std::map<std::string, uint64_t> outcome_counts_;
+  RequestStats stats_;
 };
 
 }  // namespace dogwoodlatch::router
--- a/src/dogwoodlatch-router/main.cc
+++ b/src/dogwoodlatch-router/main.cc
@@ -12,18 +12,23 @@
 namespace dogwoodlatch::router {
 namespace {
 
-OpsHandlers MakeOpsHandlers(const PlatformSync& sync, const HttpFront& front) {
+OpsHandlers MakeOpsHandlers(const RouterSettings& settings,
+                            const PlatformSync& sync, const HttpFront& front) {
   OpsHandlers handlers;
   handlers.is_ready = [&sync] { return sync.is_ready(); };
   handlers.metrics = [&front] { return front.Metrics(); };
-  handlers.status = [&sync] {
+  handlers.status = [&settings, &sync, &front] {
     nlohmann::json teams = nlohmann::json::object();
     for (const auto& [name, team] : sync.settings()->teams) {
       teams[name] = team.version;
     }
-    return nlohmann::json{{"ready", sync.is_ready()},
-                          {"settings", teams},
-                          {"vm_list", sync.vms()->revision}};
+    nlohmann::json status = front.Status();
+    status["id"] = settings.id;
+    status["role"] = "router";
+    status["ready"] = sync.is_ready();
+    status["settings"] = teams;
+    status["vm_list"] = sync.vms()->revision;
+    return status;
   };
   return handlers;
 }
@@ -33,7 +38,7 @@
   PlatformSync sync(settings.platform);
   AgentLinks links(settings.id, settings.connect_timeout);
   HttpFront front(settings, sync, links);
-  OpsServer ops(settings.ops_address, MakeOpsHandlers(sync, front));
+  OpsServer ops(settings.ops_address, MakeOpsHandlers(settings, sync, front));
   if (!front.Start() || !ops.Start()) {
     LogEvent(EventId::kListenFailed, {{"caller", settings.caller_address},
                                       {"ops", settings.ops_address}});
--- a/src/dogwoodlatch-router/request_driver.cc
+++ b/src/dogwoodlatch-router/request_driver.cc
@@ -88,6 +88,7 @@
   submit.weights_version = command.weights_version;
   submit.delivered_text = command.delivered_text;
   submit.time_left = context_.deadline - SteadyNow();
+  current_target_ = command.target;
   current_address_ = AddressOf(command.target);
   current_attempt_ = command.attempt;
   links_.SendForRequest(current_address_, submit.request_id, submit, mailbox_);
--- a/src/dogwoodlatch-router/request_driver.h
+++ b/src/dogwoodlatch-router/request_driver.h
@@ -48,6 +48,9 @@
   // The caller has gone: the running attempt is cancelled.
   void Abandon();
 
+  // Where the last attempt went; empty before the first.
+  const TargetId& target() const { return current_target_; }
+
  private:
   void Push(std::vector<RequestCommand> commands);
   void Execute(const ChooseTargetCommand& command);
@@ -65,6 +68,7 @@
   std::shared_ptr<Mailbox> mailbox_ = std::make_shared<Mailbox>();
   std::unique_ptr<RequestLife> life_;
   std::deque<RequestCommand> commands_;
+  TargetId current_target_;
   std::string current_address_;
   uint32_t current_attempt_ = 0;
 };
--- a/src/dogwoodlatch-standin/platform.cc
+++ b/src/dogwoodlatch-standin/platform.cc
@@ -115,6 +115,9 @@
   void Get(const Request& request, Response& response) {
     const std::lock_guard lock(mutex_);
     const std::string path = request.matches[1];
+    if (request.has_param("versions")) {
+      return Answer(response, {{"versions", store_.Versions(path)}});
+    }
     const auto object =
         request.has_param("version")
             ? store_.GetVersion(path, ParamOr(request, "version", 0))
--- /dev/null
+++ b/src/dogwoodlatch/daemons.cc
@@ -0,0 +1,60 @@
+#include "daemons.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <future>
+
+#include "dogwoodlatch/util/address.h"
+
+namespace dogwoodlatch::cli {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kCallsAtOnce = 32;
+
+Error Unavailable(const std::string& address, std::string detail) {
+  return {ErrorCode::kUnavailable, "daemon " + address, std::move(detail)};
+}
+
+DaemonStatus Fetch(const std::string& text, std::chrono::milliseconds timeout) {
+  const Address address = ParseAddress(text);
+  httplib::Client client(address.host, address.port);
+  client.set_connection_timeout(timeout);
+  client.set_read_timeout(timeout);
+  const httplib::Result answer = client.Get("/status");
+  if (!answer) {
+    return {text, Unavailable(text, httplib::to_string(answer.error()))};
+  }
+  Json status = Json::parse(answer->body, nullptr, false);
+  if (answer->status != 200 || !status.is_object()) {
+    return {text, Unavailable(text, "answered without a status")};
+  }
+  return {text, std::move(status)};
+}
+
+}  // namespace
+
+std::string DaemonStatus::Name() const {
+  if (!status || !status.value().contains("id")) return address;
+  return status.value()["id"].get<std::string>();
+}
+
+std::vector<DaemonStatus> FetchDaemons(const ClientOptions& options) {
+  std::vector<DaemonStatus> statuses;
+  for (size_t begin = 0; begin < options.daemons.size();
+       begin += kCallsAtOnce) {
+    const size_t end = std::min(begin + kCallsAtOnce, options.daemons.size());
+    std::vector<std::future<DaemonStatus>> calls;
+    for (size_t i = begin; i < end; ++i) {
+      calls.push_back(std::async(std::launch::async, Fetch,
+                                 std::cref(options.daemons[i]),
+                                 options.timeout));
+    }
+    for (auto& call : calls) statuses.push_back(call.get());
+  }
+  return statuses;
+}
+
+}  // namespace dogwoodlatch::cli
--- a/src/dogwoodlatch/main.cc
+++ b/src/dogwoodlatch/main.cc
@@ -1,40 +1,87 @@
 // dogwoodlatch: the operators' client.
 
-#include <cxxopts.hpp>
+#include <algorithm>
 #include <iostream>
 
-#include "dogwoodlatch/settings.h"
-#include "dogwoodlatch/util/program.h"
+#include "client_options.h"
+#include "command.h"
 
-int main(int argc, char** argv) {
-  using namespace dogwoodlatch;  // NOLINT(google-build-using-namespace)
-  cxxopts::Options options("dogwoodlatch", "The operators' client.");
-  options.add_options()("help", "print this text")("version",
-                                                   "print the version")(
-      "command", "settings explain",
-      cxxopts::value<std::vector<std::string>>());
-  options.parse_positional({"command"});
-  options.positional_help("settings explain");
+namespace dogwoodlatch::cli {
+namespace {
+
+constexpr size_t kUsageColumn = 34;
+
+void PrintHelp(std::ostream& out) {
+  out << MakeOptions().help() << "\nCommands:\n";
+  for (const Command& command : AllCommands()) {
+    std::string usage = "  " + std::string(command.group);
+    if (!command.name.empty()) usage += " " + std::string(command.name);
+    if (!command.arguments.empty()) {
+      usage += " " + std::string(command.arguments);
+    }
+    usage.resize(std::max(usage.size(), kUsageColumn), ' ');
+    out << usage << command.summary << "\n";
+  }
+  out << "\nExit codes: 0 done, 1 failed, 2 bad command line, 3 settings "
+         "refused,\n4 conflict with another operator, 5 platform or daemons "
+         "do not answer.\n";
+}
+
+ExitCode BadUsage() {
+  PrintHelp(std::cerr);
+  return ExitCode::kBadUsage;
+}
+
+// How many words of the command line name the command; 0 when they do not.
+size_t NameLength(const Command& command, Arguments words) {
+  if (words.empty() || words[0] != command.group) return 0;
+  if (command.name.empty()) return 1;
+  return words.size() > 1 && words[1] == command.name ? 2 : 0;
+}
+
+ExitCode RunCommand(const cxxopts::ParseResult& parsed) {
+  if (parsed.count("command") == 0) return BadUsage();
+  const auto words = parsed["command"].as<std::vector<std::string>>();
+  const std::vector<Command> commands = AllCommands();
+  const auto command =
+      std::ranges::find_if(commands, [&](const Command& candidate) {
+        return NameLength(candidate, words) > 0;
+      });
+  if (command == commands.end()) return BadUsage();
+  const Arguments arguments =
+      Arguments(words).subspan(NameLength(*command, words));
+  if (arguments.size() != command->argument_count) return BadUsage();
+  const Result<ClientOptions> options = ReadClientOptions(parsed);
+  if (!options) {
+    const ExitCode exit_code = Fail(options.error());
+    const bool is_option = options.error().where.starts_with("--");
+    return is_option ? ExitCode::kBadUsage : exit_code;
+  }
+  return command->run(options.value(), arguments);
+}
+
+ExitCode Run(int argc, char** argv) {
   // cxxopts reports bad command lines by exception only.
   try {
-    const cxxopts::ParseResult parsed = options.parse(argc, argv);
+    const cxxopts::ParseResult parsed = MakeOptions().parse(argc, argv);
     if (parsed.count("version") > 0) {
       std::cout << "dogwoodlatch " << DOGWOODLATCH_VERSION << "\n";
-      return static_cast<int>(ExitCode::kOk);
+      return ExitCode::kOk;
     }
     if (parsed.count("help") > 0) {
-      std::cout << options.help();
-      return static_cast<int>(ExitCode::kOk);
-    }
-    if (parsed.count("command") > 0 &&
-        parsed["command"].as<std::vector<std::string>>() ==
-            std::vector<std::string>{"settings", "explain"}) {
-      std::cout << Explain(TeamSchema());
-      return static_cast<int>(ExitCode::kOk);
+      PrintHelp(std::cout);
+      return ExitCode::kOk;
     }
+    return RunCommand(parsed);
   } catch (const cxxopts::exceptions::exception& e) {
-    std::cerr << e.what() << "\n";
+    std::cerr << "dogwoodlatch: " << e.what() << "\n";
+    return ExitCode::kBadUsage;
   }
-  std::cerr << options.help();
-  return static_cast<int>(ExitCode::kBadUsage);
+}
+
+}  // namespace
+}  // namespace dogwoodlatch::cli
+
+int main(int argc, char** argv) {
+  return static_cast<int>(dogwoodlatch::cli::Run(argc, argv));
 }
--- /dev/null
+++ b/src/dogwoodlatch/report_commands.cc
@@ -0,0 +1,127 @@
+// `report burn` and `report usage`, merged over daemons.
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <iostream>
+
+#include "burn_text.h"
+#include "command.h"
+#include "daemons.h"
+#include "dogwoodlatch/usage.h"
+#include "table.h"
+
+namespace dogwoodlatch::cli {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kIndent = 2;
+
+// What answering daemons have under `key`; silent ones are named on standard
+// error.
+struct Collected {
+  std::vector<Json> parts;
+  Json silent = Json::array();
+  bool any_answers = false;
+};
+
+Collected Collect(const ClientOptions& options, const char* key) {
+  Collected collected;
+  for (const DaemonStatus& daemon : FetchDaemons(options)) {
+    if (!daemon.status) {
+      Fail(daemon.status.error());
+      collected.silent.push_back(daemon.address);
+      continue;
+    }
+    collected.any_answers = true;
+    if (daemon.status.value().contains(key)) {
+      collected.parts.push_back(daemon.status.value()[key]);
+    }
+  }
+  return collected;
+}
+
+ExitCode NothingAnswers() {
+  return Fail({ErrorCode::kUnavailable, "daemons",
+               "none answers; name their operations addresses by --daemons"});
+}
+
+ExitCode Burn(const ClientOptions& options, Arguments) {
+  const Collected collected = Collect(options, "burn");
+  if (!collected.any_answers) return NothingAnswers();
+  std::vector<BurnReport> reports;
+  for (const Json& part : collected.parts) {
+    Result<BurnReport> report = ParseBurnReport(part);
+    if (!report) return Fail(report.error());
+    reports.push_back(std::move(report).value());
+  }
+  const BurnReport merged = MergeBurn(reports);
+  switch (options.output) {
+    case OutputFormat::kTable:
+      PrintBurn(std::cout, merged);
+      break;
+    case OutputFormat::kJson:
+      std::cout << Json({{"objectives", ToJson(merged)},
+                         {"silent", collected.silent}})
+                       .dump(kIndent)
+                << "\n";
+      break;
+    case OutputFormat::kHtml:
+      std::cout << MakeBurnPage(merged);
+      break;
+  }
+  return ExitCode::kOk;
+}
+
+TableRow UsageRow(const UsageReport::value_type& entry) {
+  const auto& [key, counts] = entry;
+  const double hit_rate = counts.prompt_tokens == 0
+                              ? 0
+                              : static_cast<double>(counts.cached_tokens) /
+                                    static_cast<double>(counts.prompt_tokens);
+  return {key.first.value,
+          key.second,
+          std::to_string(counts.requests),
+          std::to_string(counts.complete),
+          std::to_string(counts.prompt_tokens),
+          std::to_string(counts.cached_tokens),
+          Fixed(hit_rate, 3),
+          std::to_string(counts.output_tokens)};
+}
+
+ExitCode Usage(const ClientOptions& options, Arguments) {
+  const Collected collected = Collect(options, "usage");
+  if (!collected.any_answers) return NothingAnswers();
+  UsageReport sum;
+  for (const Json& part : collected.parts) {
+    const Result<UsageReport> report = ParseUsageReport(part);
+    if (!report) return Fail(report.error());
+    AddUsage(sum, report.value());
+  }
+  if (options.output == OutputFormat::kJson) {
+    std::cout << Json({{"usage", ToJson(sum)}, {"silent", collected.silent}})
+                     .dump(kIndent)
+              << "\n";
+    return ExitCode::kOk;
+  }
+  std::vector<TableRow> rows;
+  std::ranges::transform(sum, std::back_inserter(rows), UsageRow);
+  PrintTable(std::cout,
+             {"workspace", "serves", "requests", "complete", "prompt tokens",
+              "cached tokens", "hit rate", "output tokens"},
+             rows);
+  return ExitCode::kOk;
+}
+
+constexpr std::array kCommands = {
+    Command{"report", "burn", "", 0, "print how fast error budgets are spent",
+            Burn},
+    Command{"report", "usage", "", 0, "print usage by workspace", Usage},
+};
+
+}  // namespace
+
+std::span<const Command> ReportCommands() { return kCommands; }
+
+}  // namespace dogwoodlatch::cli
--- /dev/null
+++ b/src/dogwoodlatch/settings_commands.cc
@@ -0,0 +1,194 @@
+// Commands on teams' settings objects.
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+#include "client_options.h"
+#include "command.h"
+#include "dogwoodlatch/settings.h"
+#include "settings_diff.h"
+#include "table.h"
+
+namespace dogwoodlatch::cli {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kIndent = 2;
+
+std::string PathOf(const std::string& team) {
+  return std::string(kSettingsPrefix) + team;
+}
+
+// Prints every fault; the first one gives the exit code.
+ExitCode Refuse(const std::vector<Error>& faults) {
+  for (const Error& fault : faults) Fail(fault);
+  return ExitCode::kBadSettings;
+}
+
+Result<Json> ReadSettings(const std::string& file) {
+  const Result<std::string> text = ReadFile(file);
+  if (!text) return text.error();
+  return ParseJsonWithComments(text.value(), file);
+}
+
+// The object in force, or version 0 and an empty object when there is none.
+Result<PlatformObject> GetOrEmpty(const PlatformClient& platform,
+                                  const std::string& path) {
+  Result<PlatformObject> object = platform.Get(path);
+  if (!object && object.error().code == ErrorCode::kNotFound) {
+    return PlatformObject{path, 0, Json::object()};
+  }
+  return object;
+}
+
+ExitCode Validate(const ClientOptions&, Arguments arguments) {
+  const Result<Json> document = ReadSettings(arguments[0]);
+  if (!document) return Fail(document.error());
+  const std::vector<Error> faults =
+      FindTeamFaults(document.value(), arguments[0]);
+  if (!faults.empty()) return Refuse(faults);
+  std::cout << arguments[0] << ": valid\n";
+  return ExitCode::kOk;
+}
+
+ExitCode Get(const ClientOptions& options, Arguments arguments) {
+  const Result<PlatformObject> object =
+      options.OpenPlatform().Get(PathOf(arguments[0]));
+  if (!object) return Fail(object.error());
+  if (options.output == OutputFormat::kJson) {
+    const Json json = {{"team", arguments[0]},
+                       {"version", object.value().version},
+                       {"settings", object.value().value}};
+    std::cout << json.dump(kIndent) << "\n";
+    return ExitCode::kOk;
+  }
+  std::cout << "// version " << object.value().version << "\n"
+            << object.value().value.dump(kIndent) << "\n";
+  return ExitCode::kOk;
+}
+
+ExitCode Diff(const ClientOptions& options, Arguments arguments) {
+  const Result<Json> document = ReadSettings(arguments[1]);
+  if (!document) return Fail(document.error());
+  const Result<PlatformObject> current =
+      GetOrEmpty(options.OpenPlatform(), PathOf(arguments[0]));
+  if (!current) return Fail(current.error());
+  const auto changes = DiffSettings(current.value().value, document.value());
+  if (options.output == OutputFormat::kJson) {
+    std::cout << ToJson(changes).dump(kIndent) << "\n";
+  } else {
+    PrintChanges(std::cout, changes);
+  }
+  return ExitCode::kOk;
+}
+
+// Shows what the other operator changed since the base and what this one
+// wanted to change, so that the two can be joined by hand.
+ExitCode ShowConflict(const PlatformClient& platform, const std::string& path,
+                      const PlatformObject& base, const Json& ours) {
+  const Result<PlatformObject> theirs = GetOrEmpty(platform, path);
+  if (!theirs) return Fail(theirs.error());
+  std::cerr << "dogwoodlatch: " << path << ": conflict: version "
+            << theirs.value().version << " is in place of version "
+            << base.version << "\ntheir change:\n";
+  PrintChanges(std::cerr, DiffSettings(base.value, theirs.value().value));
+  std::cerr << "your change, not written:\n";
+  PrintChanges(std::cerr, DiffSettings(base.value, ours));
+  return ExitCode::kConflict;
+}
+
+ExitCode Accepted(const ClientOptions& options, const std::string& team,
+                  uint64_t version) {
+  if (options.output == OutputFormat::kJson) {
+    std::cout << Json({{"team", team}, {"version", version}}).dump() << "\n";
+  } else {
+    std::cout << team << ": accepted as version " << version << "\n";
+  }
+  return ExitCode::kOk;
+}
+
+// The object that the new settings were made from.
+Result<PlatformObject> FindBase(const ClientOptions& options,
+                                const PlatformClient& platform,
+                                const std::string& path) {
+  if (!options.base) return GetOrEmpty(platform, path);
+  if (*options.base == 0) return PlatformObject{path, 0, Json::object()};
+  return platform.GetVersion(path, *options.base);
+}
+
+ExitCode Put(const ClientOptions& options, Arguments arguments) {
+  const Result<Json> document = ReadSettings(arguments[1]);
+  if (!document) return Fail(document.error());
+  const std::vector<Error> faults =
+      FindTeamFaults(document.value(), arguments[1]);
+  if (!faults.empty()) return Refuse(faults);
+  const PlatformClient platform = options.OpenPlatform();
+  const std::string path = PathOf(arguments[0]);
+  const Result<PlatformObject> base = FindBase(options, platform, path);
+  if (!base) return Fail(base.error());
+  const Result<uint64_t> version =
+      platform.Put(path, document.value(), base.value().version);
+  if (version && version.value() > 0) {
+    return Accepted(options, arguments[0], version.value());
+  }
+  // A write whose answer was lost may have taken effect: reading back settles
+  // it.
+  const Result<PlatformObject> now = platform.Get(path);
+  const bool ours_is_in = now && now.value().version > base.value().version &&
+                          now.value().value == document.value();
+  if (ours_is_in) return Accepted(options, arguments[0], now.value().version);
+  if (!version && version.error().code != ErrorCode::kConflict) {
+    return Fail(version.error());
+  }
+  return ShowConflict(platform, path, base.value(), document.value());
+}
+
+ExitCode History(const ClientOptions& options, Arguments arguments) {
+  const PlatformClient platform = options.OpenPlatform();
+  const std::string path = PathOf(arguments[0]);
+  const Result<std::vector<uint64_t>> versions = platform.Versions(path);
+  if (!versions) return Fail(versions.error());
+  Json list = Json::array();
+  Json before = Json::object();
+  for (const uint64_t version : versions.value()) {
+    const Result<PlatformObject> object = platform.GetVersion(path, version);
+    if (!object) return Fail(object.error());
+    const auto changes = DiffSettings(before, object.value().value);
+    before = object.value().value;
+    list.push_back({{"version", version}, {"changes", ToJson(changes)}});
+    if (options.output == OutputFormat::kJson) continue;
+    std::cout << "version " << version << "\n";
+    PrintChanges(std::cout, changes);
+  }
+  if (options.output == OutputFormat::kJson) {
+    std::cout << list.dump(kIndent) << "\n";
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode ExplainKeys(const ClientOptions&, Arguments) {
+  std::cout << Explain(TeamSchema());
+  return ExitCode::kOk;
+}
+
+constexpr std::array kCommands = {
+    Command{"settings", "validate", "FILE", 1, "check a team's settings file",
+            Validate},
+    Command{"settings", "get", "TEAM", 1, "print the settings in force", Get},
+    Command{"settings", "diff", "TEAM FILE", 2, "show what a file would change",
+            Diff},
+    Command{"settings", "put", "TEAM FILE", 2,
+            "check a file and put it in force", Put},
+    Command{"settings", "history", "TEAM", 1, "print every kept version",
+            History},
+    Command{"settings", "explain", "", 0, "print the reference of all keys",
+            ExplainKeys},
+};
+
+}  // namespace
+
+std::span<const Command> SettingsCommands() { return kCommands; }
+
+}  // namespace dogwoodlatch::cli
--- /dev/null
+++ b/src/dogwoodlatch/status_command.cc
@@ -0,0 +1,90 @@
+// `status`: targets, versions in force, daemons, quarantines and ownership.
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+#include "command.h"
+#include "status_model.h"
+#include "table.h"
+
+namespace dogwoodlatch::cli {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kIndent = 2;
+
+std::string Cell(const Json& value) {
+  if (value.is_null()) return "-";
+  if (value.is_boolean()) return value.get<bool>() ? "yes" : "no";
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+// One section: the members `columns` of every entry of a list.
+void PrintSection(std::string_view title, const Json& list,
+                  const std::vector<std::string>& columns) {
+  std::vector<TableRow> rows;
+  for (const Json& entry : list) {
+    TableRow row;
+    for (const std::string& column : columns) {
+      row.push_back(Cell(entry.value(column, Json())));
+    }
+    rows.push_back(std::move(row));
+  }
+  std::cout << title << "\n";
+  PrintTable(std::cout, columns, rows);
+  std::cout << "\n";
+}
+
+void PrintEntries(std::string_view title, const Json& list) {
+  if (list.empty()) return;
+  std::cout << title << "\n";
+  for (const Json& entry : list) std::cout << "  " << entry.dump() << "\n";
+  std::cout << "\n";
+}
+
+void PrintStatus(const Json& status) {
+  const Json& platform = status["platform"];
+  std::cout << "platform: "
+            << (platform["answers"].get<bool>() ? "answers"
+                                                : Cell(platform["error"]))
+            << "\n\n";
+  PrintSection("targets", status["targets"],
+               {"id", "serves", "failure_domain", "state", "health", "running",
+                "weights_version"});
+  PrintSection("settings in force", status["versions"],
+               {"team", "platform", "slowest_version", "slowest_daemon",
+                "in_force_everywhere"});
+  PrintSection("daemons", status["daemons"],
+               {"id", "address", "answers", "ready", "vm_list", "error"});
+  PrintEntries("quarantines", status["quarantines"]);
+  PrintEntries("ownership", status["ownership"]);
+}
+
+ExitCode Status(const ClientOptions& options, Arguments) {
+  const PlatformView platform = ReadPlatform(options);
+  const std::vector<DaemonStatus> daemons = FetchDaemons(options);
+  const Json status = MakeStatus(platform, daemons);
+  if (options.output == OutputFormat::kJson) {
+    std::cout << status.dump(kIndent) << "\n";
+  } else {
+    PrintStatus(status);
+  }
+  const bool any_answers =
+      platform.settings.has_value() ||
+      std::ranges::any_of(daemons, [](const DaemonStatus& daemon) {
+        return daemon.status.has_value();
+      });
+  return any_answers ? ExitCode::kOk : ExitCode::kUnavailable;
+}
+
+constexpr std::array kCommands = {
+    Command{"status", "", "", 0, "print targets, versions and daemons", Status},
+};
+
+}  // namespace
+
+std::span<const Command> StatusCommands() { return kCommands; }
+
+}  // namespace dogwoodlatch::cli
--- /dev/null
+++ b/src/include/dogwoodlatch/burn.h
@@ -0,0 +1,126 @@
+/// Service-level burn: how fast the error budget of each objective is spent,
+/// and by which workspace and target.
+#pragma once
+
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dogwoodlatch/ids.h"
+#include "dogwoodlatch/objective.h"
+#include "dogwoodlatch/request_life.h"
+#include "dogwoodlatch/time.h"
+#include "dogwoodlatch/windowed_counts.h"
+
+namespace dogwoodlatch {
+
+inline constexpr Duration kShortBurnWindow = std::chrono::minutes(5);
+inline constexpr Duration kLongBurnWindow = std::chrono::hours(6);
+inline constexpr size_t kBurnBuckets = 30;  ///< of each window
+
+/// How one request ended, as far as objectives are concerned.
+struct SloSample {
+  std::string serves;  ///< model or service
+  WorkspaceId workspace;
+  TargetId target;  ///< empty when no target was reached
+  OutcomeKind outcome = OutcomeKind::kNotRun;
+  OutcomeReason reason = OutcomeReason::kNone;
+  std::optional<Duration> first_token;  ///< since the request's arrival
+};
+
+/// Time to first token in seconds, on a logarithmic axis.
+using FirstTokenAxis =
+    boost::histogram::axis::regular<double,
+                                    boost::histogram::axis::transform::log>;
+using FirstTokenHistogram =
+    boost::histogram::histogram<std::tuple<FirstTokenAxis>,
+                                boost::histogram::dense_storage<uint64_t>>;
+
+FirstTokenHistogram MakeFirstTokenHistogram();
+
+/// The upper edge of the bin in which `share` of the samples is reached; none
+/// without samples.
+std::optional<Duration> FirstTokenQuantile(const FirstTokenHistogram& histogram,
+                                           double share);
+
+/// The counts of one workspace at one target.
+struct BurnRow {
+  WorkspaceId workspace;
+  TargetId target;
+  SloCounts short_window;
+  SloCounts long_window;
+};
+
+/// One objective as one daemon or a merge of daemons has seen it.
+struct ObjectiveBurn {
+  Objective objective;
+  std::vector<BurnRow> rows;       ///< by workspace and target
+  std::vector<SloCounts> history;  ///< of the long window, oldest first
+  FirstTokenHistogram first_token = MakeFirstTokenHistogram();
+
+  SloCounts ShortTotal() const;
+  SloCounts LongTotal() const;
+};
+
+/// By team and name.
+using BurnReport = std::vector<ObjectiveBurn>;
+
+/// The rate at which the error budget is spent; at 1 it lasts exactly one
+/// window.
+double BurnRate(const SloCounts& counts, double share);
+
+/// The share of the window's error budget that is left; negative when it is
+/// overspent.
+double BudgetLeft(const SloCounts& counts, double share);
+
+enum class BurnState {
+  kOk,
+  kSlowBurn,  ///< both windows spend faster than the budget allows
+  kFastBurn   ///< both windows spend at kFastBurnRate or more
+};
+
+inline constexpr double kFastBurnRate = 10;
+
+std::string_view ToString(BurnState state);
+BurnState StateOf(const ObjectiveBurn& burn);
+
+/// Adds up what several daemons report.
+BurnReport MergeBurn(std::span<const BurnReport> reports);
+
+nlohmann::json ToJson(const BurnReport& report);
+
+/// Reads what ToJson writes; fails with kWrongType on anything else.
+Result<BurnReport> ParseBurnReport(const nlohmann::json& document);
+
+/// Records samples. Not thread-safe; all times are passed in.
+class SloRecorder {
+ public:
+  /// Counts `sample` in every objective of its model or service. Samples that
+  /// say nothing about the service (rejected, caller gone) are left out.
+  void Record(std::span<const Objective> objectives, const SloSample& sample,
+              TimePoint now);
+
+  BurnReport Report(TimePoint now) const;
+
+ private:
+  using RowKey = std::pair<WorkspaceId, TargetId>;
+  struct Row {
+    WindowedCounts short_window{kShortBurnWindow / kBurnBuckets, kBurnBuckets};
+    WindowedCounts long_window{kLongBurnWindow / kBurnBuckets, kBurnBuckets};
+  };
+  struct Entry {
+    Objective objective;
+    std::map<RowKey, Row> rows;
+    std::map<int64_t, FirstTokenHistogram> first_token;  // by bucket number
+  };
+
+  std::map<std::pair<std::string, std::string>, Entry> entries_;
+};
+
+}  // namespace dogwoodlatch
--- a/src/include/dogwoodlatch/settings.h
+++ b/src/include/dogwoodlatch/settings.h
@@ -12,6 +12,7 @@
 
 #include "dogwoodlatch/error.h"
 #include "dogwoodlatch/ids.h"
+#include "dogwoodlatch/objective.h"
 #include "dogwoodlatch/schema.h"
 
 namespace dogwoodlatch {
@@ -56,6 +57,7 @@
   std::vector<WorkspaceSettings> workspaces;
   std::vector<ModelSettings> models;
   std::vector<ServiceSettings> services;
+  std::vector<Objective> objectives;
 };
 
 /// Everything in force at one moment; immutable once published.
@@ -67,6 +69,9 @@
       std::string_view key_sha256) const;
   const ModelSettings* FindModel(std::string_view name) const;
   const ServiceSettings* FindService(std::string_view name) const;
+
+  /// The objectives of a model or service, of every team.
+  std::vector<Objective> ObjectivesFor(std::string_view serves) const;
 };
 
 /// The table of a team's object.
--- a/src/include/dogwoodlatch/standin/object_store.h
+++ b/src/include/dogwoodlatch/standin/object_store.h
@@ -34,6 +34,9 @@
   std::optional<StoredObject> Get(std::string_view path) const;
   std::optional<StoredObject> GetVersion(std::string_view path,
                                          uint64_t version) const;
+
+  /// The versions of one object that are kept, oldest first.
+  std::vector<uint64_t> Versions(std::string_view path) const;
   std::vector<StoredObject> List(std::string_view prefix) const;
 
   /// Writes when the object's version is `expected` (0: absent); fails with
--- /dev/null
+++ b/src/include/dogwoodlatch/usage.h
@@ -0,0 +1,40 @@
+/// Usage by workspace: what was asked for, computed and taken from caches.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "dogwoodlatch/ids.h"
+#include "dogwoodlatch/request_life.h"
+
+namespace dogwoodlatch {
+
+struct UsageCounts {
+  uint64_t requests = 0;
+  uint64_t complete = 0;
+  uint64_t prompt_tokens = 0;
+  uint64_t cached_tokens = 0;  ///< of the prompt tokens
+  uint64_t output_tokens = 0;
+
+  bool operator==(const UsageCounts&) const = default;
+  UsageCounts& operator+=(const UsageCounts& other);
+};
+
+/// Counts by workspace and by model or service, since the daemon's start.
+using UsageReport = std::map<std::pair<WorkspaceId, std::string>, UsageCounts>;
+
+/// The counts of one request.
+UsageCounts UsageOf(const Outcome& outcome);
+
+/// Adds `other` to `sum`.
+void AddUsage(UsageReport& sum, const UsageReport& other);
+
+nlohmann::json ToJson(const UsageReport& report);
+
+/// Reads what ToJson writes; fails with kWrongType on anything else.
+Result<UsageReport> ParseUsageReport(const nlohmann::json& document);
+
+}  // namespace dogwoodlatch
--- a/src/include/dogwoodlatch/util/platform_client.h
+++ b/src/include/dogwoodlatch/util/platform_client.h
@@ -57,6 +57,9 @@
   Result<PlatformObject> GetVersion(std::string_view path,
                                     uint64_t version) const;
 
+  /// The versions of an object that the platform keeps, oldest first.
+  Result<std::vector<uint64_t>> Versions(std::string_view path) const;
+
   /// Writes on the condition that the object has `expected_version`; 0 means
   /// that it does not exist yet.
   Result<uint64_t> Put(std::string_view path, const nlohmann::json& value,
--- a/src/libdogwoodlatch/settings.cc
+++ b/src/libdogwoodlatch/settings.cc
@@ -48,6 +48,17 @@
     KeySpec{"services.*.idempotent_routes[].path", ValueType::kString,
             "characters", 1, 1024, "",
             "Exact path, or a prefix when it ends in '*'."},
+    KeySpec{"objectives", ValueType::kObject, "", 0, 0, "{}",
+            "Service-level objectives by name."},
+    KeySpec{"objectives.*", ValueType::kObject, "", 0, 0, "", "One objective."},
+    KeySpec{"objectives.*.serves", ValueType::kString, "characters", 1, 256, "",
+            "Model or service whose requests count."},
+    KeySpec{"objectives.*.share", ValueType::kNumber, "", 0.5, 0.99999, "",
+            "Share of the requests that must be good."},
+    KeySpec{"objectives.*.first_token_ms", ValueType::kInteger, "ms", 0,
+            3600000, "0",
+            "A request is good with its first token in this time; at 0 it is "
+            "good when its answer is complete."},
 };
 
 bool EqualInConstantTime(std::string_view a, std::string_view b) {
@@ -129,6 +140,17 @@
   return nullptr;
 }
 
+std::vector<Objective> SettingsSnapshot::ObjectivesFor(
+    std::string_view serves) const {
+  std::vector<Objective> found;
+  for (const auto& [team_name, team] : teams) {
+    std::ranges::copy_if(
+        team.objectives, std::back_inserter(found),
+        [&](const Objective& o) { return o.serves == serves; });
+  }
+  return found;
+}
+
 std::span<const KeySpec> TeamSchema() { return kTeamSchema; }
 
 std::vector<Error> FindTeamFaults(const Json& document,
@@ -139,7 +161,7 @@
 TeamSettings ParseTeam(std::string_view team, uint64_t version,
                        const Json& document) {
   const Json filled = FillDefaults(document, kTeamSchema);
-  TeamSettings settings{std::string(team), version, document, {}, {}, {}};
+  TeamSettings settings{std::string(team), version, document, {}, {}, {}, {}};
   for (const auto& [name, json] : filled["workspaces"].items()) {
     settings.workspaces.push_back(ParseWorkspace(name, json));
   }
@@ -149,6 +171,7 @@
   for (const auto& [name, json] : filled["services"].items()) {
     settings.services.push_back(ParseService(name, json));
   }
+  settings.objectives = ParseObjectives(settings.team, filled);
   return settings;
 }
 
--- a/src/libstandin/object_store.cc
+++ b/src/libstandin/object_store.cc
@@ -22,6 +22,15 @@
   return *found;
 }
 
+std::vector<uint64_t> ObjectStore::Versions(std::string_view path) const {
+  std::vector<uint64_t> versions;
+  const auto kept = history_.find(path);
+  if (kept == history_.end()) return versions;
+  std::ranges::transform(kept->second, std::back_inserter(versions),
+                         &StoredObject::version);
+  return versions;
+}
+
 std::vector<StoredObject> ObjectStore::List(std::string_view prefix) const {
   std::vector<StoredObject> list;
   for (auto it = objects_.lower_bound(prefix);
--- a/src/libutil/platform_client.cc
+++ b/src/libutil/platform_client.cc
@@ -101,6 +101,15 @@
   return ParseObject(json.value());
 }
 
+Result<std::vector<uint64_t>> PlatformClient::Versions(
+    std::string_view path) const {
+  httplib::Client client = Open(options_, milliseconds(0));
+  const std::string url = "/objects/" + std::string(path) + "?versions=all";
+  const Result<Json> json = ParseAnswer(client.Get(url), path);
+  if (!json) return json.error();
+  return json.value().value("versions", std::vector<uint64_t>());
+}
+
 Result<uint64_t> PlatformClient::Put(std::string_view path, const Json& value,
                                      uint64_t expected_version) const {
   httplib::Client client = Open(options_, milliseconds(0));
