Compare routing policies in virtual time; index the engine's cache

dogwoodlatch-bench policy drives the decision code and the engine stand-in's model: two deployments, nine scenarios, four baselines, the router's own choice among probed agents, and an omniscient one. The agent's cache index follows late and lossy cache events; the admission queue bounds and shares prefill.

--- a/src/dogwoodlatch-bench/main.cc
+++ b/src/dogwoodlatch-bench/main.cc
@@ -13,6 +13,7 @@
 
 constexpr std::array kSubcommands = {
     Subcommand{"keying", "rate of keying a long prompt", RunKeying},
+    Subcommand{"policy", "routing policies in virtual time; --json", RunPolicy},
 };
 
 int Run(const std::vector<std::string>& arguments) {
--- /dev/null
+++ b/src/dogwoodlatch-bench/policy.cc
@@ -0,0 +1,176 @@
+// Compares routing policies on the decision code in virtual time.
+
+#include <algorithm>
+#include <array>
+#include <boost/histogram.hpp>
+#include <iomanip>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <numeric>
+
+#include "bench.h"
+#include "policy_routers.h"
+#include "policy_simulation.h"
+
+namespace dogwoodlatch::bench {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint64_t kSeed = 20261203;
+constexpr unsigned kHistogramBins = 600;
+constexpr double kShortestMillis = 0.1;
+constexpr double kLongestMillis = 60000;
+
+const std::array kScenarios = {
+    Scenario{.name = "steady"},
+    Scenario{.name = "shifting-hot", .shift_every = seconds(15)},
+    Scenario{.name = "replica-crash", .fault = Fault::kReplicaCrash},
+    Scenario{.name = "domain-lost", .load = 0.7, .fault = Fault::kDomainLost},
+    Scenario{.name = "event-gaps", .event_loss = 0.02},
+    Scenario{.name = "load-lag", .load_lag = seconds(2)},
+    Scenario{.name = "router-herd", .fault = Fault::kRouterHerd},
+    Scenario{.name = "capacity", .load = 1.0},
+    Scenario{.name = "twice-capacity", .load = 2.0},
+};
+
+struct Measures {
+  double hit_rate = 0;
+  std::array<double, 3> first_token_millis{};  // p50, p95, p99
+  double wasted_share = 0;  // of the prompt tokens that were served
+  double goodput = 0;       // requests/s in time
+  double shed_share = 0;
+  double lost_share = 0;
+  double fairness = 0;  // the worst workspace against its fair share
+};
+
+std::array<double, 3> Percentiles(const std::vector<Duration>& times) {
+  namespace bh = boost::histogram;
+  auto histogram =
+      bh::make_histogram(bh::axis::regular<double, bh::axis::transform::log>(
+          kHistogramBins, kShortestMillis, kLongestMillis));
+  for (const Duration time : times) {
+    histogram(std::chrono::duration<double, std::milli>(time).count());
+  }
+  std::array<double, 3> values{};
+  constexpr std::array kQuantiles = {0.5, 0.95, 0.99};
+  for (size_t i = 0; i < kQuantiles.size(); ++i) {
+    const double wanted = kQuantiles[i] * static_cast<double>(times.size());
+    double seen = 0;
+    for (const auto& cell : bh::indexed(histogram, bh::coverage::all)) {
+      seen += *cell;
+      if (seen < wanted) continue;
+      values[i] = cell.bin().upper();
+      break;
+    }
+  }
+  return values;
+}
+
+// Max-min fair parts of `total` under equal weights.
+std::vector<double> FairShares(const std::vector<uint64_t>& demands,
+                               double total) {
+  std::vector<size_t> order(demands.size());
+  std::iota(order.begin(), order.end(), size_t{0});
+  std::ranges::sort(order, {}, [&](size_t i) { return demands[i]; });
+  std::vector<double> shares(demands.size());
+  auto open = static_cast<double>(demands.size());
+  for (const size_t i : order) {
+    shares[i] = std::min(static_cast<double>(demands[i]), total / open);
+    total -= shares[i];
+    --open;
+  }
+  return shares;
+}
+
+double WorstFairness(const Result& result) {
+  const std::vector<double> shares = FairShares(
+      result.offered_by_workspace, static_cast<double>(result.in_time));
+  double worst = 1;
+  for (size_t i = 0; i < shares.size(); ++i) {
+    if (shares[i] == 0) continue;
+    worst = std::min(
+        worst, static_cast<double>(result.in_time_by_workspace[i]) / shares[i]);
+  }
+  return worst;
+}
+
+double Ratio(uint64_t part, uint64_t whole) {
+  return whole == 0 ? 0
+                    : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+Measures Measure(const Result& result) {
+  Measures measures;
+  measures.hit_rate = Ratio(result.cached_tokens, result.prompt_tokens);
+  measures.first_token_millis = Percentiles(result.first_token);
+  measures.wasted_share = Ratio(result.wasted_tokens, result.prompt_tokens);
+  measures.goodput = static_cast<double>(result.in_time) / result.seconds;
+  measures.shed_share = Ratio(result.shed, result.requests);
+  measures.lost_share = Ratio(result.lost, result.requests);
+  measures.fairness = WorstFairness(result);
+  return measures;
+}
+
+void PrintHeader() {
+  std::cout << std::left << std::setw(9) << "workload" << std::setw(15)
+            << "scenario" << std::setw(14) << "policy" << std::right
+            << "  hit   p50ms  p95ms  p99ms  waste  good/s   shed   lost  "
+               "fair\n";
+}
+
+void PrintRow(const Deployment& deployment, const Scenario& scenario,
+              std::string_view policy, const Measures& measures) {
+  const auto& [p50, p95, p99] = measures.first_token_millis;
+  std::cout << std::left << std::setw(9) << deployment.name << std::setw(15)
+            << scenario.name << std::setw(14) << policy << std::right
+            << std::fixed << std::setprecision(3) << measures.hit_rate
+            << std::setprecision(0) << std::setw(7) << p50 << std::setw(7)
+            << p95 << std::setw(7) << p99 << std::setprecision(4)
+            << std::setw(8) << measures.wasted_share << std::setprecision(2)
+            << std::setw(8) << measures.goodput << std::setprecision(3)
+            << std::setw(7) << measures.shed_share << std::setw(7)
+            << measures.lost_share << std::setprecision(2) << std::setw(6)
+            << measures.fairness << "\n";
+}
+
+void PrintJson(const Deployment& deployment, const Scenario& scenario,
+               std::string_view policy, const Measures& measures) {
+  const nlohmann::json line = {{"bench", "policy"},
+                               {"seed", kSeed},
+                               {"workload", deployment.name},
+                               {"scenario", scenario.name},
+                               {"policy", policy},
+                               {"hit_rate", measures.hit_rate},
+                               {"first_token_ms", measures.first_token_millis},
+                               {"wasted_share", measures.wasted_share},
+                               {"goodput_per_second", measures.goodput},
+                               {"shed_share", measures.shed_share},
+                               {"lost_share", measures.lost_share},
+                               {"fairness", measures.fairness}};
+  std::cout << line.dump() << "\n";
+}
+
+bool Has(std::span<const std::string> arguments, std::string_view wanted) {
+  return std::ranges::find(arguments, wanted) != arguments.end();
+}
+
+}  // namespace
+
+int RunPolicy(std::span<const std::string> arguments) {
+  const bool is_json = Has(arguments, "--json");
+  const auto print = is_json ? PrintJson : PrintRow;
+  if (!is_json) PrintHeader();
+  for (const Deployment& deployment : Deployments()) {
+    for (const Scenario& scenario : kScenarios) {
+      for (const NamedPolicy& policy : Policies()) {
+        print(deployment, scenario, policy.name,
+              Measure(Simulate(deployment, scenario, policy.make, kSeed)));
+      }
+    }
+  }
+  return 0;
+}
+
+}  // namespace dogwoodlatch::bench
--- /dev/null
+++ b/src/dogwoodlatch-bench/policy_simulation.cc
@@ -0,0 +1,381 @@
+#include "policy_simulation.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace dogwoodlatch::bench {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kLength = seconds(300);
+constexpr Duration kWarmUp = seconds(20);
+constexpr Duration kFaultEvery = seconds(60);
+constexpr Duration kFaultFirst = seconds(30);
+constexpr Duration kCrashLength = seconds(5);
+constexpr Duration kDomainLossLength = seconds(20);
+constexpr Duration kEventLag = milliseconds(100);
+constexpr Duration kLoadPeriod = milliseconds(50);
+constexpr Duration kFirstTokenDeadline = seconds(5);
+constexpr Duration kDecodeTime = milliseconds(640);
+constexpr Duration kLoopbackRoundTrip = std::chrono::microseconds(300);
+constexpr Duration kCrossDomainRoundTrip = milliseconds(3);
+constexpr Duration kConnectTimeout = milliseconds(20);
+constexpr Duration kDownFor = seconds(1);
+constexpr int kMaxAttempts = 4;
+constexpr size_t kCachePieces = 128;
+
+const standin::EngineParameters kEngine = {
+    .cache_pieces = kCachePieces,
+    .piece_tokens = kPieceTokens,
+    .prefill_tokens_per_second = 20000,
+};
+
+struct Replica {
+  standin::EngineModel model{kEngine};
+  CacheIndex index;
+  AdmissionQueue queue{AdmissionLimits{}};
+  CacheLife life;
+  bool alive = true;
+  uint64_t epoch = 0;
+  uint64_t published = 0;  // last event handed to the event stream
+  std::unordered_map<uint64_t, const SimRequest*> open;  // no first token yet
+  std::deque<std::pair<TimePoint, uint64_t>> loads;
+};
+
+struct Router {
+  std::unique_ptr<Policy> policy;
+  std::vector<TimePoint> down_until = std::vector<TimePoint>(kReplicas);
+};
+
+class Simulation : public Fleet {
+ public:
+  Simulation(const Deployment& deployment, const Scenario& scenario,
+             const PolicyMaker& make_policy, uint64_t seed)
+      : deployment_(deployment),
+        scenario_(scenario),
+        make_policy_(make_policy),
+        random_(seed),
+        trace_(MakeTrace(deployment,
+                         {scenario.load, scenario.shift_every, kLength, seed},
+                         kRouters)),
+        replicas_(kReplicas),
+        routers_(kRouters) {
+    result_.offered_by_workspace.resize(kWorkspaces);
+    result_.in_time_by_workspace.resize(kWorkspaces);
+    for (size_t i = 0; i < kReplicas; ++i) {
+      targets_.push_back(MakeTarget(i));
+      replicas_[i].life = {std::to_string(i) + "/0", "1"};
+    }
+    StartRouters();
+  }
+
+  Result Run() {
+    for (const SimRequest& request : trace_) {
+      At(request.arrival, [this, &request] { Route(request, 0, {}); });
+    }
+    ScheduleFaults();
+    SampleLoads();
+    while (!events_.empty()) {
+      const Event event = events_.top();
+      events_.pop();
+      now_ = event.time;
+      event.action();
+    }
+    result_.seconds = std::chrono::duration<double>(kLength - kWarmUp).count();
+    return std::move(result_);
+  }
+
+  std::span<const TargetEntry> targets() const override { return targets_; }
+
+  std::optional<ProbeReply> Probe(
+      size_t i, std::span<const PieceKey> keys) const override {
+    const Replica& replica = replicas_[i];
+    if (!replica.alive) return std::nullopt;
+    ProbeReply reply;
+    reply.cached_pieces = replica.index.CachedPieces(replica.life, keys);
+    reply.pending_pieces = replica.index.PendingPieces(replica.life, keys);
+    reply.queued_tokens =
+        replica.queue.engine_tokens() + replica.queue.queued_tokens();
+    reply.prefill_tokens_per_second = kEngine.prefill_tokens_per_second;
+    return reply;
+  }
+
+  uint64_t LaggedLoad(size_t i) const override {
+    const auto& loads = replicas_[i].loads;
+    const auto seen = std::ranges::find_if(
+        loads.rbegin(), loads.rend(), [this](const auto& sample) {
+          return sample.first + scenario_.load_lag <= now_;
+        });
+    return seen == loads.rend() ? 0 : seen->second;
+  }
+
+  uint32_t TrulyCachedPieces(size_t i,
+                             std::span<const PieceKey> keys) const override {
+    return replicas_[i].model.CachedPieces(keys);
+  }
+
+ private:
+  struct Event {
+    TimePoint time;
+    uint64_t order = 0;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return std::tie(time, order) > std::tie(other.time, other.order);
+    }
+  };
+
+  void At(TimePoint time, std::function<void()> action) {
+    events_.push({time, ++order_, std::move(action)});
+  }
+
+  TargetEntry MakeTarget(size_t i) const {
+    TargetEntry target;
+    target.id.value = "replica-" + std::to_string(i);
+    target.failure_domain = DomainOf(i);
+    return target;
+  }
+
+  std::string DomainOf(size_t i) const {
+    return std::string(
+        1, static_cast<char>('a' + i % deployment_.failure_domains));
+  }
+
+  void StartRouters() {
+    for (size_t i = 0; i < kRouters; ++i) {
+      routers_[i] = Router{};
+      routers_[i].policy = make_policy_(deployment_, i);
+    }
+  }
+
+  bool IsMeasured(const SimRequest& request) const {
+    return request.arrival.time_since_epoch() >= kWarmUp;
+  }
+
+  // A lost failure domain takes its router along; callers use the next one.
+  size_t RouterFor(const SimRequest& request) const {
+    const bool is_lost = DomainOf(request.router) == lost_domain_;
+    return is_lost ? (request.router + 1) % kRouters : request.router;
+  }
+
+  void Route(const SimRequest& request, int attempt,
+             const std::vector<size_t>& avoid) {
+    if (attempt == 0 && IsMeasured(request)) {
+      ++result_.requests;
+      ++result_.offered_by_workspace[request.workspace];
+    }
+    const size_t router_index = RouterFor(request);
+    Router& router = routers_[router_index];
+    std::vector<size_t> usable;
+    for (size_t i = 0; i < kReplicas; ++i) {
+      const bool is_avoided = std::ranges::find(avoid, i) != avoid.end();
+      if (!is_avoided && router.down_until[i] <= now_) usable.push_back(i);
+    }
+    const std::optional<Choice> choice =
+        usable.empty() ? std::nullopt
+                       : router.policy->Choose(*this, request, usable, now_);
+    if (!choice || attempt >= kMaxAttempts) {
+      if (IsMeasured(request)) ++result_.lost;
+      return;
+    }
+    router.policy->OnSent(choice->replica);
+    const Duration way = RoundTrip(DomainOf(router_index),
+                                   targets_[choice->replica].failure_domain) /
+                         2;
+    At(now_ + choice->decided_after + way,
+       [this, &request, attempt, avoid, choice, router_index] {
+         Submit(request, attempt, avoid, choice->replica, router_index);
+       });
+  }
+
+  void Submit(const SimRequest& request, int attempt, std::vector<size_t> avoid,
+              size_t i, size_t router_index) {
+    Replica& replica = replicas_[i];
+    if (!replica.alive) {
+      At(now_ + kConnectTimeout,
+         [this, &request, attempt, avoid, i, router_index]() mutable {
+           routers_[router_index].down_until[i] = now_ + kDownFor;
+           routers_[router_index].policy->OnEnded(i);
+           avoid.push_back(i);
+           Route(request, attempt + 1, avoid);
+         });
+      return;
+    }
+    const uint64_t held =
+        uint64_t{replica.index.PendingPieces(replica.life, request.pieces)} *
+        kPieceTokens;
+    const QueuedWork work = {{std::to_string(request.id)},
+                             {std::to_string(request.workspace)},
+                             1,
+                             0,
+                             request.prompt_tokens - held,
+                             request.arrival + kFirstTokenDeadline};
+    if (replica.queue.Offer(work, now_, kEngine.prefill_tokens_per_second)) {
+      routers_[router_index].policy->OnEnded(i);
+      if (IsMeasured(request)) ++result_.shed;
+      return;
+    }
+    replica.open[request.id] = &request;
+    replica.index.OnSubmitted(work.id.value, request.pieces);
+    ended_at_router_[request.id] = router_index;
+    Pump(i);
+  }
+
+  void Pump(size_t i) {
+    Replica& replica = replicas_[i];
+    while (const std::optional<QueuedWork> work = replica.queue.Take()) {
+      const SimRequest& request = *replica.open.at(std::stoull(work->id.value));
+      const uint32_t elsewhere = BestCachedElsewhere(i, request);
+      const standin::PrefillPlan plan = replica.model.Admit(
+          work->id.value, request.pieces, request.prompt_tokens, now_);
+      Count(request, plan, elsewhere);
+      PublishEvents(i);
+      At(plan.first_token, [this, &request, i, epoch = replica.epoch] {
+        if (replicas_[i].epoch == epoch) OnFirstToken(request, i);
+      });
+    }
+  }
+
+  uint32_t BestCachedElsewhere(size_t own, const SimRequest& request) const {
+    uint32_t best = 0;
+    for (size_t i = 0; i < kReplicas; ++i) {
+      if (i == own || !replicas_[i].alive) continue;
+      best = std::max(best, TrulyCachedPieces(i, request.pieces));
+    }
+    return best;
+  }
+
+  void Count(const SimRequest& request, const standin::PrefillPlan& plan,
+             uint32_t elsewhere) {
+    if (!IsMeasured(request)) return;
+    const uint32_t wasted = elsewhere - std::min(elsewhere, plan.cached_pieces);
+    result_.prompt_tokens += request.prompt_tokens;
+    result_.computed_tokens += plan.computed_tokens;
+    result_.cached_tokens += request.prompt_tokens - plan.computed_tokens;
+    result_.wasted_tokens += uint64_t{wasted} * kPieceTokens;
+  }
+
+  void OnFirstToken(const SimRequest& request, size_t i) {
+    Replica& replica = replicas_[i];
+    const std::string id = std::to_string(request.id);
+    replica.open.erase(request.id);
+    replica.queue.OnEnded({id});
+    routers_[ended_at_router_[request.id]].policy->OnEnded(i);
+    At(now_ + kDecodeTime, [this, id, i, epoch = replica.epoch] {
+      if (replicas_[i].epoch == epoch) replicas_[i].index.OnEnded(id);
+    });
+    Pump(i);
+    if (!IsMeasured(request)) return;
+    const Duration waited = now_ - request.arrival;
+    result_.first_token.push_back(waited);
+    if (waited > kFirstTokenDeadline) return;
+    ++result_.in_time;
+    ++result_.in_time_by_workspace[request.workspace];
+  }
+
+  void PublishEvents(size_t i) {
+    Replica& replica = replicas_[i];
+    std::bernoulli_distribution is_lost(scenario_.event_loss);
+    for (const standin::CacheEvent& event :
+         replica.model.EventsAfter(replica.published)) {
+      replica.published = event.sequence;
+      if (is_lost(random_)) continue;
+      const CacheNotice notice = {event.sequence,
+                                  static_cast<CacheChange>(event.kind),
+                                  event.blocks, event.request_id};
+      At(now_ + kEventLag, [this, i, notice, epoch = replica.epoch] {
+        Replica& target = replicas_[i];
+        if (target.epoch != epoch) return;
+        target.index.Apply(target.life, std::span(&notice, 1));
+      });
+    }
+  }
+
+  void SampleLoads() {
+    for (Replica& replica : replicas_) {
+      replica.loads.emplace_back(
+          now_, replica.queue.engine_tokens() + replica.queue.queued_tokens());
+      while (replica.loads.front().first + scenario_.load_lag +
+                 kLoadPeriod * 2 <
+             now_) {
+        replica.loads.pop_front();
+      }
+    }
+    if (now_.time_since_epoch() < kLength) {
+      At(now_ + kLoadPeriod, [this] { SampleLoads(); });
+    }
+  }
+
+  void ScheduleFaults() {
+    if (scenario_.fault == Fault::kNone) return;
+    for (Duration at = kFaultFirst; at < kLength; at += kFaultEvery) {
+      At(TimePoint(at), [this] { StartFault(); });
+    }
+  }
+
+  void StartFault() {
+    const size_t victim = faults_++;
+    if (scenario_.fault == Fault::kRouterHerd) return StartRouters();
+    if (scenario_.fault == Fault::kReplicaCrash) {
+      Crash(victim % kReplicas);
+      At(now_ + kCrashLength, [this, victim] { Return(victim % kReplicas); });
+      return;
+    }
+    lost_domain_ = DomainOf(victim);
+    for (size_t i = 0; i < kReplicas; ++i) {
+      if (DomainOf(i) != lost_domain_) continue;
+      Crash(i);
+      At(now_ + kDomainLossLength, [this, i] { Return(i); });
+    }
+    At(now_ + kDomainLossLength, [this] { lost_domain_.clear(); });
+  }
+
+  void Crash(size_t i) {
+    const uint64_t epoch = replicas_[i].epoch + 1;
+    const auto open = std::move(replicas_[i].open);
+    replicas_[i] = Replica{};
+    replicas_[i].alive = false;
+    replicas_[i].epoch = epoch;
+    replicas_[i].life = {std::to_string(i) + "/" + std::to_string(epoch), "1"};
+    for (const auto& [id, request] : open) {
+      routers_[ended_at_router_[id]].policy->OnEnded(i);
+      At(now_ + kConnectTimeout,
+         [this, request = request, i] { Route(*request, 1, {i}); });
+    }
+  }
+
+  void Return(size_t i) { replicas_[i].alive = true; }
+
+  const Deployment& deployment_;
+  const Scenario& scenario_;
+  const PolicyMaker& make_policy_;
+  std::mt19937_64 random_;
+  std::vector<SimRequest> trace_;
+  std::vector<TargetEntry> targets_;
+  std::vector<Replica> replicas_;
+  std::vector<Router> routers_;
+  std::unordered_map<uint64_t, size_t> ended_at_router_;
+  std::priority_queue<Event> events_;
+  uint64_t order_ = 0;
+  size_t faults_ = 0;
+  std::string lost_domain_;
+  TimePoint now_{};
+  Result result_;
+};
+
+}  // namespace
+
+Duration RoundTrip(std::string_view router_domain,
+                   std::string_view replica_domain) {
+  return router_domain == replica_domain ? kLoopbackRoundTrip
+                                         : kCrossDomainRoundTrip;
+}
+
+Result Simulate(const Deployment& deployment, const Scenario& scenario,
+                const PolicyMaker& make_policy, uint64_t seed) {
+  return Simulation(deployment, scenario, make_policy, seed).Run();
+}
+
+}  // namespace dogwoodlatch::bench
--- /dev/null
+++ b/src/dogwoodlatch-bench/policy_simulation.h
@@ -0,0 +1,92 @@
+// Replicas, their agents' decision code and several routers in virtual time.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dogwoodlatch/admission_queue.h"
+#include "dogwoodlatch/cache_index.h"
+#include "dogwoodlatch/membership.h"
+#include "dogwoodlatch/standin/engine_model.h"
+#include "policy_workload.h"
+
+namespace dogwoodlatch::bench {
+
+inline constexpr size_t kReplicas = 10;
+inline constexpr size_t kRouters = 4;
+
+enum class Fault { kNone, kReplicaCrash, kDomainLost, kRouterHerd };
+
+struct Scenario {
+  std::string_view name;
+  double load = 0.8;
+  Duration shift_every{0};
+  Fault fault = Fault::kNone;
+  double event_loss = 0;  // share of cache events that are lost
+  Duration load_lag = std::chrono::milliseconds(200);
+};
+
+// What a policy may look at; each policy keeps to what its router would know.
+class Fleet {
+ public:
+  virtual ~Fleet() = default;
+  virtual std::span<const TargetEntry> targets() const = 0;
+  // What the agent answers, or none when it is silent.
+  virtual std::optional<ProbeReply> Probe(
+      size_t replica, std::span<const PieceKey> keys) const = 0;
+  // Tokens ahead as last published.
+  virtual uint64_t LaggedLoad(size_t replica) const = 0;
+  virtual uint32_t TrulyCachedPieces(size_t replica,
+                                     std::span<const PieceKey> keys) const = 0;
+};
+
+struct Choice {
+  size_t replica = 0;
+  Duration decided_after{0};
+};
+
+// One router's policy; routers share no memory.
+class Policy {
+ public:
+  virtual ~Policy() = default;
+  virtual std::optional<Choice> Choose(const Fleet& fleet,
+                                       const SimRequest& request,
+                                       std::span<const size_t> usable,
+                                       TimePoint now) = 0;
+  virtual void OnSent(size_t) {}
+  virtual void OnEnded(size_t) {}
+};
+
+// The round trip between a router in `domain` and a replica's agent.
+Duration RoundTrip(std::string_view router_domain,
+                   std::string_view replica_domain);
+
+struct Result {
+  uint64_t requests = 0;
+  uint64_t in_time = 0;
+  uint64_t shed = 0;
+  uint64_t lost = 0;
+  uint64_t prompt_tokens = 0;
+  uint64_t cached_tokens = 0;
+  uint64_t computed_tokens = 0;
+  uint64_t wasted_tokens = 0;
+  double seconds = 0;
+  std::vector<Duration> first_token;  // of requests that were served
+  std::vector<uint64_t> offered_by_workspace;
+  std::vector<uint64_t> in_time_by_workspace;
+};
+
+using PolicyMaker =
+    std::function<std::unique_ptr<Policy>(const Deployment&, size_t router)>;
+
+Result Simulate(const Deployment& deployment, const Scenario& scenario,
+                const PolicyMaker& make_policy, uint64_t seed);
+
+}  // namespace dogwoodlatch::bench
--- /dev/null
+++ b/src/dogwoodlatch-bench/policy_workload.cc
@@ -0,0 +1,125 @@
+#include "policy_workload.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <random>
+
+#include "dogwoodlatch/prefix_key.h"
+
+namespace dogwoodlatch::bench {
+namespace {
+
+// One large workspace and seven small ones.
+constexpr std::array<double, kWorkspaces> kWorkspaceRates = {6, 2, 1, 1,
+                                                             1, 1, 1, 1};
+constexpr uint64_t kShiftStride = 3;
+
+PieceKey ChildKey(PieceKey parent, uint64_t child) {
+  return DigestOf({std::to_string(parent), std::to_string(child)});
+}
+
+std::discrete_distribution<uint32_t> Zipf(const PromptLevel& level) {
+  std::vector<double> weights(level.fanout);
+  for (uint32_t i = 0; i < level.fanout; ++i) {
+    weights[i] = 1 / std::pow(i + 1, level.zipf_exponent);
+  }
+  return {weights.begin(), weights.end()};
+}
+
+class TraceMaker {
+ public:
+  TraceMaker(const Deployment& deployment, const TraceOptions& options)
+      : deployment_(deployment), options_(options), random_(options.seed) {
+    for (const PromptLevel& level : deployment.levels) {
+      children_.push_back(Zipf(level));
+    }
+  }
+
+  std::vector<SimRequest> Make(size_t routers) {
+    std::vector<SimRequest> trace;
+    std::exponential_distribution<double> gap(
+        deployment_.requests_per_second * options_.load /
+        static_cast<double>(Duration::period::den));
+    std::uniform_int_distribution<size_t> router(0, routers - 1);
+    TimePoint now{};
+    while (true) {
+      now += Duration(static_cast<int64_t>(gap(random_)));
+      if (now.time_since_epoch() >= options_.length) return trace;
+      SimRequest request = MakeRequest(now);
+      request.id = trace.size();
+      request.router = router(random_);
+      trace.push_back(std::move(request));
+    }
+  }
+
+ private:
+  SimRequest MakeRequest(TimePoint now) {
+    SimRequest request;
+    request.arrival = now;
+    request.workspace = workspace_(random_);
+    PieceKey node = ChildKey(0, request.workspace);
+    for (size_t i = 0; i < children_.size(); ++i) {
+      const uint64_t child =
+          (children_[i](random_) + Shift(now)) % deployment_.levels[i].fanout;
+      node = ChildKey(node, child);
+      Append(node, deployment_.levels[i].pieces, request);
+    }
+    const uint64_t leaf =
+        asked_[node]++ / std::max(1U, deployment_.requests_per_leaf);
+    Append(ChildKey(node, leaf), deployment_.leaf_pieces, request);
+    request.prompt_tokens =
+        static_cast<uint32_t>(request.pieces.size()) * kPieceTokens +
+        deployment_.tail_tokens;
+    return request;
+  }
+
+  // Popularity moves to other children, all levels at once.
+  uint64_t Shift(TimePoint now) const {
+    if (options_.shift_every.count() == 0) return 0;
+    return static_cast<uint64_t>(now.time_since_epoch() /
+                                 options_.shift_every) *
+           kShiftStride;
+  }
+
+  static void Append(PieceKey node, uint32_t count, SimRequest& request) {
+    for (uint32_t i = 0; i < count; ++i) {
+      request.pieces.push_back(ChildKey(node ^ 1, i));
+    }
+  }
+
+  const Deployment& deployment_;
+  const TraceOptions& options_;
+  std::mt19937_64 random_;
+  std::vector<std::discrete_distribution<uint32_t>> children_;
+  std::discrete_distribution<size_t> workspace_{kWorkspaceRates.begin(),
+                                                kWorkspaceRates.end()};
+  std::map<PieceKey, uint64_t> asked_;
+};
+
+}  // namespace
+
+const std::vector<Deployment>& Deployments() {
+  // Instructions, build template, district template, device log; and
+  // instructions, weekly menu frame, group of members, member notes.
+  static const std::vector<Deployment> kDeployments = {
+      {"imaging",
+       {{2, 1, 0}, {6, 4, 1.2}, {4, 12, 1.0}},
+       3,
+       3,
+       1000,
+       2.0,
+       4,
+       24},
+      {"menus", {{1, 1, 0}, {4, 6, 1.5}, {1, 20, 0.8}}, 1, 2, 500, 0.5, 3, 55},
+  };
+  return kDeployments;
+}
+
+std::vector<SimRequest> MakeTrace(const Deployment& deployment,
+                                  const TraceOptions& options, size_t routers) {
+  return TraceMaker(deployment, options).Make(routers);
+}
+
+}  // namespace dogwoodlatch::bench
--- /dev/null
+++ b/src/include/dogwoodlatch/cache_index.h
@@ -0,0 +1,88 @@
+/// The agent's index of what its engine surely holds in its prefix cache.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dogwoodlatch/messages.h"
+
+namespace dogwoodlatch {
+
+/// The engine's own name of a cached piece.
+using EngineBlock = uint64_t;
+
+enum class CacheChange { kStored, kRemoved, kCleared };
+
+/// One change of an engine's cache, as the engine publishes it.
+struct CacheNotice {
+  uint64_t sequence = 0;
+  CacheChange kind = CacheChange::kStored;
+  std::vector<EngineBlock>
+      blocks;          ///< of kStored: the leading pieces, in order
+  std::string run_id;  ///< of kStored: the request's name there
+};
+
+/// One life of an engine's cache; nothing is valid across two of them.
+struct CacheLife {
+  std::string boot_id;
+  std::string weights_version;
+
+  bool operator==(const CacheLife&) const = default;
+};
+
+/// Not thread-safe.
+class CacheIndex {
+ public:
+  /// A run was sent to the engine: its pieces are being prefilled, and later
+  /// notices name it.
+  void OnSubmitted(const std::string& run_id, std::vector<PieceKey> keys);
+
+  /// The run has ended; its pieces count as pending no longer.
+  void OnEnded(const std::string& run_id);
+
+  /// Applies the notices that the engine published up to a moment of `life`.
+  void Apply(const CacheLife& life, std::span<const CacheNotice> notices);
+
+  /// Leading keys that the last notices say are in the cache of `life`.
+  uint32_t CachedPieces(const CacheLife& life,
+                        std::span<const PieceKey> keys) const;
+
+  /// Leading keys that are in the cache of `life` or being prefilled now.
+  uint32_t PendingPieces(const CacheLife& life,
+                         std::span<const PieceKey> keys) const;
+
+  /// Where to go on reading: the last sequence number of the present life.
+  uint64_t last_sequence() const { return last_sequence_.value_or(0); }
+  size_t size() const { return block_of_key_.size(); }
+  uint64_t gaps() const { return gaps_; }
+
+ private:
+  // Late notices name runs that have ended, so a few of those are kept.
+  static constexpr size_t kMaxEndedRuns = 1024;
+
+  struct Run {
+    std::vector<PieceKey> keys;
+    bool ended = false;
+  };
+
+  void Apply(const CacheNotice& notice);
+  void Store(const CacheNotice& notice);
+  void Remove(EngineBlock block);
+  void ForgetEntries();
+
+  CacheLife life_;
+  std::optional<uint64_t> last_sequence_;
+  std::unordered_map<PieceKey, EngineBlock> block_of_key_;
+  std::unordered_map<EngineBlock, PieceKey> key_of_block_;
+  std::unordered_map<PieceKey, uint32_t> pending_;  // by number of runs
+  std::unordered_map<std::string, Run> runs_;
+  std::deque<std::string> ended_;  // oldest first
+  uint64_t gaps_ = 0;
+};
+
+}  // namespace dogwoodlatch
