--- /dev/null
+++ b/src/libdogwoodlatch/admission_queue_test.cc
@@ -0,0 +1,140 @@
+#include "dogwoodlatch/admission_queue.h"
+
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <map>
+#include <vector>
+
+// Catch must come first.
+#include <rapidcheck/catch.h>
+
+namespace dogwoodlatch {
+namespace {
+
+constexpr uint64_t kRate = 10000;
+constexpr uint64_t kMaxWork = 4000;
+constexpr TimePoint kFar{std::chrono::hours(1)};
+
+QueuedWork MakeWork(int id, int workspace, uint64_t tokens) {
+  return {
+      {std::to_string(id)}, {std::to_string(workspace)}, 1, 0, tokens, kFar};
+}
+
+// One workspace offers far more than the others; all always have work waiting.
+// Each must get 0.9 of an equal part of what is taken.
+void SharesAreFair(bool is_one_workspace_blind) {
+  AdmissionQueue queue(
+      {.max_queued_tokens = 100000000, .max_engine_tokens = kMaxWork});
+  const int workspaces = *rc::gen::inRange(2, 9);
+  std::map<std::string, int> owner;
+  int id = 0;
+  for (int workspace = 0; workspace < workspaces; ++workspace) {
+    const int count = workspace == 0 ? 1000 : 300;
+    for (int i = 0; i < count; ++i) {
+      const auto tokens = *rc::gen::inRange<uint64_t>(1, kMaxWork);
+      owner[std::to_string(++id)] = workspace;
+      // The broken variant puts everything into one line.
+      const int line = is_one_workspace_blind ? 0 : workspace;
+      RC_ASSERT(!queue.Offer(MakeWork(id, line, tokens), {}, kRate));
+    }
+  }
+  std::vector<double> taken(static_cast<size_t>(workspaces));
+  double total = 0;
+  for (int i = 0; i < 200 * workspaces; ++i) {
+    const std::optional<QueuedWork> work = queue.Take();
+    RC_ASSERT(work.has_value());
+    taken[static_cast<size_t>(owner[work->id.value])] +=
+        static_cast<double>(work->tokens);
+    total += static_cast<double>(work->tokens);
+    queue.OnEnded(work->id);
+  }
+  const double fair = total / workspaces;
+  RC_ASSERT(*std::ranges::min_element(taken) >= 0.9 * fair);
+}
+
+}  // namespace
+
+TEST_CASE("workspaces get fair shares of a busy engine") {
+  rc::prop("shares", [] { SharesAreFair(false); });
+}
+
+TEST_CASE("a queue in order of arrival is caught as unfair") {
+  CHECK_FALSE(rc::check("broken variant", [] { SharesAreFair(true); }));
+}
+
+TEST_CASE("the queue keeps its bound, conserves work and starves nobody") {
+  rc::prop("against a plain count", [] {
+    constexpr uint64_t kBound = 20000;
+    AdmissionQueue queue(
+        {.max_queued_tokens = kBound, .max_engine_tokens = kMaxWork});
+    std::map<std::string, uint64_t> waiting;
+    std::map<std::string, uint64_t> running;
+    const auto sum = [](const auto& works) {
+      uint64_t tokens = 0;
+      for (const auto& [id, cost] : works) tokens += cost;
+      return tokens;
+    };
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 10));
+    int id = 0;
+    for (const int step : steps) {
+      if (step < 5) {
+        QueuedWork work =
+            MakeWork(++id, step, *rc::gen::inRange<uint64_t>(1, kMaxWork));
+        work.priority = step % 2;
+        if (!queue.Offer(work, {}, kRate)) {
+          waiting[work.id.value] = work.tokens;
+        } else {
+          RC_ASSERT(sum(waiting) + work.tokens > kBound);
+        }
+      } else if (step < 8) {
+        const bool has_room = sum(running) < kMaxWork;
+        const std::optional<QueuedWork> work = queue.Take();
+        RC_ASSERT(work.has_value() == (has_room && !waiting.empty()));
+        if (!work) continue;
+        RC_ASSERT(waiting.erase(work->id.value) == 1);
+        running[work->id.value] = work->tokens;
+      } else if (!running.empty()) {
+        queue.OnEnded({running.begin()->first});
+        running.erase(running.begin());
+      }
+      RC_ASSERT(queue.queued_tokens() == sum(waiting));
+      RC_ASSERT(queue.engine_tokens() == sum(running));
+      RC_ASSERT(queue.queued_tokens() <= kBound);
+    }
+    // Nothing new arrives: all that waits is taken in the end.
+    while (!queue.empty()) {
+      while (!running.empty()) {
+        queue.OnEnded({running.begin()->first});
+        running.erase(running.begin());
+      }
+      const std::optional<QueuedWork> work = queue.Take();
+      RC_ASSERT(work.has_value());
+      running[work->id.value] = work->tokens;
+    }
+  });
+}
+
+TEST_CASE("work that would start too late is shed with a time to come back") {
+  AdmissionQueue queue({.max_queued_tokens = 100000, .max_engine_tokens = 1});
+  QueuedWork first = MakeWork(1, 0, 10000);
+  QueuedWork second = MakeWork(2, 0, 10000);
+  first.deadline = TimePoint(std::chrono::milliseconds(1500));
+  second.deadline = first.deadline;
+  CHECK_FALSE(queue.Offer(first, {}, kRate));
+  const std::optional<Shed> shed = queue.Offer(second, {}, kRate);
+  REQUIRE(shed);
+  CHECK(shed->retry_after == std::chrono::milliseconds(500));
+}
+
+TEST_CASE("a higher priority class is served first") {
+  AdmissionQueue queue({.max_queued_tokens = 100000, .max_engine_tokens = 1});
+  QueuedWork urgent = MakeWork(2, 1, 10);
+  urgent.priority = 5;
+  CHECK_FALSE(queue.Offer(MakeWork(1, 0, 10), {}, kRate));
+  CHECK_FALSE(queue.Offer(urgent, {}, kRate));
+  CHECK(queue.Take()->id == urgent.id);
+}
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/src/libdogwoodlatch/cache_index_test.cc
@@ -0,0 +1,149 @@
+#include "dogwoodlatch/cache_index.h"
+
+#include <catch2/catch.hpp>
+#include <numeric>
+#include <set>
+
+// Catch must come first.
+#include <rapidcheck/catch.h>
+
+namespace dogwoodlatch {
+namespace {
+
+constexpr PieceKey kKeys = 6;
+constexpr EngineBlock kBlockOffset = 100;
+
+// What an engine holds, and what it publishes about it.
+struct FakeEngine {
+  CacheLife life{"boot-0", "v0"};
+  uint64_t sequence = 0;
+  std::set<PieceKey> held;
+  int lives = 0;
+  int runs = 0;
+
+  CacheNotice Store(const std::vector<PieceKey>& keys) {
+    CacheNotice notice{++sequence, CacheChange::kStored, {}, ""};
+    notice.run_id = "run-" + std::to_string(++runs);
+    for (const PieceKey key : keys) {
+      held.insert(key);
+      notice.blocks.push_back(key + kBlockOffset);
+    }
+    return notice;
+  }
+
+  CacheNotice Remove(PieceKey key) {
+    held.erase(key);
+    return {++sequence, CacheChange::kRemoved, {key + kBlockOffset}, ""};
+  }
+
+  CacheNotice LoadWeights() {
+    held.clear();
+    life.weights_version = "v" + std::to_string(++lives);
+    return {++sequence, CacheChange::kCleared, {}, ""};
+  }
+
+  void Reboot() {
+    held.clear();
+    sequence = 0;
+    life.boot_id = "boot-" + std::to_string(++lives);
+  }
+};
+
+// Takes each notice as it is numbered.
+struct Faithful {
+  void Apply(const CacheLife& life, CacheNotice notice) {
+    index.Apply(life, std::span(&notice, 1));
+  }
+  CacheIndex index;
+};
+
+// A broken variant: numbers what arrives anew, and so never sees a gap.
+struct BlindToGaps {
+  void Apply(const CacheLife& life, CacheNotice notice) {
+    if (life.boot_id != boot_id) arrived = 0;
+    boot_id = life.boot_id;
+    notice.sequence = ++arrived;
+    index.Apply(life, std::span(&notice, 1));
+  }
+  CacheIndex index;
+  std::string boot_id;
+  uint64_t arrived = 0;
+};
+
+// Claims after every notice are held by the engine as of that notice.
+template <typename Follower>
+void ClaimsOnlyWhatIsHeld() {
+  FakeEngine engine;
+  Follower follower;
+  const auto steps =
+      *rc::gen::container<std::vector<int>>(100, rc::gen::inRange(0, 100));
+  const auto key = rc::gen::inRange<PieceKey>(0, 2 * kKeys);
+  for (const int step : steps) {
+    if (step < 2) {
+      engine.Reboot();
+      continue;
+    }
+    CacheNotice notice;
+    if (step < 4) {
+      notice = engine.LoadWeights();
+    } else if (step < 45) {
+      notice = engine.Remove(*key);
+    } else {
+      std::vector<PieceKey> keys(*rc::gen::inRange<size_t>(1, kKeys));
+      std::iota(keys.begin(), keys.end(), *key);
+      notice = engine.Store(keys);
+      follower.index.OnSubmitted(notice.run_id, keys);
+      follower.index.OnEnded(notice.run_id);
+    }
+    const bool is_lost = step % 7 == 0;
+    if (is_lost) continue;
+    follower.Apply(engine.life, notice);
+    for (PieceKey k = 0; k < 2 * kKeys; ++k) {
+      const bool is_claimed =
+          follower.index.CachedPieces(engine.life, std::span(&k, 1)) == 1;
+      RC_ASSERT(!is_claimed || engine.held.contains(k));
+    }
+  }
+}
+
+}  // namespace
+
+TEST_CASE("the index never claims what the engine had evicted") {
+  rc::prop("claims are held", ClaimsOnlyWhatIsHeld<Faithful>);
+}
+
+TEST_CASE("an index that ignores gaps is caught") {
+  CHECK_FALSE(rc::check("broken variant", ClaimsOnlyWhatIsHeld<BlindToGaps>));
+}
+
+TEST_CASE("entries are unknown after a gap and refilled by later notices") {
+  CacheIndex index;
+  const CacheLife life{"boot", "v"};
+  const std::vector<PieceKey> keys = {1, 2};
+  index.OnSubmitted("r1", keys);
+  index.Apply(life, std::vector<CacheNotice>{
+                        {1, CacheChange::kStored, {11, 12}, "r1"}});
+  CHECK(index.CachedPieces(life, keys) == 2);
+  CHECK(index.CachedPieces({"other boot", "v"}, keys) == 0);
+  CHECK(index.CachedPieces({"boot", "other weights"}, keys) == 0);
+  index.Apply(life,
+              std::vector<CacheNotice>{{3, CacheChange::kRemoved, {99}, ""}});
+  CHECK(index.gaps() == 1);
+  CHECK(index.CachedPieces(life, keys) == 0);
+  index.Apply(life, std::vector<CacheNotice>{
+                        {4, CacheChange::kStored, {11, 12}, "r1"}});
+  CHECK(index.CachedPieces(life, keys) == 2);
+}
+
+TEST_CASE("pieces being prefilled are pending until their run ends") {
+  CacheIndex index;
+  const CacheLife life{"boot", "v"};
+  const std::vector<PieceKey> keys = {1, 2, 3};
+  index.OnSubmitted("r1", {1, 2});
+  CHECK(index.CachedPieces(life, keys) == 0);
+  CHECK(index.PendingPieces(life, keys) == 2);
+  index.OnEnded("r1");
+  CHECK(index.PendingPieces(life, keys) == 0);
+}
+
+}  // namespace dogwoodlatch
