Count pieces being prefilled as held when a target is chosen

Cause: the choice counted only pieces already reported as cached, so a second request for a piece in prefill paid for it again elsewhere. Change: the cost takes the pending depth of the probe; the running prefill is in the queue ahead already.

--- a/src/libdogwoodlatch/routing.cc
+++ b/src/libdogwoodlatch/routing.cc
@@ -29,8 +29,11 @@
   const ProbeReply& reply = probed.reply;
   const double rate =
       std::max<double>(1, static_cast<double>(reply.prefill_tokens_per_second));
-  const uint64_t cached = std::min<uint64_t>(
-      prompt.prompt_tokens, reply.cached_pieces * prompt.piece_tokens);
+  // A piece that another request is prefilling now is in the queue already:
+  // waiting for it takes no work of its own.
+  const uint64_t pieces = std::max(reply.cached_pieces, reply.pending_pieces);
+  const uint64_t cached =
+      std::min<uint64_t>(prompt.prompt_tokens, pieces * prompt.piece_tokens);
   const double recompute =
       static_cast<double>(prompt.prompt_tokens - cached) / rate;
   const double queue = static_cast<double>(reply.queued_tokens) / rate;
