Shed queued work that has become too late, and refresh its cost

Cause: at twice capacity the queue ran work long after its deadline: the wait was estimated at arrival only, other workspaces then went first, and a cost counted on arrival was out of date when the work reached the engine. Change: Take() sheds what cannot meet its deadline any more; the cost is corrected from the index when the work is sent to the engine.

--- a/src/dogwoodlatch-bench/policy_simulation.cc
+++ b/src/dogwoodlatch-bench/policy_simulation.cc
@@ -218,18 +218,29 @@
       return;
     }
     replica.open[request.id] = &request;
-    replica.index.OnSubmitted(work.id.value, request.pieces);
+    replica.index.OnQueued(work.id.value, request.pieces);
     ended_at_router_[request.id] = router_index;
     Pump(i);
   }
 
   void Pump(size_t i) {
     Replica& replica = replicas_[i];
-    while (const std::optional<QueuedWork> work = replica.queue.Take()) {
-      const SimRequest& request = *replica.open.at(std::stoull(work->id.value));
+    while (const std::optional<Taken> taken =
+               replica.queue.Take(now_, kEngine.prefill_tokens_per_second)) {
+      const RequestId& id = taken->work.id;
+      const SimRequest& request = *replica.open.at(std::stoull(id.value));
+      if (taken->shed) {
+        ShedQueued(request, i);
+        continue;
+      }
+      const uint64_t held =
+          uint64_t{replica.index.HeldPieces(replica.life, request.pieces)} *
+          kPieceTokens;
+      replica.queue.Correct(id, request.prompt_tokens - held);
+      replica.index.OnSubmitted(id.value);
       const uint32_t elsewhere = BestCachedElsewhere(i, request);
       const standin::PrefillPlan plan = replica.model.Admit(
-          work->id.value, request.pieces, request.prompt_tokens, now_);
+          id.value, request.pieces, request.prompt_tokens, now_);
       Count(request, plan, elsewhere);
       PublishEvents(i);
       At(plan.first_token, [this, &request, i, epoch = replica.epoch] {
@@ -238,6 +249,14 @@
     }
   }
 
+  void ShedQueued(const SimRequest& request, size_t i) {
+    Replica& replica = replicas_[i];
+    replica.open.erase(request.id);
+    replica.index.OnEnded(std::to_string(request.id));
+    routers_[ended_at_router_[request.id]].policy->OnEnded(i);
+    if (IsMeasured(request)) ++result_.shed;
+  }
+
   uint32_t BestCachedElsewhere(size_t own, const SimRequest& request) const {
     uint32_t best = 0;
     for (size_t i = 0; i < kReplicas; ++i) {
--- a/src/include/dogwoodlatch/admission_queue.h
+++ b/src/include/dogwoodlatch/admission_queue.h
@@ -35,6 +35,13 @@
   Duration retry_after{0};
 };
 
+/// Work that leaves the queue: for the engine, or shed because it has become
+/// too late for its deadline.
+struct Taken {
+  QueuedWork work;
+  std::optional<Shed> shed;
+};
+
 /// Start-time fair queueing in each priority class. Not thread-safe.
 class AdmissionQueue {
  public:
@@ -46,7 +53,10 @@
                             uint64_t tokens_per_second);
 
   /// The next work for the engine, when the engine has room for it.
-  std::optional<QueuedWork> Take();
+  std::optional<Taken> Take(TimePoint now, uint64_t tokens_per_second);
+
+  /// Gives work at the engine another cost than was expected of it.
+  void Correct(const RequestId& id, uint64_t tokens);
 
   /// The engine has prefilled the work or ended it, or the caller has gone
   /// while it waited.
@@ -82,7 +92,7 @@
   // starts at the present virtual time and claims nothing for the past.
   std::unordered_map<WorkspaceId, double> virtual_finish_;
   double virtual_time_ = 0;
-  std::unordered_map<RequestId, uint64_t> at_engine_;
+  std::unordered_map<RequestId, QueuedWork> at_engine_;
   uint64_t queued_tokens_ = 0;
   uint64_t engine_tokens_ = 0;
 };
--- a/src/include/dogwoodlatch/cache_index.h
+++ b/src/include/dogwoodlatch/cache_index.h
@@ -38,9 +38,12 @@
 /// Not thread-safe.
 class CacheIndex {
  public:
-  /// A run was sent to the engine: its pieces are being prefilled, and later
-  /// notices name it.
-  void OnSubmitted(const std::string& run_id, std::vector<PieceKey> keys);
+  /// A run waits for the engine; its pieces are pending.
+  void OnQueued(const std::string& run_id, std::vector<PieceKey> keys);
+
+  /// A queued run was sent to the engine: its pieces are being prefilled, and
+  /// later notices name it.
+  void OnSubmitted(const std::string& run_id);
 
   /// The run has ended; its pieces count as pending no longer.
   void OnEnded(const std::string& run_id);
@@ -52,7 +55,11 @@
   uint32_t CachedPieces(const CacheLife& life,
                         std::span<const PieceKey> keys) const;
 
-  /// Leading keys that are in the cache of `life` or being prefilled now.
+  /// Leading keys that are in the cache of `life` or in prefill now.
+  uint32_t HeldPieces(const CacheLife& life,
+                      std::span<const PieceKey> keys) const;
+
+  /// Leading keys that are held, or will be by runs in the queue.
   uint32_t PendingPieces(const CacheLife& life,
                          std::span<const PieceKey> keys) const;
 
@@ -65,11 +72,21 @@
   // Late notices name runs that have ended, so a few of those are kept.
   static constexpr size_t kMaxEndedRuns = 1024;
 
+  enum class Phase { kQueued, kSubmitted, kEnded };
+
   struct Run {
     std::vector<PieceKey> keys;
-    bool ended = false;
+    Phase phase = Phase::kQueued;
   };
 
+  using RunCounts = std::unordered_map<PieceKey, uint32_t>;
+
+  template <typename Predicate>
+  static uint32_t CountLeading(std::span<const PieceKey> keys,
+                               Predicate predicate);
+  RunCounts* CountsOf(Phase phase);
+  void SetPhase(Run& run, Phase phase);
+
   void Apply(const CacheNotice& notice);
   void Store(const CacheNotice& notice);
   void Remove(EngineBlock block);
@@ -79,7 +96,8 @@
   std::optional<uint64_t> last_sequence_;
   std::unordered_map<PieceKey, EngineBlock> block_of_key_;
   std::unordered_map<EngineBlock, PieceKey> key_of_block_;
-  std::unordered_map<PieceKey, uint32_t> pending_;  // by number of runs
+  RunCounts queued_;
+  RunCounts submitted_;
   std::unordered_map<std::string, Run> runs_;
   std::deque<std::string> ended_;  // oldest first
   uint64_t gaps_ = 0;
--- a/src/libdogwoodlatch/admission_queue.cc
+++ b/src/libdogwoodlatch/admission_queue.cc
@@ -40,7 +40,8 @@
   return std::nullopt;
 }
 
-std::optional<QueuedWork> AdmissionQueue::Take() {
+std::optional<Taken> AdmissionQueue::Take(TimePoint now,
+                                          uint64_t tokens_per_second) {
   if (classes_.empty() || engine_tokens_ >= limits_.max_engine_tokens) {
     return std::nullopt;
   }
@@ -52,21 +53,42 @@
                : std::max(virtual_time_, finish->second);
   };
   const auto line = std::ranges::min_element(level->second.lines, {}, start_of);
-  virtual_time_ = start_of(*line);
+  const double start = start_of(*line);
   QueuedWork work = line->second.waiting.front();
-  virtual_finish_[work.workspace] =
-      virtual_time_ + static_cast<double>(work.tokens) / work.share;
   Erase(level, line, line->second.waiting.begin());
-  at_engine_[work.id] = work.tokens;
+  // Work of other workspaces that came later may have gone first.
+  const Duration first_token =
+      TimeFor(engine_tokens_ + work.tokens, tokens_per_second);
+  if (now + first_token > work.deadline) {
+    return Taken{std::move(work), Shed{std::max(kMinRetryAfter, first_token)}};
+  }
+  virtual_time_ = start;
+  virtual_finish_[work.workspace] =
+      start + static_cast<double>(work.tokens) / work.share;
+  at_engine_[work.id] = work;
   engine_tokens_ += work.tokens;
-  return work;
+  return Taken{std::move(work), std::nullopt};
+}
+
+void AdmissionQueue::Correct(const RequestId& id, uint64_t tokens) {
+  const auto found = at_engine_.find(id);
+  if (found == at_engine_.end()) return;
+  QueuedWork& work = found->second;
+  engine_tokens_ += tokens;
+  engine_tokens_ -= work.tokens;
+  virtual_finish_[work.workspace] +=
+      (static_cast<double>(tokens) - static_cast<double>(work.tokens)) /
+      work.share;
+  work.tokens = tokens;
 }
 
 void AdmissionQueue::OnEnded(const RequestId& id) {
   const auto running = at_engine_.find(id);
   if (running != at_engine_.end()) {
-    engine_tokens_ -= running->second;
+    engine_tokens_ -= running->second.tokens;
     at_engine_.erase(running);
+    // An idle engine owes nothing to anybody.
+    if (at_engine_.empty() && classes_.empty()) virtual_finish_.clear();
     return;
   }
   for (auto level = classes_.begin(); level != classes_.end(); ++level) {
@@ -113,7 +135,6 @@
   line->second.waiting.erase(work);
   if (line->second.waiting.empty()) level->second.lines.erase(line);
   if (level->second.lines.empty()) classes_.erase(level);
-  if (classes_.empty()) virtual_finish_.clear();
 }
 
 }  // namespace dogwoodlatch
--- a/src/libdogwoodlatch/admission_queue_test.cc
+++ b/src/libdogwoodlatch/admission_queue_test.cc
@@ -21,6 +21,12 @@
       {std::to_string(id)}, {std::to_string(workspace)}, 1, 0, tokens, kFar};
 }
 
+std::optional<QueuedWork> TakeWork(AdmissionQueue& queue) {
+  const std::optional<Taken> taken = queue.Take({}, kRate);
+  if (!taken || taken->shed) return std::nullopt;
+  return taken->work;
+}
+
 // One workspace offers far more than the others; all always have work waiting.
 // Each must get 0.9 of an equal part of what is taken.
 void SharesAreFair(bool is_one_workspace_blind) {
@@ -42,7 +48,7 @@
   std::vector<double> taken(static_cast<size_t>(workspaces));
   double total = 0;
   for (int i = 0; i < 200 * workspaces; ++i) {
-    const std::optional<QueuedWork> work = queue.Take();
+    const std::optional<QueuedWork> work = TakeWork(queue);
     RC_ASSERT(work.has_value());
     taken[static_cast<size_t>(owner[work->id.value])] +=
         static_cast<double>(work->tokens);
@@ -90,7 +96,7 @@
         }
       } else if (step < 8) {
         const bool has_room = sum(running) < kMaxWork;
-        const std::optional<QueuedWork> work = queue.Take();
+        const std::optional<QueuedWork> work = TakeWork(queue);
         RC_ASSERT(work.has_value() == (has_room && !waiting.empty()));
         if (!work) continue;
         RC_ASSERT(waiting.erase(work->id.value) == 1);
@@ -109,7 +115,7 @@
         queue.OnEnded({running.begin()->first});
         running.erase(running.begin());
       }
-      const std::optional<QueuedWork> work = queue.Take();
+      const std::optional<QueuedWork> work = TakeWork(queue);
       RC_ASSERT(work.has_value());
       running[work->id.value] = work->tokens;
     }
@@ -128,13 +134,26 @@
   CHECK(shed->retry_after == std::chrono::milliseconds(500));
 }
 
+TEST_CASE("queued work that has become too late is shed, not run") {
+  AdmissionQueue queue({.max_queued_tokens = 100000, .max_engine_tokens = 1});
+  QueuedWork work = MakeWork(1, 0, 10000);
+  work.deadline = TimePoint(std::chrono::milliseconds(1500));
+  CHECK_FALSE(queue.Offer(work, {}, kRate));
+  const std::optional<Taken> taken =
+      queue.Take(TimePoint(std::chrono::seconds(1)), kRate);
+  REQUIRE(taken);
+  CHECK(taken->shed);
+  CHECK(queue.empty());
+  CHECK(queue.engine_tokens() == 0);
+}
+
 TEST_CASE("a higher priority class is served first") {
   AdmissionQueue queue({.max_queued_tokens = 100000, .max_engine_tokens = 1});
   QueuedWork urgent = MakeWork(2, 1, 10);
   urgent.priority = 5;
   CHECK_FALSE(queue.Offer(MakeWork(1, 0, 10), {}, kRate));
   CHECK_FALSE(queue.Offer(urgent, {}, kRate));
-  CHECK(queue.Take()->id == urgent.id);
+  CHECK(TakeWork(queue)->id == urgent.id);
 }
 
 }  // namespace dogwoodlatch
--- a/src/libdogwoodlatch/cache_index.cc
+++ b/src/libdogwoodlatch/cache_index.cc
@@ -6,22 +6,24 @@
 
 namespace dogwoodlatch {
 
-void CacheIndex::OnSubmitted(const std::string& run_id,
-                             std::vector<PieceKey> keys) {
+void CacheIndex::OnQueued(const std::string& run_id,
+                          std::vector<PieceKey> keys) {
   const auto [run, added] = runs_.try_emplace(run_id);
   if (!added) return;
-  for (const PieceKey key : keys) ++pending_[key];
+  for (const PieceKey key : keys) ++queued_[key];
   run->second.keys = std::move(keys);
 }
 
+void CacheIndex::OnSubmitted(const std::string& run_id) {
+  const auto run = runs_.find(run_id);
+  if (run == runs_.end() || run->second.phase != Phase::kQueued) return;
+  SetPhase(run->second, Phase::kSubmitted);
+}
+
 void CacheIndex::OnEnded(const std::string& run_id) {
   const auto run = runs_.find(run_id);
-  if (run == runs_.end() || run->second.ended) return;
-  run->second.ended = true;
-  for (const PieceKey key : run->second.keys) {
-    const auto count = pending_.find(key);
-    if (--count->second == 0) pending_.erase(count);
-  }
+  if (run == runs_.end() || run->second.phase == Phase::kEnded) return;
+  SetPhase(run->second, Phase::kEnded);
   ended_.push_back(run_id);
   if (ended_.size() <= kMaxEndedRuns) return;
   runs_.erase(ended_.front());
@@ -44,22 +46,52 @@
   if (is_new_life && !is_new_boot && !has_cleared) ForgetEntries();
 }
 
+template <typename Predicate>
+uint32_t CacheIndex::CountLeading(std::span<const PieceKey> keys,
+                                  Predicate predicate) {
+  const auto end = std::ranges::find_if_not(keys, predicate);
+  return static_cast<uint32_t>(std::distance(keys.begin(), end));
+}
+
 uint32_t CacheIndex::CachedPieces(const CacheLife& life,
                                   std::span<const PieceKey> keys) const {
   if (life != life_) return 0;
-  const auto missing = std::ranges::find_if(
-      keys, [this](PieceKey key) { return !block_of_key_.contains(key); });
-  return static_cast<uint32_t>(std::distance(keys.begin(), missing));
+  return CountLeading(
+      keys, [this](PieceKey key) { return block_of_key_.contains(key); });
+}
+
+uint32_t CacheIndex::HeldPieces(const CacheLife& life,
+                                std::span<const PieceKey> keys) const {
+  const bool is_known = life == life_;
+  return CountLeading(keys, [this, is_known](PieceKey key) {
+    return (is_known && block_of_key_.contains(key)) ||
+           submitted_.contains(key);
+  });
 }
 
 uint32_t CacheIndex::PendingPieces(const CacheLife& life,
                                    std::span<const PieceKey> keys) const {
   const bool is_known = life == life_;
-  const auto missing = std::ranges::find_if(keys, [&](PieceKey key) {
-    const bool is_cached = is_known && block_of_key_.contains(key);
-    return !is_cached && !pending_.contains(key);
+  return CountLeading(keys, [this, is_known](PieceKey key) {
+    return (is_known && block_of_key_.contains(key)) ||
+           submitted_.contains(key) || queued_.contains(key);
   });
-  return static_cast<uint32_t>(std::distance(keys.begin(), missing));
+}
+
+CacheIndex::RunCounts* CacheIndex::CountsOf(Phase phase) {
+  if (phase == Phase::kEnded) return nullptr;
+  return phase == Phase::kQueued ? &queued_ : &submitted_;
+}
+
+void CacheIndex::SetPhase(Run& run, Phase phase) {
+  RunCounts* const left = CountsOf(run.phase);
+  RunCounts* const entered = CountsOf(phase);
+  for (const PieceKey key : run.keys) {
+    const auto count = left->find(key);
+    if (--count->second == 0) left->erase(count);
+    if (entered != nullptr) ++(*entered)[key];
+  }
+  run.phase = phase;
 }
 
 void CacheIndex::Apply(const CacheNotice& notice) {
--- a/src/libdogwoodlatch/cache_index_test.cc
+++ b/src/libdogwoodlatch/cache_index_test.cc
@@ -92,7 +92,8 @@
       std::vector<PieceKey> keys(*rc::gen::inRange<size_t>(1, kKeys));
       std::iota(keys.begin(), keys.end(), *key);
       notice = engine.Store(keys);
-      follower.index.OnSubmitted(notice.run_id, keys);
+      follower.index.OnQueued(notice.run_id, keys);
+      follower.index.OnSubmitted(notice.run_id);
       follower.index.OnEnded(notice.run_id);
     }
     const bool is_lost = step % 7 == 0;
@@ -120,7 +121,8 @@
   CacheIndex index;
   const CacheLife life{"boot", "v"};
   const std::vector<PieceKey> keys = {1, 2};
-  index.OnSubmitted("r1", keys);
+  index.OnQueued("r1", keys);
+  index.OnSubmitted("r1");
   index.Apply(life, std::vector<CacheNotice>{
                         {1, CacheChange::kStored, {11, 12}, "r1"}});
   CHECK(index.CachedPieces(life, keys) == 2);
@@ -139,8 +141,12 @@
   CacheIndex index;
   const CacheLife life{"boot", "v"};
   const std::vector<PieceKey> keys = {1, 2, 3};
-  index.OnSubmitted("r1", {1, 2});
+  index.OnQueued("r1", {1, 2});
+  CHECK(index.HeldPieces(life, keys) == 0);
+  CHECK(index.PendingPieces(life, keys) == 2);
+  index.OnSubmitted("r1");
   CHECK(index.CachedPieces(life, keys) == 0);
+  CHECK(index.HeldPieces(life, keys) == 2);
   CHECK(index.PendingPieces(life, keys) == 2);
   index.OnEnded("r1");
   CHECK(index.PendingPieces(life, keys) == 0);
