--- a/src/dogwoodlatch-bench/policy_simulation.h
+++ b/src/dogwoodlatch-bench/policy_simulation.h
@@ -79,8 +79,13 @@
   uint64_t wasted_tokens = 0;
   double seconds = 0;
   std::vector<Duration> first_token;  // of requests that were served
-  std::vector<uint64_t> offered_by_workspace;
-  std::vector<uint64_t> in_time_by_workspace;
+  struct WorkspaceCounts {
+    uint64_t offered = 0;
+    uint64_t served = 0;
+    uint64_t computed_tokens = 0;
+  };
+  std::vector<WorkspaceCounts> workspaces =
+      std::vector<WorkspaceCounts>(kWorkspaces);
 };
 
 using PolicyMaker =
