--- a/src/dogwoodlatch-bench/policy_routers.cc
+++ b/src/dogwoodlatch-bench/policy_routers.cc
@@ -107,6 +107,7 @@
     std::vector<const TargetEntry*> serving;
     for (const size_t i : usable) serving.push_back(&fleet.targets()[i]);
     const PromptShape prompt = ShapeOf(request);
+    const Probe probe = ProbeFor(request);
     std::vector<ProbedTarget> probed;
     std::vector<size_t> replica_of;
     Duration slowest{0};
@@ -114,7 +115,7 @@
       const auto target =
           std::ranges::find(fleet.targets(), id, &TargetEntry::id);
       const auto i = static_cast<size_t>(target - fleet.targets().begin());
-      const std::optional<ProbeReply> reply = fleet.Probe(i, request.pieces);
+      const std::optional<ProbeReply> reply = fleet.Ask(i, probe);
       slowest = std::max(slowest, reply ? RoundTrip(policy_.failure_domain,
                                                     target->failure_domain)
                                         : kProbeTimeout);
@@ -140,10 +141,11 @@
   std::optional<Choice> Choose(const Fleet& fleet, const SimRequest& request,
                                std::span<const size_t> usable,
                                TimePoint) override {
+    const Probe probe = ProbeFor(request);
     std::vector<ProbedTarget> probed;
     std::vector<size_t> replica_of;
     for (const size_t i : usable) {
-      std::optional<ProbeReply> reply = fleet.Probe(i, request.pieces);
+      std::optional<ProbeReply> reply = fleet.Ask(i, probe);
       if (!reply) continue;
       reply->cached_pieces = fleet.TrulyCachedPieces(i, request.pieces);
       reply->pending_pieces =
--- a/src/dogwoodlatch-bench/policy_simulation.cc
+++ b/src/dogwoodlatch-bench/policy_simulation.cc
@@ -33,10 +33,17 @@
     .prefill_tokens_per_second = 20000,
 };
 
+RequestId RunIdOf(const SimRequest& request) {
+  return {std::to_string(request.id)};
+}
+
+WorkspaceId WorkspaceOf(const SimRequest& request) {
+  return {std::to_string(request.workspace)};
+}
+
 struct Replica {
   standin::EngineModel model{kEngine};
-  CacheIndex index;
-  AdmissionQueue queue{AdmissionLimits{}};
+  PrefillScheduler scheduler{AdmissionLimits{}};
   CacheLife life;
   bool alive = true;
   uint64_t epoch = 0;
@@ -65,7 +72,7 @@
         routers_(kRouters) {
     for (size_t i = 0; i < kReplicas; ++i) {
       targets_.push_back(MakeTarget(i));
-      replicas_[i].life = {std::to_string(i) + "/0", "1"};
+      StartLife(i, 0);
     }
     StartRouters();
   }
@@ -88,15 +95,11 @@
 
   std::span<const TargetEntry> targets() const override { return targets_; }
 
-  std::optional<ProbeReply> Probe(
-      size_t i, std::span<const PieceKey> keys) const override {
+  std::optional<ProbeReply> Ask(size_t i, const Probe& probe) const override {
     const Replica& replica = replicas_[i];
     if (!replica.alive) return std::nullopt;
     ProbeReply reply;
-    reply.cached_pieces = replica.index.CachedPieces(replica.life, keys);
-    reply.pending_pieces = replica.index.PendingPieces(replica.life, keys);
-    reply.queued_tokens =
-        replica.queue.engine_tokens() + replica.queue.queued_tokens();
+    replica.scheduler.FillReply(probe, reply);
     reply.prefill_tokens_per_second = kEngine.prefill_tokens_per_second;
     return reply;
   }
@@ -201,44 +204,37 @@
          });
       return;
     }
-    const uint64_t held =
-        uint64_t{replica.index.PendingPieces(replica.life, request.pieces)} *
-        kPieceTokens;
-    const QueuedWork work = {{std::to_string(request.id)},
-                             {std::to_string(request.workspace)},
-                             1,
-                             0,
-                             request.prompt_tokens - held,
-                             request.arrival + kFirstTokenDeadline};
-    if (replica.queue.Offer(work, now_, kEngine.prefill_tokens_per_second)) {
+    const PrefillRequest asked = {RunIdOf(request),
+                                  WorkspaceOf(request),
+                                  1,
+                                  0,
+                                  request.pieces,
+                                  request.prompt_tokens,
+                                  kPieceTokens,
+                                  request.arrival + kFirstTokenDeadline};
+    if (replica.scheduler.Offer(asked, now_)) {
       routers_[router_index].policy->OnEnded(i);
       if (IsMeasured(request)) ++result_.shed;
       return;
     }
     replica.open[request.id] = &request;
-    replica.index.OnQueued(work.id.value, request.pieces);
-    ended_at_router_[request.id] = router_index;
+    router_of_[request.id] = router_index;
     Pump(i);
   }
 
   void Pump(size_t i) {
     Replica& replica = replicas_[i];
-    while (const std::optional<Taken> taken =
-               replica.queue.Take(now_, kEngine.prefill_tokens_per_second)) {
-      const RequestId& id = taken->work.id;
-      const SimRequest& request = *replica.open.at(std::stoull(id.value));
-      if (taken->shed) {
+    while (const std::optional<PrefillDispatch> dispatch =
+               replica.scheduler.Take(now_)) {
+      const std::string& run_id = dispatch->run_id.value;
+      const SimRequest& request = *replica.open.at(std::stoull(run_id));
+      if (dispatch->shed) {
         ShedQueued(request, i);
         continue;
       }
-      const uint64_t held =
-          uint64_t{replica.index.HeldPieces(replica.life, request.pieces)} *
-          kPieceTokens;
-      replica.queue.Correct(id, request.prompt_tokens - held);
-      replica.index.OnSubmitted(id.value);
       const uint32_t elsewhere = BestCachedElsewhere(i, request);
       const standin::PrefillPlan plan = replica.model.Admit(
-          id.value, request.pieces, request.prompt_tokens, now_);
+          run_id, request.pieces, request.prompt_tokens, now_);
       Count(request, plan, elsewhere);
       PublishEvents(i);
       At(plan.first_token, [this, &request, i, epoch = replica.epoch] {
@@ -248,10 +244,8 @@
   }
 
   void ShedQueued(const SimRequest& request, size_t i) {
-    Replica& replica = replicas_[i];
-    replica.open.erase(request.id);
-    replica.index.OnEnded(std::to_string(request.id));
-    routers_[ended_at_router_[request.id]].policy->OnEnded(i);
+    replicas_[i].open.erase(request.id);
+    routers_[router_of_[request.id]].policy->OnEnded(i);
     if (IsMeasured(request)) ++result_.shed;
   }
 
@@ -279,12 +273,12 @@
 
   void OnFirstToken(const SimRequest& request, size_t i) {
     Replica& replica = replicas_[i];
-    const std::string id = std::to_string(request.id);
+    const RequestId run_id = RunIdOf(request);
     replica.open.erase(request.id);
-    replica.queue.OnEnded({id});
-    routers_[ended_at_router_[request.id]].policy->OnEnded(i);
-    At(now_ + kDecodeTime, [this, id, i, epoch = replica.epoch] {
-      if (replicas_[i].epoch == epoch) replicas_[i].index.OnEnded(id);
+    replica.scheduler.OnPrefilled(run_id);
+    routers_[router_of_[request.id]].policy->OnEnded(i);
+    At(now_ + kDecodeTime, [this, run_id, i, epoch = replica.epoch] {
+      if (replicas_[i].epoch == epoch) replicas_[i].scheduler.OnEnded(run_id);
     });
     Pump(i);
     if (!IsMeasured(request)) return;
@@ -307,15 +301,16 @@
       At(now_ + kEventLag, [this, i, notice, epoch = replica.epoch] {
         Replica& target = replicas_[i];
         if (target.epoch != epoch) return;
-        target.index.Apply(target.life, std::span(&notice, 1));
+        target.scheduler.Apply(target.life, std::span(&notice, 1));
       });
     }
   }
 
   void SampleLoads() {
     for (Replica& replica : replicas_) {
-      replica.loads.emplace_back(
-          now_, replica.queue.engine_tokens() + replica.queue.queued_tokens());
+      const AdmissionQueue& queue = replica.scheduler.queue();
+      replica.loads.emplace_back(now_,
+                                 queue.engine_tokens() + queue.queued_tokens());
       while (replica.loads.front().first + scenario_.load_lag +
                  kLoadPeriod * 2 <
              now_) {
@@ -356,15 +351,22 @@
     const auto open = std::move(replicas_[i].open);
     replicas_[i] = Replica{};
     replicas_[i].alive = false;
-    replicas_[i].epoch = epoch;
-    replicas_[i].life = {std::to_string(i) + "/" + std::to_string(epoch), "1"};
+    StartLife(i, epoch);
     for (const auto& [id, request] : open) {
-      routers_[ended_at_router_[id]].policy->OnEnded(i);
+      routers_[router_of_[id]].policy->OnEnded(i);
       At(now_ + kConnectTimeout,
          [this, request = request, i] { Route(*request, 1, {i}); });
     }
   }
 
+  void StartLife(size_t i, uint64_t epoch) {
+    Replica& replica = replicas_[i];
+    replica.epoch = epoch;
+    replica.life = {std::to_string(i) + "/" + std::to_string(epoch), "1"};
+    replica.scheduler.SetEngine(replica.life,
+                                kEngine.prefill_tokens_per_second);
+  }
+
   void Return(size_t i) { replicas_[i].alive = true; }
 
   const Deployment& deployment_;
@@ -375,7 +377,7 @@
   std::vector<TargetEntry> targets_;
   std::vector<Replica> replicas_;
   std::vector<Router> routers_;
-  std::unordered_map<uint64_t, size_t> ended_at_router_;
+  std::unordered_map<uint64_t, size_t> router_of_;
   std::priority_queue<Event> events_;
   uint64_t order_ = 0;
   size_t faults_ = 0;
@@ -386,6 +388,8 @@
 
 }  // namespace
 
+Probe ProbeFor(const SimRequest& request) { return {0, request.pieces}; }
+
 Duration RoundTrip(std::string_view router_domain,
                    std::string_view replica_domain) {
   return router_domain == replica_domain ? kLoopbackRoundTrip
--- a/src/dogwoodlatch-bench/policy_simulation.h
+++ b/src/dogwoodlatch-bench/policy_simulation.h
@@ -11,9 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "dogwoodlatch/admission_queue.h"
-#include "dogwoodlatch/cache_index.h"
 #include "dogwoodlatch/membership.h"
+#include "dogwoodlatch/prefill_scheduler.h"
 #include "dogwoodlatch/standin/engine_model.h"
 #include "policy_workload.h"
 
@@ -39,8 +38,8 @@
   virtual ~Fleet() = default;
   virtual std::span<const TargetEntry> targets() const = 0;
   // What the agent answers, or none when it is silent.
-  virtual std::optional<ProbeReply> Probe(
-      size_t replica, std::span<const PieceKey> keys) const = 0;
+  virtual std::optional<ProbeReply> Ask(size_t replica,
+                                        const Probe& probe) const = 0;
   // Tokens ahead as last published.
   virtual uint64_t LaggedLoad(size_t replica) const = 0;
   virtual uint32_t TrulyCachedPieces(size_t replica,
@@ -64,6 +63,8 @@
   virtual void OnEnded(size_t) {}
 };
 
+Probe ProbeFor(const SimRequest& request);
+
 // The round trip between a router in `domain` and a replica's agent.
 Duration RoundTrip(std::string_view router_domain,
                    std::string_view replica_domain);
--- a/src/include/dogwoodlatch/messages.h
+++ b/src/include/dogwoodlatch/messages.h
@@ -88,12 +88,14 @@
   WorkspaceId workspace;
   uint64_t digest = 0;  ///< of method, path and body
   int priority = 0;     ///< higher runs earlier
+  double share = 1;     ///< weight of the workspace
   std::string method;
   std::string path;
   std::string content_type;
   std::string body;
   std::vector<PieceKey> piece_keys;
   uint32_t prompt_tokens = 0;
+  uint32_t piece_tokens = 0;   ///< tokens in one whole piece
   std::string delivered_text;  ///< answer text that the caller has, when an
                                ///< attempt continues another
   bool run_alone = false;      ///< a suspect of a crash
--- /dev/null
+++ b/src/include/dogwoodlatch/prefill_scheduler.h
@@ -0,0 +1,78 @@
+/// What an agent decides about prefill: which requests wait, which go to the
+/// engine, and what a probe is told of cache and queue.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "dogwoodlatch/admission_queue.h"
+#include "dogwoodlatch/cache_index.h"
+#include "dogwoodlatch/ids.h"
+#include "dogwoodlatch/messages.h"
+#include "dogwoodlatch/time.h"
+
+namespace dogwoodlatch {
+
+/// One attempt that asks for prefill.
+struct PrefillRequest {
+  RequestId run_id;  ///< the attempt's name at the engine
+  WorkspaceId workspace;
+  double share = 1;
+  int priority = 0;
+  std::vector<PieceKey> piece_keys;
+  uint32_t prompt_tokens = 0;
+  uint32_t piece_tokens = 0;
+  TimePoint deadline;  ///< of the first token
+};
+
+/// A run leaves the queue: it is to be sent to the engine, or it is shed.
+struct PrefillDispatch {
+  RequestId run_id;
+  std::optional<Shed> shed;
+};
+
+/// Not thread-safe.
+class PrefillScheduler {
+ public:
+  explicit PrefillScheduler(AdmissionLimits limits) : queue_(limits) {}
+
+  /// The engine's present life and prefill rate.
+  void SetEngine(CacheLife life, uint64_t tokens_per_second);
+
+  /// Queues the request, or sheds it at once.
+  std::optional<Shed> Offer(PrefillRequest request, TimePoint now);
+
+  /// The next run that leaves the queue now.
+  std::optional<PrefillDispatch> Take(TimePoint now);
+
+  /// The engine gave the run's first token.
+  void OnPrefilled(const RequestId& run_id) { queue_.OnEnded(run_id); }
+
+  /// The run has ended, at the engine or in the queue.
+  void OnEnded(const RequestId& run_id);
+
+  void Apply(const CacheLife& life, std::span<const CacheNotice> notices) {
+    index_.Apply(life, notices);
+  }
+
+  /// Fills in the cached depth and the work ahead.
+  void FillReply(const Probe& probe, ProbeReply& reply) const;
+
+  const CacheIndex& index() const { return index_; }
+  const AdmissionQueue& queue() const { return queue_; }
+
+ private:
+  static uint64_t UncachedTokens(const PrefillRequest& request,
+                                 uint32_t held_pieces);
+
+  AdmissionQueue queue_;
+  CacheIndex index_;
+  CacheLife life_;
+  uint64_t tokens_per_second_ = 0;
+  std::unordered_map<RequestId, PrefillRequest> queued_;
+};
+
+}  // namespace dogwoodlatch
--- a/src/libdogwoodlatch/messages.cc
+++ b/src/libdogwoodlatch/messages.cc
@@ -28,8 +28,9 @@
   } else if constexpr (std::is_same_v<T, Submit>) {
     visit(m.request_id, m.attempt, m.incarnation, m.weights_version,
           m.time_left, m.kind, m.idempotent, m.idempotency_key, m.workspace,
-          m.digest, m.priority, m.method, m.path, m.content_type, m.body,
-          m.piece_keys, m.prompt_tokens, m.delivered_text, m.run_alone);
+          m.digest, m.priority, m.share, m.method, m.path, m.content_type,
+          m.body, m.piece_keys, m.prompt_tokens, m.piece_tokens,
+          m.delivered_text, m.run_alone);
   } else if constexpr (std::is_same_v<T, Refused>) {
     visit(m.request_id, m.attempt, m.reason, m.retry_after, m.owner);
   } else if constexpr (std::is_same_v<T, Chunk>) {
