Bound connections, request time and unread bodies at the router's door

Cause: the HTTP library bounds only the wait between two reads, so a sender that trickled a byte at a time held a thread without end; it read an oversized body to its end before it refused it, took chunked bodies of any size, queued connections beyond its threads, answered a slow sender with a bare 400, and went on reading after a malformed request, so that its rest got answers too. New keys limits.request_timeout_ms and limits.write_timeout_ms. Conclusion: no request is held by its sender beyond request_timeout_ms, and a stream on the side stays whole while each limit is broken.

--- /dev/null
+++ b/src/dogwoodlatch-router/door_stream.cc
@@ -0,0 +1,141 @@
+#include "door_stream.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+namespace dogwoodlatch::router {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr size_t kMaxHeaderBytes = 65536;
+
+bool Poll(socket_t sock, int16_t events, milliseconds wait) {
+  pollfd entry{sock, events, 0};
+  int ready = 0;
+  do {
+    ready = poll(&entry, 1,
+                 static_cast<int>(
+                     std::max<int64_t>(0, static_cast<int64_t>(wait.count()))));
+  } while (ready < 0 && errno == EINTR);
+  return ready > 0;
+}
+
+using NameOf = int (*)(int, sockaddr*, socklen_t*);
+
+void ReadName(socket_t sock, NameOf name_of, std::string& ip, int& port) {
+  sockaddr_storage storage{};
+  socklen_t size = sizeof(storage);
+  auto* address = reinterpret_cast<sockaddr*>(&storage);
+  if (name_of(sock, address, &size) != 0 || address->sa_family != AF_INET) {
+    return;
+  }
+  const auto* ipv4 = reinterpret_cast<const sockaddr_in*>(&storage);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &ipv4->sin_addr, text.data(), text.size());
+  ip = text.data();
+  port = ntohs(ipv4->sin_port);
+}
+
+}  // namespace
+
+DoorStream::DoorStream(socket_t sock, const DoorLimits& limits)
+    : socket_(sock), limits_(limits) {}
+
+bool DoorStream::WaitReadable(milliseconds wait) const {
+  return begin_ < end_ || Poll(socket_, POLLIN, wait);
+}
+
+void DoorStream::StartRequest(TimePoint now) {
+  request_deadline_ = now + limits_.request_timeout;
+  bytes_of_request_ = 0;
+}
+
+void DoorStream::WriteAll(std::string_view data) {
+  while (!data.empty() && WaitWritable()) {
+    const ssize_t sent = send(socket_, data.data(), data.size(), MSG_NOSIGNAL);
+    if (sent <= 0) return;
+    data.remove_prefix(static_cast<size_t>(sent));
+  }
+}
+
+// Closing with unread bytes would reset the connection, and the caller would
+// lose the answer; the rest is read and thrown away for a short time.
+void DoorStream::Close(milliseconds linger) {
+  shutdown(socket_, SHUT_WR);
+  const TimePoint end = SteadyNow() + linger;
+  while (linger.count() > 0) {
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(end - SteadyNow());
+    if (left.count() <= 0 || !Poll(socket_, POLLIN, left)) break;
+    if (recv(socket_, buffer_.data(), buffer_.size(), 0) <= 0) break;
+  }
+  close(socket_);
+}
+
+bool DoorStream::is_readable() const {
+  return WaitReadable(limits_.read_timeout);
+}
+
+// The library asks this before each part of a streamed answer; a caller that
+// has gone shows as an end of its bytes.
+bool DoorStream::is_writable() const {
+  if (!WaitWritable()) return false;
+  char byte = 0;
+  const ssize_t seen = recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return seen > 0 || (seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
+ssize_t DoorStream::read(char* ptr, size_t size) {
+  if (begin_ == end_ && !Fill()) return -1;
+  const size_t count = std::min(size, end_ - begin_);
+  std::memcpy(ptr, buffer_.data() + begin_, count);
+  begin_ += count;
+  bytes_of_request_ += count;
+  if (bytes_of_request_ > limits_.max_body_bytes + kMaxHeaderBytes) {
+    fault_ = ReadFault::kTooLarge;
+    return -1;
+  }
+  return static_cast<ssize_t>(count);
+}
+
+ssize_t DoorStream::write(const char* ptr, size_t size) {
+  if (fault_ != ReadFault::kNone) return static_cast<ssize_t>(size);
+  if (!WaitWritable()) return -1;
+  return send(socket_, ptr, size, MSG_NOSIGNAL);
+}
+
+void DoorStream::get_remote_ip_and_port(std::string& ip, int& port) const {
+  ReadName(socket_, getpeername, ip, port);
+}
+
+void DoorStream::get_local_ip_and_port(std::string& ip, int& port) const {
+  ReadName(socket_, getsockname, ip, port);
+}
+
+bool DoorStream::Fill() {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(request_deadline_ - SteadyNow());
+  if (!Poll(socket_, POLLIN, std::min(left, limits_.read_timeout))) {
+    fault_ = ReadFault::kTooSlow;
+    return false;
+  }
+  const ssize_t count = recv(socket_, buffer_.data(), buffer_.size(), 0);
+  if (count <= 0) return false;
+  begin_ = 0;
+  end_ = static_cast<size_t>(count);
+  return true;
+}
+
+bool DoorStream::WaitWritable() const {
+  return Poll(socket_, POLLOUT, limits_.write_timeout);
+}
+
+}  // namespace dogwoodlatch::router
--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -18,6 +18,8 @@
 
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::chrono::milliseconds kDrainPoll{10};
+constexpr Refusal kUnknownKey{401, "unknown_workspace_key",
+                              "no workspace has this key"};
 
 // The text whose prefixes engines cache; empty when the body has no messages.
 std::string PromptOf(const Json& body) {
@@ -30,6 +32,13 @@
   return prompt;
 }
 
+const WorkspaceSettings* FindWorkspace(const SettingsSnapshot& settings,
+                                       const Request& request) {
+  const std::string header = request.get_header_value("Authorization");
+  if (!header.starts_with(kBearer)) return nullptr;
+  return settings.FindWorkspaceByKey(Sha256Hex(header.substr(kBearer.size())));
+}
+
 }  // namespace
 
 // Counts one request from its arrival to the end of its answer.
@@ -54,17 +63,11 @@
 
 HttpFront::HttpFront(const RouterSettings& settings, const PlatformSync& sync,
                      AgentLinks& links)
-    : settings_(settings), sync_(sync), links_(links) {
-  server_.new_task_queue = [this] {
-    return new httplib::ThreadPool(settings_.threads);
-  };
-  server_.set_payload_max_length(settings_.max_body_bytes);
-  server_.set_read_timeout(settings_.read_timeout);
-  server_.set_keep_alive_timeout(
-      std::chrono::duration_cast<std::chrono::seconds>(settings_.idle_timeout)
-          .count());
-  server_.set_keep_alive_max_count(std::numeric_limits<size_t>::max());
-  server_.set_tcp_nodelay(true);
+    : settings_(settings),
+      sync_(sync),
+      links_(links),
+      server_(settings.door,
+              [this](const Request& request) { return CheckAtDoor(request); }) {
   server_.set_error_handler(
       [](const Request&, Response& response) { DescribeBareError(response); });
   server_.Post("/v1/chat/completions",
@@ -245,17 +248,18 @@
   GiveWhole(response, outcome, kind, answer);
 }
 
+// A caller without a workspace's key has no body read.
+std::optional<Refusal> HttpFront::CheckAtDoor(const Request& request) const {
+  if (FindWorkspace(*sync_.settings(), request) != nullptr) return std::nullopt;
+  return kUnknownKey;
+}
+
 const WorkspaceSettings* HttpFront::Authenticate(
     const SettingsSnapshot& settings, const Request& request,
     Response& response) const {
-  const std::string header = request.get_header_value("Authorization");
-  const WorkspaceSettings* workspace = nullptr;
-  if (header.starts_with(kBearer)) {
-    workspace =
-        settings.FindWorkspaceByKey(Sha256Hex(header.substr(kBearer.size())));
-  }
+  const WorkspaceSettings* workspace = FindWorkspace(settings, request);
   if (workspace == nullptr) {
-    Reject(response, 401, "unknown_workspace_key", "no workspace has this key");
+    Reject(response, kUnknownKey.status, kUnknownKey.code, kUnknownKey.message);
   }
   return workspace;
 }
--- a/src/dogwoodlatch-router/http_front.h
+++ b/src/dogwoodlatch-router/http_front.h
@@ -11,6 +11,7 @@
 
 #include "agent_links.h"
 #include "dogwoodlatch/util/platform_sync.h"
+#include "door_server.h"
 #include "request_driver.h"
 #include "request_stats.h"
 #include "router_settings.h"
@@ -52,6 +53,7 @@
                       httplib::Response& response);
   void AnswerWhole(RequestDriver& driver, DriverStep first, RequestKind kind,
                    const Tally& tally, httplib::Response& response);
+  std::optional<Refusal> CheckAtDoor(const httplib::Request& request) const;
   const WorkspaceSettings* Authenticate(const SettingsSnapshot& settings,
                                         const httplib::Request& request,
                                         httplib::Response& response) const;
@@ -65,7 +67,7 @@
   const RouterSettings& settings_;
   const PlatformSync& sync_;
   AgentLinks& links_;
-  httplib::Server server_;
+  DoorServer server_;
   std::thread thread_;
   std::atomic<bool> draining_{false};
   std::atomic<int> in_flight_{0};
--- a/src/dogwoodlatch-router/router_settings.cc
+++ b/src/dogwoodlatch-router/router_settings.cc
@@ -33,7 +33,11 @@
     KeySpec{"limits.max_body_bytes", ValueType::kInteger, "bytes", 1024,
             67108864, "4194304", "Largest request body."},
     KeySpec{"limits.read_timeout_ms", ValueType::kInteger, "ms", 10, 60000,
-            "5000", "Longest wait for a sender."},
+            "5000", "Longest wait between two parts of a request."},
+    KeySpec{"limits.request_timeout_ms", ValueType::kInteger, "ms", 10, 600000,
+            "20000", "Longest time from a request's first byte to its last."},
+    KeySpec{"limits.write_timeout_ms", ValueType::kInteger, "ms", 10, 60000,
+            "5000", "Longest wait for a caller that does not read."},
     KeySpec{"limits.idle_timeout_ms", ValueType::kInteger, "ms", 1000, 600000,
             "15000", "Idle connection's life."},
     KeySpec{"routing", ValueType::kObject, "", 0, 0, "{}",
@@ -68,10 +72,12 @@
   settings.platform.watch_wait = Millis(platform["watch_wait_ms"]);
   settings.platform.retry_pause = Millis(platform["retry_pause_ms"]);
   const auto& limits = document["limits"];
-  settings.threads = limits["threads"];
-  settings.max_body_bytes = limits["max_body_bytes"];
-  settings.read_timeout = Millis(limits["read_timeout_ms"]);
-  settings.idle_timeout = Millis(limits["idle_timeout_ms"]);
+  settings.door.max_connections = limits["threads"];
+  settings.door.max_body_bytes = limits["max_body_bytes"];
+  settings.door.read_timeout = Millis(limits["read_timeout_ms"]);
+  settings.door.request_timeout = Millis(limits["request_timeout_ms"]);
+  settings.door.write_timeout = Millis(limits["write_timeout_ms"]);
+  settings.door.idle_timeout = Millis(limits["idle_timeout_ms"]);
   const auto& routing = document["routing"];
   settings.probe_timeout = Millis(routing["probe_timeout_ms"]);
   settings.connect_timeout = Millis(routing["connect_timeout_ms"]);
--- a/src/dogwoodlatch-router/router_settings.h
+++ b/src/dogwoodlatch-router/router_settings.h
@@ -8,6 +8,7 @@
 
 #include "dogwoodlatch/schema.h"
 #include "dogwoodlatch/util/platform_sync.h"
+#include "door_server.h"
 
 namespace dogwoodlatch::router {
 
@@ -17,10 +18,7 @@
   std::string caller_address;
   std::string ops_address;
   PlatformSyncOptions platform;
-  size_t threads = 0;
-  size_t max_body_bytes = 0;
-  std::chrono::milliseconds read_timeout{0};
-  std::chrono::milliseconds idle_timeout{0};
+  DoorLimits door;
   std::chrono::milliseconds probe_timeout{0};
   std::chrono::milliseconds connect_timeout{0};
   size_t max_candidates = 0;
