--- a/src/dogwoodlatch-bench/main.cc
+++ b/src/dogwoodlatch-bench/main.cc
@@ -21,12 +21,16 @@
   if (found != kSubcommands.end()) {
     return found->run(std::span(arguments).subspan(1));
   }
+  if (name == "--version") {
+    std::cout << "dogwoodlatch-bench " << DOGWOODLATCH_VERSION << "\n";
+    return static_cast<int>(ExitCode::kOk);
+  }
   std::cout << "usage: dogwoodlatch-bench SUBCOMMAND\n";
   for (const Subcommand& subcommand : kSubcommands) {
     std::cout << "  " << subcommand.name << "  " << subcommand.summary << "\n";
   }
-  const bool asked = name == "--help" || name == "--version";
-  return static_cast<int>(asked ? ExitCode::kOk : ExitCode::kBadUsage);
+  return static_cast<int>(name == "--help" ? ExitCode::kOk
+                                           : ExitCode::kBadUsage);
 }
 
 }  // namespace
