--- a/src/dogwoodlatch-router/door_server.cc
+++ b/src/dogwoodlatch-router/door_server.cc
@@ -1,5 +1,6 @@
 #include "door_server.h"
 
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -30,13 +31,15 @@
 std::string RawAnswer(const Refusal& refusal) {
   httplib::Response response;
   Reject(response, refusal.status, refusal.code, refusal.message);
-  std::string text = "HTTP/1.1 " + std::to_string(refusal.status) +
-                     " Refused\r\nConnection: close\r\nContent-Length: " +
-                     std::to_string(response.body.size()) + "\r\n";
+  std::ostringstream text;
+  text << "HTTP/1.1 " << refusal.status
+       << " Refused\r\nConnection: close\r\nContent-Length: "
+       << response.body.size() << "\r\n";
   for (const auto& [name, value] : response.headers) {
-    text += name + ": " + value + "\r\n";
+    text << name << ": " << value << "\r\n";
   }
-  return text + "\r\n" + response.body;
+  text << "\r\n" << response.body;
+  return text.str();
 }
 
 bool HasBody(const httplib::Request& request) {
--- a/testsuite/demo/run.py
+++ b/testsuite/demo/run.py
@@ -9,7 +9,8 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 
-from cluster import Cluster, team  # noqa: E402
+from client import run_client  # noqa: E402
+from cluster import HOST, Cluster, team  # noqa: E402
 from replay import PIECE_BYTES, REQUESTS_PER_LINE, Replayer, load_trace, recomputation  # noqa: E402
 
 ENGINES = 4
@@ -22,16 +23,23 @@
     "orders": {"idempotent_routes": [{"method": "GET", "path": "/orders/*"}]},
     "payments": {},
 }
+OBJECTIVES = {
+    "schools": {"first-token": {"serves": "assistant", "share": 0.9, "first_token_ms": 2000}},
+    "meals": {"first-token": {"serves": "menu", "share": 0.99, "first_token_ms": 1000},
+              "payments": {"serves": "payments", "share": 0.999}},
+}
 ENGINE_OPTIONS = ["--piece-bytes", str(PIECE_BYTES), "--cache-pieces", "40", "--prefill-rate", "20000",
                   "--token-ms", "5"]
 
 
+def put_settings(cluster, name, workspace, model, services):
+    settings = team((workspace,), (model,), {service: SERVICES[service] for service in services}, MODEL_SETTINGS)
+    cluster.put_object("settings/" + name, {**settings, "objectives": OBJECTIVES[name]})
+
+
 def start(cluster):
-    cluster.put_object("settings/schools", team(("tengri",), ("assistant",), {"fleet": SERVICES["fleet"]},
-                                                MODEL_SETTINGS))
-    cluster.put_object("settings/meals", team(("ounje",), ("menu",), {"orders": SERVICES["orders"],
-                                                                      "payments": SERVICES["payments"]},
-                                              MODEL_SETTINGS))
+    put_settings(cluster, "schools", "tengri", "assistant", ("fleet",))
+    put_settings(cluster, "meals", "ounje", "menu", ("orders", "payments"))
     for number in range(ENGINES):
         model = "assistant" if number < ENGINES // 2 else "menu"
         cluster.add_engine(f"engine-{number + 1}", model, DOMAINS[number % 2], ENGINE_OPTIONS)
@@ -87,6 +95,14 @@
     return [f"{key} ran {ran[key]} times" for key in keys if ran[key] != 1]
 
 
+def show_burn(bin_dir, cluster):
+    """Prints the operators' report; gives its fault, if it has one."""
+    daemons = ",".join(f"{HOST}:{router.ops_port}" for router in cluster.routers)
+    code, text, errors = run_client(bin_dir, "report", "burn", "--daemons", daemons)
+    print("\n" + text)
+    return [] if code == 0 else [f"report burn ended with {code}: {errors}"]
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--bin-dir", required=True)
@@ -99,6 +115,7 @@
         results = run_trace(Replayer(cluster), trace)
         report(results)
         faults = [r.fault for r in results if r.fault] + journal_faults(cluster, trace)
+        faults += show_burn(arguments.bin_dir, cluster)
         exits = {p.name: p.stop() for p in reversed(cluster.processes)}
     faults += [f"{name} ended with {code}" for name, code in exits.items() if code != 0]
     print(f"stopped {len(exits)} processes")
