--- a/testsuite/door_limits/run.py
+++ b/testsuite/door_limits/run.py
@@ -56,6 +56,13 @@
                    if line.lower().startswith(b"content-length:")]
         return bool(end) and bool(lengths) and len(body) >= lengths[0]
 
+    def rest(self):
+        """What comes after the answer until the router closes."""
+        data = b""
+        while part := self.socket.recv(65536):
+            data += part
+        return data
+
     def close(self):
         self.socket.close()
 
@@ -91,7 +98,9 @@
     chunk = "x" * 60000
     print("oversized chunked body",
           exchange(head(extra="Transfer-Encoding: chunked\r\n\r\n") + f"{len(chunk):x}\r\n{chunk}\r\n" * 2))
-    print("not HTTP", exchange("hello\r\n\r\n"))
+    raw = Raw(port)
+    raw.send("hello\r\n\r\n" + "hello again\r\n\r\n")
+    print("not HTTP", raw.answer(), "more", raw.rest())
     print("unknown path", exchange("GET /nowhere HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer key-tengri\r\n\r\n"))
 
 
