Charge recomputation for the delay it adds behind it

Cause: at twice capacity the queues were equally long everywhere, so requests spilled to replicas without their prefix and the hit rate fell as load rose. Change: recomputation is also charged with the product of its length and of the target's queue, the delay that it causes to whatever comes later.

--- a/src/libdogwoodlatch/routing.cc
+++ b/src/libdogwoodlatch/routing.cc
@@ -37,7 +37,10 @@
   const double recompute =
       static_cast<double>(prompt.prompt_tokens - cached) / rate;
   const double queue = static_cast<double>(reply.queued_tokens) / rate;
-  return queue + recompute * (1 + policy.recompute_weight);
+  // Work added to a busy engine delays whatever comes later, for as long as
+  // the queue lasts.
+  const double delay_to_others = recompute * queue;
+  return queue + recompute * (1 + policy.recompute_weight) + delay_to_others;
 }
 
 }  // namespace
