Follow the engine's cache events in the agent and queue its prefill fairly

The agent indexes its engine's cache from long polls of the event stream, answers probes from the index and the queue, and admits chat runs through the prefill scheduler: bounded in tokens, fair between workspaces, shed with a time to come back. A run that waited past its engine's life is refused as stale, not run.

--- a/src/dogwoodlatch-agent/agent.cc
+++ b/src/dogwoodlatch-agent/agent.cc
@@ -31,17 +31,24 @@
       target_(settings),
       boot_id_(NewBootId()),
       core_(settings.limits),
+      scheduler_(settings.admission),
       pool_(settings.limits.max_running),
       node_({kMaxMessageBytes, kOpenTimeout},
             {[](ConnectionId) {},
              [this](ConnectionId id, const std::string& bytes) {
                OnReceived(id, bytes);
              },
-             [this](ConnectionId id) { OnClosed(id); }}) {}
+             [this](ConnectionId id) { OnClosed(id); }}),
+      follower_(settings, [this](const CacheLife& life,
+                                 const std::vector<CacheNotice>& notices) {
+        const std::lock_guard lock(mutex_);
+        scheduler_.Apply(life, notices);
+      }) {}
 
 Agent::~Agent() {
   stopping_ = true;
   if (monitor_.joinable()) monitor_.join();
+  follower_.Stop();
   node_.Stop();
   pool_.join();
 }
@@ -50,6 +57,7 @@
   SetTargetHealth(target_.CheckHealth());
   if (node_.Listen(settings_.router_address) == 0) return false;
   monitor_ = std::thread([this] { MonitorTarget(); });
+  if (settings_.target_kind == RequestKind::kChat) follower_.Start();
   return true;
 }
 
@@ -75,6 +83,9 @@
           {"incarnation", state.incarnation.value},
           {"weights_version", state.weights_version},
           {"running", state.running},
+          {"queued_tokens", scheduler_.queue().queued_tokens()},
+          {"indexed_pieces", scheduler_.index().size()},
+          {"event_gaps", scheduler_.index().gaps()},
           {"draining", state.draining},
           {"healthy", state.healthy}};
 }
@@ -118,6 +129,7 @@
   {
     const std::lock_guard lock(mutex_);
     reply = core_.Answer(probe);
+    scheduler_.FillReply(probe, reply);
   }
   Send(connection, reply);
 }
@@ -132,12 +144,90 @@
       run->order = std::move(submit);
       run->connection = connection;
       runs_[run->order.request_id] = run;
+      if (run->order.kind == RequestKind::kChat) refused = Queue(run);
     }
   }
   if (refused) return Send(connection, *refused);
+  if (run->order.kind == RequestKind::kChat) return Dispatch();
   asio::post(pool_, [this, run] { Execute(run); });
 }
 
+std::optional<Refused> Agent::Queue(const std::shared_ptr<Run>& run) {
+  const Submit& order = run->order;
+  const TimePoint now = SteadyNow();
+  const std::optional<Shed> shed =
+      scheduler_.Offer({RunIdOf(order), order.workspace, order.share,
+                        order.priority, order.piece_keys, order.prompt_tokens,
+                        order.piece_tokens, now + order.time_left},
+                       now);
+  if (!shed) {
+    queued_[RunIdOf(order)] = run;
+    return std::nullopt;
+  }
+  Forget(run);
+  return Refused{order.request_id, order.attempt, RefusalReason::kOverloaded,
+                 shed->retry_after, ""};
+}
+
+void Agent::Dispatch() {
+  while (true) {
+    std::shared_ptr<Run> run;
+    std::optional<Shed> shed;
+    {
+      const std::lock_guard lock(mutex_);
+      const std::optional<PrefillDispatch> next = scheduler_.Take(SteadyNow());
+      if (!next) return;
+      shed = next->shed;
+      run = std::move(queued_.extract(next->run_id).mapped());
+    }
+    if (shed) {
+      Refuse(run, RefusalReason::kOverloaded, shed->retry_after);
+    } else {
+      asio::post(pool_, [this, run] { Execute(run); });
+    }
+  }
+}
+
+void Agent::Refuse(const std::shared_ptr<Run>& run, RefusalReason reason,
+                   Duration retry_after) {
+  {
+    const std::lock_guard lock(mutex_);
+    Forget(run);
+  }
+  Send(run->connection, Refused{run->order.request_id, run->order.attempt,
+                                reason, retry_after, ""});
+}
+
+// A run that waited may have outlived the life of the target that it was
+// routed on.
+std::optional<RefusalReason> Agent::FindStale(const Submit& order) const {
+  const std::lock_guard lock(mutex_);
+  const ProbeReply state = core_.Answer({});
+  if (order.incarnation != state.incarnation) {
+    return RefusalReason::kStaleIncarnation;
+  }
+  if (order.weights_version != state.weights_version) {
+    return RefusalReason::kStaleWeights;
+  }
+  return std::nullopt;
+}
+
+void Agent::OnPrefilled(const Run& run) {
+  if (run.order.kind != RequestKind::kChat) return;
+  {
+    const std::lock_guard lock(mutex_);
+    scheduler_.OnPrefilled(RunIdOf(run.order));
+  }
+  Dispatch();
+}
+
+void Agent::Forget(const std::shared_ptr<Run>& run) {
+  core_.OnEnded(run->order.prompt_tokens);
+  scheduler_.OnEnded(RunIdOf(run->order));
+  const auto found = runs_.find(run->order.request_id);
+  if (found != runs_.end() && found->second == run) runs_.erase(found);
+}
+
 void Agent::Handle(ConnectionId, const Cancel& cancel) {
   const std::lock_guard lock(mutex_);
   const auto found = runs_.find(cancel.request_id);
@@ -149,19 +239,23 @@
 
 void Agent::Execute(const std::shared_ptr<Run>& run) {
   const Submit& order = run->order;
+  if (const auto stale = FindStale(order)) {
+    Refuse(run, *stale, Duration(0));
+    return Dispatch();
+  }
   const CallResult result =
       target_.Run(order, run->cancelled, [&](std::string part) {
+        if (run->next_sequence == 0) OnPrefilled(*run);
         Send(run->connection, Chunk{order.request_id, order.attempt,
                                     run->next_sequence++, std::move(part)});
       });
   {
     const std::lock_guard lock(mutex_);
-    core_.OnEnded(order.prompt_tokens);
-    const auto found = runs_.find(order.request_id);
-    if (found != runs_.end() && found->second == run) runs_.erase(found);
+    Forget(run);
   }
   ++finished_;
   Report(*run, result);
+  Dispatch();
 }
 
 void Agent::Report(const Run& run, const CallResult& result) {
@@ -194,7 +288,12 @@
              {{"target", settings_.target_address}});
   }
   target_up_ = health.has_value();
-  if (!health) return core_.SetTarget({});
+  if (!health) {
+    scheduler_.SetEngine({}, 0);
+    return core_.SetTarget({});
+  }
+  scheduler_.SetEngine({health->boot_id, health->weights_version},
+                       health->prefill_tokens_per_second);
   // Both lives are in the incarnation: a restart of the agent or of the target
   // gives a new one.
   core_.SetTarget({{boot_id_ + "/" + health->boot_id},
--- a/src/dogwoodlatch-agent/agent.h
+++ b/src/dogwoodlatch-agent/agent.h
@@ -12,7 +12,9 @@
 
 #include "agent_settings.h"
 #include "dogwoodlatch/agent_core.h"
+#include "dogwoodlatch/prefill_scheduler.h"
 #include "dogwoodlatch/transport.h"
+#include "event_follower.h"
 #include "target_client.h"
 
 namespace dogwoodlatch::agent {
@@ -49,6 +51,15 @@
   void Handle(ConnectionId connection, const Probe& probe);
   void Handle(ConnectionId connection, Submit& submit);
   void Handle(ConnectionId connection, const Cancel& cancel);
+  // Queues a chat run for prefill, or gives the refusal. Needs the lock.
+  std::optional<Refused> Queue(const std::shared_ptr<Run>& run);
+  // Starts or refuses what the scheduler lets go.
+  void Dispatch();
+  void Refuse(const std::shared_ptr<Run>& run, RefusalReason reason,
+              Duration retry_after);
+  std::optional<RefusalReason> FindStale(const Submit& order) const;
+  void OnPrefilled(const Run& run);
+  void Forget(const std::shared_ptr<Run>& run);
   void Execute(const std::shared_ptr<Run>& run);
   void Report(const Run& run, const CallResult& result);
   void MonitorTarget();
@@ -64,12 +75,15 @@
   AgentCore core_;
   std::string target_boot_id_;
   std::map<RequestId, std::shared_ptr<Run>> runs_;
+  PrefillScheduler scheduler_;
+  std::map<RequestId, std::shared_ptr<Run>> queued_;  // by RunIdOf
   std::atomic<bool> target_up_{false};
   std::atomic<bool> stopping_{false};
   std::atomic<uint64_t> finished_{0};
   asio::thread_pool pool_;
   TransportNode node_;
   std::thread monitor_;
+  EventFollower follower_;
 };
 
 }  // namespace dogwoodlatch::agent
--- a/src/dogwoodlatch-agent/agent_settings.cc
+++ b/src/dogwoodlatch-agent/agent_settings.cc
@@ -28,6 +28,12 @@
             "Limits of work in flight."},
     KeySpec{"limits.max_running", ValueType::kInteger, "requests", 1, 4096,
             "64", "Requests at the target at once."},
+    KeySpec{"limits.max_queued_tokens", ValueType::kInteger, "tokens", 1,
+            1000000000, "2000000",
+            "Prompt tokens that wait for the engine at once."},
+    KeySpec{"limits.max_engine_tokens", ValueType::kInteger, "tokens", 1,
+            1000000000, "16384",
+            "Prompt tokens handed to the engine ahead of their prefill."},
     KeySpec{"drain_timeout_ms", ValueType::kInteger, "ms", 0, 600000, "30000",
             "Longest graceful shutdown."},
 };
@@ -52,6 +58,10 @@
   settings.health_interval = Millis(target["health_interval_ms"]);
   settings.target_timeout = Millis(target["timeout_ms"]);
   settings.limits.max_running = document["limits"]["max_running"];
+  settings.admission.max_queued_tokens =
+      document["limits"]["max_queued_tokens"];
+  settings.admission.max_engine_tokens =
+      document["limits"]["max_engine_tokens"];
   settings.drain_timeout = Millis(document["drain_timeout_ms"]);
   return settings;
 }
--- a/src/dogwoodlatch-agent/agent_settings.h
+++ b/src/dogwoodlatch-agent/agent_settings.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 
+#include "dogwoodlatch/admission_queue.h"
 #include "dogwoodlatch/agent_core.h"
 #include "dogwoodlatch/messages.h"
 #include "dogwoodlatch/schema.h"
@@ -21,6 +22,7 @@
   std::chrono::milliseconds health_interval{0};
   std::chrono::milliseconds target_timeout{0};
   AgentLimits limits;
+  AdmissionLimits admission;
   std::chrono::milliseconds drain_timeout{0};
 };
 
--- /dev/null
+++ b/src/dogwoodlatch-agent/event_follower.h
@@ -0,0 +1,42 @@
+// Follows the engine's cache events by long polls in a thread of its own.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <thread>
+#include <vector>
+
+#include "agent_settings.h"
+#include "dogwoodlatch/cache_index.h"
+
+namespace dogwoodlatch::agent {
+
+// Gets what the engine published up to a moment of one life of its cache.
+using NoticeHandler =
+    std::function<void(const CacheLife&, const std::vector<CacheNotice>&)>;
+
+class EventFollower {
+ public:
+  EventFollower(const AgentSettings& settings, NoticeHandler on_notices)
+      : settings_(settings), on_notices_(std::move(on_notices)) {}
+  ~EventFollower() { Stop(); }
+  EventFollower(const EventFollower&) = delete;
+  EventFollower& operator=(const EventFollower&) = delete;
+
+  void Start();
+  void Stop();
+
+ private:
+  void Follow();
+  // False when the engine gave no usable answer.
+  bool Poll();
+
+  const AgentSettings& settings_;
+  NoticeHandler on_notices_;
+  std::string boot_id_;
+  uint64_t last_sequence_ = 0;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace dogwoodlatch::agent
--- a/src/dogwoodlatch-agent/target_client.cc
+++ b/src/dogwoodlatch-agent/target_client.cc
@@ -31,8 +31,9 @@
 std::string EngineBody(const Submit& order) {
   Json body = Json::parse(order.body, nullptr, false);
   body["stream"] = true;
-  body["request_id"] =
-      order.request_id.value + "." + std::to_string(order.attempt);
+  body["request_id"] = RunIdOf(order).value;
+  // Workspaces share no cached pieces, even for the same text.
+  body["cache_salt"] = order.workspace.value;
   body["priority"] = order.priority;
   if (!order.delivered_text.empty()) {
     body["messages"].push_back(
@@ -88,6 +89,10 @@
 
 }  // namespace
 
+RequestId RunIdOf(const Submit& order) {
+  return {order.request_id.value + "." + std::to_string(order.attempt)};
+}
+
 std::optional<TargetHealth> TargetClient::CheckHealth() const {
   httplib::Client client = Open(settings_, kConnectTimeout);
   const bool is_engine = settings_.target_kind == RequestKind::kChat;
--- a/src/dogwoodlatch-agent/target_client.h
+++ b/src/dogwoodlatch-agent/target_client.h
@@ -29,6 +29,9 @@
   uint32_t output_tokens = 0;
 };
 
+// The name of an attempt at the target.
+RequestId RunIdOf(const Submit& order);
+
 // Gets each part of an answer; blocks the call while it runs.
 using PartHandler = std::function<void(std::string)>;
 
--- a/src/dogwoodlatch-bench/bench.h
+++ b/src/dogwoodlatch-bench/bench.h
@@ -14,6 +14,7 @@
 };
 
 int RunKeying(std::span<const std::string> arguments);
+int RunRouting(std::span<const std::string> arguments);
 int RunPolicy(std::span<const std::string> arguments);
 
 }  // namespace dogwoodlatch::bench
--- a/src/dogwoodlatch-bench/main.cc
+++ b/src/dogwoodlatch-bench/main.cc
@@ -13,6 +13,7 @@
 
 constexpr std::array kSubcommands = {
     Subcommand{"keying", "rate of keying a long prompt", RunKeying},
+    Subcommand{"routing", "time of one routing decision", RunRouting},
     Subcommand{"policy", "routing policies in virtual time; --json", RunPolicy},
 };
 
--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -136,6 +136,8 @@
     context.prompt.piece_tokens = model->piece_bytes / kBytesPerToken;
     context.order.piece_keys = context.prompt.piece_keys;
     context.order.prompt_tokens = context.prompt.prompt_tokens;
+    context.order.piece_tokens =
+        static_cast<uint32_t>(context.prompt.piece_tokens);
     context.policy.recompute_weight = model->recompute_weight;
     context.deadline = SteadyNow() + model->deadline;
     Answer(std::move(context), body.value("stream", false), response);
@@ -260,6 +262,7 @@
   order.kind = kind;
   order.workspace = workspace.id;
   order.priority = workspace.priority;
+  order.share = workspace.share;
   order.method = request.method;
   order.path = request.path;
   order.content_type = request.get_header_value("Content-Type");
--- a/src/dogwoodlatch-standin/engine.cc
+++ b/src/dogwoodlatch-standin/engine.cc
@@ -28,6 +28,7 @@
 
 struct Generation {
   std::string request_id;
+  std::string cache_salt;
   std::string prompt;
   uint64_t digest = 0;
   uint32_t first_word = 0;  // words that an earlier attempt delivered
@@ -50,6 +51,7 @@
 Generation ParseGeneration(const Json& body) {
   Generation generation;
   generation.request_id = body.value("request_id", "");
+  generation.cache_salt = body.value("cache_salt", "");
   generation.max_tokens = body.value("max_tokens", kDefaultMaxTokens);
   Json messages = body.value("messages", Json::array());
   if (body.value("continue_final_message", false) && !messages.empty()) {
@@ -103,8 +105,8 @@
     if (generation->prompt.find(kCrashText) != std::string::npos) {
       std::_Exit(EXIT_FAILURE);
     }
-    const std::vector<BlockId> blocks =
-        BlocksOfPrompt(generation->prompt, options_.piece_bytes);
+    const std::vector<BlockId> blocks = BlocksOfPrompt(
+        generation->cache_salt, generation->prompt, options_.piece_bytes);
     {
       const std::lock_guard lock(mutex_);
       generation->plan = model_.Admit(generation->request_id, blocks,
@@ -178,7 +180,9 @@
                         {"blocks", event.blocks},
                         {"request_id", event.request_id}});
     }
-    Answer(response, {{"boot_id", boot_id_}, {"events", events}});
+    Answer(response, {{"boot_id", boot_id_},
+                      {"weights_version", weights_version_},
+                      {"events", events}});
   }
 
   void Weights(const Request& request, Response& response) {
--- a/src/include/dogwoodlatch/standin/engine_model.h
+++ b/src/include/dogwoodlatch/standin/engine_model.h
@@ -85,8 +85,10 @@
   std::deque<CacheEvent> events_;
 };
 
-/// The engine's blocks of a prompt: chained hashes of its whole pieces.
-std::vector<BlockId> BlocksOfPrompt(std::string_view prompt,
+/// The engine's blocks of a prompt: chained hashes of its whole pieces. Prompts
+/// under different salts share none.
+std::vector<BlockId> BlocksOfPrompt(std::string_view salt,
+                                    std::string_view prompt,
                                     size_t piece_bytes);
 
 /// Word `index` of the answer to a prompt; the same on every replica, so an
--- a/src/libstandin/engine_model.cc
+++ b/src/libstandin/engine_model.cc
@@ -80,9 +80,11 @@
   if (events_.size() > kMaxEvents) events_.pop_front();
 }
 
-std::vector<BlockId> BlocksOfPrompt(std::string_view prompt,
+std::vector<BlockId> BlocksOfPrompt(std::string_view salt,
+                                    std::string_view prompt,
                                     size_t piece_bytes) {
-  return ChainPieceKeys(WorkspaceId{"engine"}, "", prompt, piece_bytes);
+  return ChainPieceKeys(WorkspaceId{std::string(salt)}, "engine", prompt,
+                        piece_bytes);
 }
 
 std::string AnswerWord(uint64_t prompt_digest, uint32_t index) {
