--- a/src/libdogwoodlatch/routing.cc
+++ b/src/libdogwoodlatch/routing.cc
@@ -1,16 +1,38 @@
 #include "dogwoodlatch/routing.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "dogwoodlatch/prefix_key.h"
 
 namespace dogwoodlatch {
 namespace {
 
-uint64_t RendezvousScore(const TargetEntry& target, PieceKey key) {
-  return DigestOf(
-      {target.id.value,
-       std::string_view(reinterpret_cast<const char*>(&key), sizeof(key))});
+// The finalizer of SplitMix64: every bit of the input moves every bit of the
+// output.
+uint64_t Mix(uint64_t value) {
+  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+  return value ^ (value >> 31U);
+}
+
+struct Ranked {
+  const TargetEntry* target = nullptr;
+  uint64_t seed = 0;
+  uint64_t score = 0;
+};
+
+// The best `count` targets for one key, best first; linear in the targets.
+std::vector<const TargetEntry*> BestHomes(std::vector<Ranked>& targets,
+                                          PieceKey key, size_t count) {
+  for (Ranked& ranked : targets) ranked.score = Mix(ranked.seed ^ key);
+  const auto middle = targets.begin() + static_cast<std::ptrdiff_t>(
+                                            std::min(count, targets.size()));
+  std::ranges::partial_sort(targets, middle, std::greater(), &Ranked::score);
+  std::vector<const TargetEntry*> homes;
+  std::transform(targets.begin(), middle, std::back_inserter(homes),
+                 [](const Ranked& ranked) { return ranked.target; });
+  return homes;
 }
 
 // The chain's keys at a few nesting depths, deepest shared level first.
@@ -48,24 +70,25 @@
 std::vector<TargetId> PickCandidates(
     std::span<const TargetEntry* const> serving, const PromptShape& prompt,
     const RoutingPolicy& policy) {
-  std::vector<TargetId> candidates;
-  const std::vector<PieceKey> depths = SampleDepths(prompt.piece_keys);
-  std::vector<const TargetEntry*> ranked(serving.begin(), serving.end());
+  const size_t wanted = std::min(policy.max_candidates, serving.size());
+  std::vector<Ranked> targets;
+  targets.reserve(serving.size());
+  for (const TargetEntry* target : serving) {
+    targets.push_back({target, DigestOf({target->id.value}), 0});
+  }
+  std::vector<std::vector<const TargetEntry*>> homes;
+  for (const PieceKey key : SampleDepths(prompt.piece_keys)) {
+    homes.push_back(BestHomes(targets, key, wanted));
+  }
   // Round by round each depth names its next best home, so that deep and
   // shallow homes are both asked.
-  for (size_t round = 0;
-       candidates.size() < std::min(policy.max_candidates, serving.size());
-       ++round) {
-    const PieceKey key = depths[round % depths.size()];
-    std::ranges::sort(ranked, std::greater(), [key](const TargetEntry* target) {
-      return RendezvousScore(*target, key);
-    });
-    const auto fresh =
-        std::ranges::find_if(ranked, [&](const TargetEntry* target) {
-          return std::ranges::find(candidates, target->id) == candidates.end();
-        });
-    if (fresh == ranked.end()) break;
-    candidates.push_back((*fresh)->id);
+  std::vector<TargetId> candidates;
+  for (size_t place = 0; place < wanted; ++place) {
+    for (const auto& ranked : homes) {
+      const TargetId& id = ranked[place]->id;
+      const bool is_new = std::ranges::find(candidates, id) == candidates.end();
+      if (is_new && candidates.size() < wanted) candidates.push_back(id);
+    }
   }
   return candidates;
 }
