--- a/src/dogwoodlatch-bench/main.cc
+++ b/src/dogwoodlatch-bench/main.cc
@@ -17,6 +17,7 @@
     Subcommand{"slopes", "growth of time, bytes and memory", RunSlopes},
     Subcommand{"transport", "connections between our processes",
                RunTransportSlopes},
+    Subcommand{"routing", "time of one routing decision", RunRouting},
     Subcommand{"policy", "routing policies in virtual time; --json", RunPolicy},
 };
 
