Claim non-idempotent calls in the platform before they run

Cause: a non-idempotent call was sent to the agent that rendezvous hashing named, with no record anywhere; after a lost connection or a changed VM list a resend ran it again.

Change: an agent owns a claim log, kept as a head object that is changed by conditional update only (ClaimLog), and records a claim before the call runs. AtMostOnceCore joins repeats to the run of this life, replays held answers, and refuses or tells 'unknown' for the rest; AtMostOnceLife follows the owner at the router. A write whose answer is not JSON now counts as of unknown outcome.

--- a/src/dogwoodlatch-agent/agent.cc
+++ b/src/dogwoodlatch-agent/agent.cc
@@ -31,6 +31,14 @@
       target_(settings),
       boot_id_(NewBootId()),
       core_(settings.limits),
+      at_most_once_({settings.target_id, {boot_id_}, settings.platform},
+                    {[this](ConnectionId id, const Message& m) { Send(id, m); },
+                     [this](StartRun start) {
+                       asio::post(pool_, [this, start = std::move(start)] {
+                         ExecuteOnce(start);
+                       });
+                     }},
+                    mutex_, core_),
       pool_(settings.limits.max_running),
       node_({kMaxMessageBytes, kOpenTimeout},
             {[](ConnectionId) {},
@@ -44,6 +52,7 @@
   if (monitor_.joinable()) monitor_.join();
   node_.Stop();
   pool_.join();
+  at_most_once_.Stop();
 }
 
 bool Agent::Start() {
@@ -123,6 +132,7 @@
 }
 
 void Agent::Handle(ConnectionId connection, Submit& submit) {
+  if (!submit.idempotent) return at_most_once_.OnSubmit(connection, submit);
   auto run = std::make_shared<Run>();
   std::optional<Refused> refused;
   {
@@ -164,6 +174,23 @@
   Report(*run, result);
 }
 
+void Agent::ExecuteOnce(const StartRun& start) {
+  if (SteadyNow() >= start.start_before) {
+    return at_most_once_.OnRunEnded(start.key, RunEnd::kNotSent, {});
+  }
+  static const std::atomic<bool> never{false};
+  RunAnswer answer;
+  const CallResult result = target_.Run(
+      start.order, never, [&](std::string_view part) { answer.body += part; });
+  answer.finished.status = result.status;
+  answer.finished.content_type = result.content_type;
+  ++finished_;
+  const RunEnd end = result.end == CallEnd::kWhole     ? RunEnd::kWhole
+                     : result.end == CallEnd::kNotSent ? RunEnd::kNotSent
+                                                       : RunEnd::kLost;
+  at_most_once_.OnRunEnded(start.key, end, answer);
+}
+
 void Agent::Report(const Run& run, const CallResult& result) {
   const Submit& order = run.order;
   if (result.end == CallEnd::kWhole) {
--- a/src/dogwoodlatch-agent/agent.h
+++ b/src/dogwoodlatch-agent/agent.h
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include "agent_settings.h"
+#include "at_most_once_runner.h"
 #include "dogwoodlatch/agent_core.h"
 #include "dogwoodlatch/transport.h"
 #include "target_client.h"
@@ -50,6 +51,7 @@
   void Handle(ConnectionId connection, Submit& submit);
   void Handle(ConnectionId connection, const Cancel& cancel);
   void Execute(const std::shared_ptr<Run>& run);
+  void ExecuteOnce(const StartRun& start);
   void Report(const Run& run, const CallResult& result);
   void MonitorTarget();
   void SetTargetHealth(const std::optional<TargetHealth>& health);
@@ -67,6 +69,7 @@
   std::atomic<bool> target_up_{false};
   std::atomic<bool> stopping_{false};
   std::atomic<uint64_t> finished_{0};
+  AtMostOnceRunner at_most_once_;
   asio::thread_pool pool_;
   TransportNode node_;
   std::thread monitor_;
--- a/src/dogwoodlatch-agent/agent_settings.cc
+++ b/src/dogwoodlatch-agent/agent_settings.cc
@@ -18,12 +18,20 @@
             "The target beside this agent."},
     KeySpec{"target.kind", ValueType::kString, "characters", 6, 7, "\"engine\"",
             "engine or service."},
+    KeySpec{"target.id", ValueType::kString, "characters", 0, 64, "\"\"",
+            "Id of the target in the VM list; needed beside a service."},
     KeySpec{"target.address", ValueType::kString, "characters", 3, 64, "",
             "ip:port of the target."},
     KeySpec{"target.health_interval_ms", ValueType::kInteger, "ms", 10, 60000,
             "100", "Time between health checks."},
     KeySpec{"target.timeout_ms", ValueType::kInteger, "ms", 10, 3600000,
             "60000", "Longest wait for the next part of an answer."},
+    KeySpec{"platform", ValueType::kObject, "", 0, 0, "{}",
+            "The platform's service; needed beside a service, for claims."},
+    KeySpec{"platform.address", ValueType::kString, "characters", 0, 64, "\"\"",
+            "ip:port of the platform."},
+    KeySpec{"platform.timeout_ms", ValueType::kInteger, "ms", 10, 60000, "1000",
+            "Longest wait for one answer."},
     KeySpec{"limits", ValueType::kObject, "", 0, 0, "{}",
             "Limits of work in flight."},
     KeySpec{"limits.max_running", ValueType::kInteger, "requests", 1, 4096,
@@ -48,6 +56,9 @@
   const auto& target = document["target"];
   settings.target_kind =
       target["kind"] == "engine" ? RequestKind::kChat : RequestKind::kService;
+  settings.target_id.value = target["id"];
+  settings.platform = {document["platform"]["address"],
+                       Millis(document["platform"]["timeout_ms"])};
   settings.target_address = target["address"];
   settings.health_interval = Millis(target["health_interval_ms"]);
   settings.target_timeout = Millis(target["timeout_ms"]);
--- a/src/dogwoodlatch-agent/agent_settings.h
+++ b/src/dogwoodlatch-agent/agent_settings.h
@@ -9,11 +9,14 @@
 #include "dogwoodlatch/agent_core.h"
 #include "dogwoodlatch/messages.h"
 #include "dogwoodlatch/schema.h"
+#include "dogwoodlatch/util/platform_client.h"
 
 namespace dogwoodlatch::agent {
 
 struct AgentSettings {
   std::string id;
+  TargetId target_id;
+  PlatformClientOptions platform;
   std::string router_address;
   std::string ops_address;
   RequestKind target_kind = RequestKind::kChat;
--- a/src/dogwoodlatch-agent/target_client.cc
+++ b/src/dogwoodlatch-agent/target_client.cc
@@ -154,6 +154,9 @@
   const auto answer = client.send(request);
   if (!answer) {
     result.end = cancelled ? CallEnd::kCancelled : CallEnd::kCrashed;
+    if (answer.error() == httplib::Error::Connection) {
+      result.end = CallEnd::kNotSent;
+    }
     return result;
   }
   result.end = CallEnd::kWhole;
--- a/src/dogwoodlatch-agent/target_client.h
+++ b/src/dogwoodlatch-agent/target_client.h
@@ -18,7 +18,13 @@
   uint64_t prefill_tokens_per_second = 0;
 };
 
-enum class CallEnd { kWhole, kCrashed, kError, kCancelled };
+enum class CallEnd {
+  kWhole,
+  kCrashed,
+  kError,
+  kCancelled,
+  kNotSent,  // the connection was refused
+};
 
 struct CallResult {
   CallEnd end = CallEnd::kError;
--- a/src/dogwoodlatch-router/agent_links.h
+++ b/src/dogwoodlatch-router/agent_links.h
@@ -18,6 +18,7 @@
 #include "dogwoodlatch/messages.h"
 #include "dogwoodlatch/time.h"
 #include "dogwoodlatch/transport.h"
+#include "owner_cache.h"
 
 namespace dogwoodlatch::router {
 
@@ -63,6 +64,8 @@
   void Forget(const RequestId& request_id,
               const std::shared_ptr<Mailbox>& mailbox);
 
+  OwnerCache& owners() { return owners_; }
+
   void Stop() { node_.Stop(); }
 
  private:
@@ -87,6 +90,7 @@
   std::unordered_map<RequestId, std::shared_ptr<Mailbox>> requests_;
   std::unordered_map<uint64_t, std::shared_ptr<Mailbox>> probes_;
   uint64_t next_probe_ = 1;
+  OwnerCache owners_;
   TransportNode node_;
 };
 
--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -4,6 +4,7 @@
 #include <sstream>
 #include <utility>
 
+#include "dogwoodlatch/claim_object.h"
 #include "dogwoodlatch/prefix_key.h"
 #include "dogwoodlatch/util/address.h"
 #include "dogwoodlatch/util/log.h"
@@ -30,6 +31,15 @@
   return prompt;
 }
 
+// All calls of one claim log are routed alike, whichever router takes them.
+void AddClaim(const ServiceSettings& service, RequestContext& context) {
+  Submit& order = context.order;
+  order.claim = {
+      service.name, service.claim_logs, service.claim_retention, {}, WallNow()};
+  const uint32_t log = ClaimLogOf(ClaimKeyOf(order), service.claim_logs);
+  context.prompt.piece_keys = {DigestOf({service.name, std::to_string(log)})};
+}
+
 }  // namespace
 
 // Counts one request from its arrival to the end of its answer.
@@ -165,10 +175,12 @@
     return Reject(response, 400, "missing_idempotency_key",
                   "a non-idempotent call needs an Idempotency-Key header");
   }
-  const std::string spread = context.order.idempotent
-                                 ? context.order.request_id.value
-                                 : context.order.idempotency_key;
-  context.prompt.piece_keys = {DigestOf({workspace->id.value, spread})};
+  if (context.order.idempotent) {
+    context.prompt.piece_keys = {
+        DigestOf({workspace->id.value, context.order.request_id.value})};
+  } else {
+    AddClaim(*service, context);
+  }
   context.deadline = SteadyNow() + service->deadline;
   Answer(std::move(context), false, response);
 }
--- /dev/null
+++ b/src/dogwoodlatch-router/owner_cache.h
@@ -0,0 +1,32 @@
+// The agents that last answered for each claim log; a hint that saves a hop.
+#pragma once
+
+#include <map>
+#include <mutex>
+
+#include "dogwoodlatch/ids.h"
+#include "dogwoodlatch/messages.h"
+
+namespace dogwoodlatch::router {
+
+// Thread-safe.
+class OwnerCache {
+ public:
+  // The last known owner, or an empty id.
+  TargetId Find(PieceKey log) const {
+    const std::lock_guard lock(mutex_);
+    const auto found = owners_.find(log);
+    return found == owners_.end() ? TargetId() : found->second;
+  }
+
+  void Set(PieceKey log, const TargetId& owner) {
+    const std::lock_guard lock(mutex_);
+    owners_[log] = owner;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<PieceKey, TargetId> owners_;
+};
+
+}  // namespace dogwoodlatch::router
--- a/src/dogwoodlatch-router/request_driver.cc
+++ b/src/dogwoodlatch-router/request_driver.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Duration kNoTargetRetryAfter = std::chrono::seconds(1);
+constexpr size_t kOwnerCandidates = 3;
 
 RequestPlan PlanOf(const RequestContext& context) {
   return {context.order.request_id, context.order.idempotent, context.deadline};
@@ -43,6 +44,7 @@
       return deliver->data;
     }
     if (const auto* give = std::get_if<GiveOutcome>(&command)) {
+      NoteOwner(give->outcome);
       return give->outcome;
     }
     std::visit(
@@ -63,11 +65,19 @@
   commands_.clear();
 }
 
+void RequestDriver::NoteOwner(const Outcome& outcome) {
+  if (context_.order.idempotent || outcome.kind != OutcomeKind::kComplete) {
+    return;
+  }
+  links_.owners().Set(context_.prompt.piece_keys.front(), current_target_);
+}
+
 void RequestDriver::Push(std::vector<RequestCommand> commands) {
   std::ranges::move(commands, std::back_inserter(commands_));
 }
 
 void RequestDriver::Execute(const ChooseTargetCommand& command) {
+  if (!context_.order.idempotent) return ChooseClaimOwner(command);
   const std::vector<ProbedTarget> probed =
       ProbeAll(CandidatesFor(command.avoid));
   const std::optional<size_t> best =
@@ -81,13 +91,53 @@
                                   chosen.reply.weights_version}));
 }
 
+// The first in order that can take work; a preferred one also while it drains,
+// since it may hold the answer.
+void RequestDriver::ChooseClaimOwner(const ChooseTargetCommand& command) {
+  const std::vector<TargetId> candidates = OwnerCandidates(command);
+  const std::vector<ProbedTarget> probed = ProbeAll(candidates);
+  const auto can_take = [&](const TargetId& target) {
+    const auto found = std::ranges::find(probed, target, &ProbedTarget::target);
+    if (found == probed.end()) return false;
+    return !command.preferred.empty() ||
+           (found->reply.healthy && !found->reply.draining);
+  };
+  const auto best = std::ranges::find_if(candidates, can_take);
+  if (best == candidates.end()) {
+    Push(life_->Handle(NoTargetFound{kNoTargetRetryAfter}));
+    return;
+  }
+  const ProbeReply& reply =
+      std::ranges::find(probed, *best, &ProbedTarget::target)->reply;
+  Push(life_->Handle(
+      TargetChosen{*best, reply.incarnation, reply.weights_version}));
+}
+
+// The last known owner, then the targets in the order that every router gives
+// them for this log.
+std::vector<TargetId> RequestDriver::OwnerCandidates(
+    const ChooseTargetCommand& command) const {
+  if (!command.preferred.empty()) return {command.preferred};
+  std::vector<TargetId> candidates = CandidatesFor(command.avoid);
+  const TargetId owner =
+      links_.owners().Find(context_.prompt.piece_keys.front());
+  const auto known = std::ranges::find(candidates, owner);
+  if (known != candidates.end()) {
+    std::rotate(candidates.begin(), known, known + 1);
+  }
+  if (candidates.size() > kOwnerCandidates) candidates.resize(kOwnerCandidates);
+  return candidates;
+}
+
 void RequestDriver::Execute(const SendAttempt& command) {
   Submit submit = context_.order;
   submit.attempt = command.attempt;
   submit.incarnation = command.incarnation;
   submit.weights_version = command.weights_version;
   submit.delivered_text = command.delivered_text;
+  submit.claim.take_over_from = command.take_over_from;
   submit.time_left = context_.deadline - SteadyNow();
+  current_target_ = command.target;
   current_address_ = AddressOf(command.target);
   current_attempt_ = command.attempt;
   links_.SendForRequest(current_address_, submit.request_id, submit, mailbox_);
@@ -133,9 +183,8 @@
     return std::ranges::find(avoid, target->id) != avoid.end();
   });
   RoutingPolicy policy = context_.policy;
-  // All calls with one idempotency key go to one target, whichever router takes
-  // them.
-  if (!context_.order.idempotent) policy.max_candidates = 1;
+  // The owner of a claim log may be any of them.
+  if (!context_.order.idempotent) policy.max_candidates = serving.size();
   return PickCandidates(serving, context_.prompt, policy);
 }
 
--- a/src/dogwoodlatch-router/request_driver.h
+++ b/src/dogwoodlatch-router/request_driver.h
@@ -53,9 +53,13 @@
   void Execute(const ChooseTargetCommand& command);
   void Execute(const SendAttempt& command);
   void Execute(const CancelAttempt& command);
+  void NoteOwner(const Outcome& outcome);
   void WaitForEvent();
   std::optional<RequestEvent> ToEvent(MailItem item) const;
   std::vector<TargetId> CandidatesFor(const std::vector<TargetId>& avoid) const;
+  void ChooseClaimOwner(const ChooseTargetCommand& command);
+  std::vector<TargetId> OwnerCandidates(
+      const ChooseTargetCommand& command) const;
   std::vector<ProbedTarget> ProbeAll(const std::vector<TargetId>& candidates);
   std::string AddressOf(const TargetId& target) const;
 
@@ -65,6 +69,7 @@
   std::shared_ptr<Mailbox> mailbox_ = std::make_shared<Mailbox>();
   std::unique_ptr<RequestLife> life_;
   std::deque<RequestCommand> commands_;
+  TargetId current_target_;
   std::string current_address_;
   uint32_t current_attempt_ = 0;
 };
--- a/src/include/dogwoodlatch/messages.h
+++ b/src/include/dogwoodlatch/messages.h
@@ -75,6 +75,15 @@
   uint64_t prefill_tokens_per_second = 0;
 };
 
+/// What an agent needs to claim a non-idempotent request.
+struct ClaimOrder {
+  std::string service;
+  uint32_t logs = 0;        ///< claim logs of a service that has none yet
+  Duration retention{0};    ///< how long a claim is kept
+  TargetId take_over_from;  ///< the owner that cannot be reached, or empty
+  WallTime issued;          ///< arrival at the router, by its own clock
+};
+
 /// Orders one attempt of a request.
 struct Submit {
   RequestId request_id;
@@ -97,6 +106,7 @@
   std::string delivered_text;  ///< answer text that the caller has, when an
                                ///< attempt continues another
   bool run_alone = false;      ///< a suspect of a crash
+  ClaimOrder claim;            ///< with a non-idempotent request
 };
 
 /// The attempt was not run.
--- a/src/include/dogwoodlatch/request_life.h
+++ b/src/include/dogwoodlatch/request_life.h
@@ -74,6 +74,7 @@
 // What the daemon does about it, in order.
 struct ChooseTargetCommand {
   std::vector<TargetId> avoid;
+  TargetId preferred;  ///< alone to be asked, unless empty
 };
 struct SendAttempt {
   TargetId target;
@@ -81,6 +82,7 @@
   Incarnation incarnation;
   std::string weights_version;
   std::string delivered_text;
+  TargetId take_over_from;  ///< owner of the claims that cannot be reached
 };
 struct CancelAttempt {
   TargetId target;
--- a/src/include/dogwoodlatch/settings.h
+++ b/src/include/dogwoodlatch/settings.h
@@ -43,6 +43,8 @@
   std::string name;
   std::vector<RouteRule> idempotent_routes;
   std::chrono::milliseconds deadline{0};
+  uint32_t claim_logs = 0;
+  std::chrono::milliseconds claim_retention{0};
 
   /// Whether a call is declared idempotent; an undeclared one is not.
   bool IsIdempotent(std::string_view method, std::string_view path) const;
--- /dev/null
+++ b/src/libdogwoodlatch/at_most_once_core.cc
@@ -0,0 +1,271 @@
+#include "dogwoodlatch/at_most_once_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwoodlatch {
+namespace {
+
+using Commands = AtMostOnceCore::Commands;
+
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+
+void Append(Commands& out, Commands more) {
+  std::ranges::move(more, std::back_inserter(out));
+}
+
+RefusalReason ReasonOf(ClaimVerdict verdict) {
+  switch (verdict) {
+    case ClaimVerdict::kNotOwner:
+      return RefusalReason::kNotOwner;
+    case ClaimVerdict::kTooOld:
+      return RefusalReason::kSealed;
+    case ClaimVerdict::kKeyReused:
+      return RefusalReason::kKeyReused;
+    default:
+      return RefusalReason::kClaimFailed;
+  }
+}
+
+void SendLost(const Waiter& waiter, Commands& out) {
+  out.push_back(SendBack{waiter.connection, Broken{waiter.request_id,
+                                                   waiter.attempt,
+                                                   0,
+                                                   BreakCause::kTargetCrashed,
+                                                   {}}});
+}
+
+void SendAnswer(const Waiter& waiter, const RunAnswer& answer, Commands& out) {
+  Finished finished = answer.finished;
+  finished.request_id = waiter.request_id;
+  finished.attempt = waiter.attempt;
+  finished.sequence = answer.body.empty() ? 0 : 1;
+  if (!answer.body.empty()) {
+    out.push_back(
+        SendBack{waiter.connection,
+                 Chunk{waiter.request_id, waiter.attempt, 0, answer.body}});
+  }
+  out.push_back(SendBack{waiter.connection, std::move(finished)});
+}
+
+}  // namespace
+
+AtMostOnceCore::AtMostOnceCore(AtMostOnceOptions options, Admission admit,
+                               std::mt19937_64 random)
+    : options_(std::move(options)),
+      admit_(std::move(admit)),
+      random_(random),
+      ledger_(options_.ledger) {}
+
+// What the ledger knows is answered first and needs neither the platform nor
+// admission.
+Commands AtMostOnceCore::OnSubmit(const Submit& submit, uint64_t connection,
+                                  TimePoint now, WallTime wall) {
+  const ClaimKey key = ClaimKeyOf(submit);
+  const Waiter waiter{connection, submit.request_id, submit.attempt,
+                      submit.claim.issued};
+  if (const RunRecord* record = ledger_.Find(key)) {
+    return AnswerKnown(key, *record, submit, waiter);
+  }
+  if (ledger_.IsRefused(waiter)) {
+    return {RefuseOne(waiter, RefusalReason::kSealed, {})};
+  }
+  if (submit.claim.logs == 0) {
+    return {RefuseOne(waiter, RefusalReason::kClaimFailed, {})};
+  }
+  if (const std::optional<Refused> refused = admit_(submit)) {
+    ledger_.Refuse(waiter);
+    return {SendBack{connection, *refused}};
+  }
+  ledger_.Begin(key, submit.digest, waiter);
+  return StartClaim(key, submit, now, wall);
+}
+
+Commands AtMostOnceCore::AnswerKnown(const ClaimKey& key,
+                                     const RunRecord& record,
+                                     const Submit& submit,
+                                     const Waiter& waiter) {
+  Commands out;
+  if (record.body_digest != submit.digest) {
+    return {RefuseOne(waiter, RefusalReason::kKeyReused, {})};
+  }
+  switch (record.state) {
+    case RunState::kClaiming:
+    case RunState::kRunning:
+      ledger_.Join(key, waiter);
+      break;
+    case RunState::kFinished:
+      SendAnswer(waiter, record.answer, out);
+      break;
+    case RunState::kLost:
+      SendLost(waiter, out);
+      break;
+  }
+  return out;
+}
+
+Commands AtMostOnceCore::StartClaim(const ClaimKey& key, const Submit& submit,
+                                    TimePoint now, WallTime wall) {
+  const auto patience = std::chrono::duration_cast<Duration>(
+      submit.time_left * options_.claim_time_share);
+  const ClaimRequest request{key, submit.digest, submit.claim.take_over_from,
+                             submit.claim.issued, now + patience};
+  // A claim that may have been dropped meanwhile must not be run any more,
+  // however long this process was paused.
+  const TimePoint start_before =
+      now + std::min(submit.time_left, submit.claim.retention / 2);
+  calls_[key] = {submit, start_before, {submit.claim.service, 0}};
+  Layout& layout = layouts_[submit.claim.service];
+  if (layout.logs > 0) return AskLog(request, layout.logs, now, wall);
+  layout.waiting.emplace_back(key, request);
+  if (layout.waiting.size() > 1) return {};
+  return {EnsureLayout{submit.claim.service, submit.claim.logs}};
+}
+
+// The number of logs is read from the platform and never from settings alone:
+// two numbers in force would give one key two logs.
+Commands AtMostOnceCore::OnLayout(const std::string& service,
+                                  std::optional<uint32_t> logs, TimePoint now,
+                                  WallTime wall) {
+  Layout& layout = layouts_[service];
+  Commands out;
+  if (logs) layout.logs = *logs;
+  for (const auto& [key, request] : std::exchange(layout.waiting, {})) {
+    if (layout.logs > 0) {
+      Append(out, AskLog(request, layout.logs, now, wall));
+    } else {
+      Apply(DecideClaim{key, ClaimVerdict::kFailed, {}}, out);
+    }
+  }
+  return out;
+}
+
+Commands AtMostOnceCore::AskLog(const ClaimRequest& request, uint32_t logs,
+                                TimePoint now, WallTime wall) {
+  PendingCall& call = calls_.at(request.key);
+  call.log.log = ClaimLogOf(request.key, logs);
+  const ClaimLogName name = call.log;
+  ClaimLog& log = LogOf(name, call.order.claim.retention);
+  return Translate(name, log.Claim(request, now, wall, random_));
+}
+
+ClaimLog& AtMostOnceCore::LogOf(const ClaimLogName& name, Duration retention) {
+  ClaimLogOptions options = options_.log;
+  if (retention > Duration(0)) options.retention = retention;
+  return logs_.try_emplace(name, std::move(options)).first->second;
+}
+
+Commands AtMostOnceCore::OnRead(const ClaimLogName& name,
+                                const std::optional<ClaimsRead>& read,
+                                TimePoint now, WallTime wall) {
+  return Translate(name, logs_.at(name).OnRead(read, now, wall, random_));
+}
+
+Commands AtMostOnceCore::OnHeadWritten(const ClaimLogName& name,
+                                       const HeadWritten& written,
+                                       TimePoint now, WallTime wall) {
+  return Translate(name,
+                   logs_.at(name).OnHeadWritten(written, now, wall, random_));
+}
+
+Commands AtMostOnceCore::OnSegmentWritten(const ClaimLogName& name,
+                                          bool written, TimePoint now,
+                                          WallTime wall) {
+  return Translate(
+      name, logs_.at(name).OnSegmentWritten(written, now, wall, random_));
+}
+
+Commands AtMostOnceCore::Tick(TimePoint now, WallTime wall) {
+  Commands out;
+  for (auto& [name, log] : logs_) {
+    Append(out, Translate(name, log.Tick(now, wall, random_)));
+  }
+  return out;
+}
+
+bool AtMostOnceCore::is_idle() const {
+  return std::ranges::all_of(
+      logs_, [](const auto& entry) { return entry.second.is_idle(); });
+}
+
+std::vector<ClaimLogName> AtMostOnceCore::OwnedLogs() const {
+  std::vector<ClaimLogName> owned;
+  for (const auto& [name, log] : logs_) {
+    if (log.is_owned()) owned.push_back(name);
+  }
+  return owned;
+}
+
+Commands AtMostOnceCore::Translate(const ClaimLogName& name,
+                                   ClaimLog::Commands commands) {
+  Commands out;
+  for (ClaimCommand& command : commands) {
+    if (const auto* decision = std::get_if<DecideClaim>(&command)) {
+      Apply(*decision, out);
+    } else {
+      out.push_back(AccessLog{name, std::move(command)});
+    }
+  }
+  return out;
+}
+
+void AtMostOnceCore::Apply(const DecideClaim& decision, Commands& out) {
+  const auto call = calls_.find(decision.key);
+  if (decision.verdict == ClaimVerdict::kGranted) {
+    ledger_.SetRunning(decision.key);
+    out.push_back(
+        StartRun{decision.key, call->second.order, call->second.start_before});
+    return;
+  }
+  const std::vector<Waiter> waiters = ledger_.Remove(decision.key);
+  if (decision.verdict == ClaimVerdict::kClaimedElsewhere) {
+    std::ranges::for_each(waiters, [&](const Waiter& w) { SendLost(w, out); });
+  } else {
+    RefuseAll(waiters, ReasonOf(decision.verdict), decision.owner, out);
+  }
+  out.push_back(EndAdmission{call->second.order.prompt_tokens});
+  calls_.erase(call);
+}
+
+Commands AtMostOnceCore::OnRunEnded(const ClaimKey& key, RunEnd end,
+                                    const RunAnswer& answer) {
+  Commands out;
+  const PendingCall call = std::move(calls_.extract(key).mapped());
+  switch (end) {
+    case RunEnd::kWhole:
+      for (const Waiter& waiter : ledger_.Finish(key, answer)) {
+        SendAnswer(waiter, answer, out);
+      }
+      break;
+    case RunEnd::kLost:
+      for (const Waiter& waiter : ledger_.Lose(key)) SendLost(waiter, out);
+      break;
+    case RunEnd::kNotSent:
+      logs_.at(call.log).Release(key);
+      // Not kTargetDown, which would send the router to another agent before
+      // the released claim has left the log.
+      RefuseAll(ledger_.Remove(key), RefusalReason::kSealed, {}, out);
+      break;
+  }
+  out.push_back(EndAdmission{call.order.prompt_tokens});
+  return out;
+}
+
+void AtMostOnceCore::RefuseAll(const std::vector<Waiter>& waiters,
+                               RefusalReason reason, const TargetId& owner,
+                               Commands& out) {
+  for (const Waiter& waiter : waiters) {
+    out.push_back(RefuseOne(waiter, reason, owner));
+  }
+}
+
+// Every refusal is remembered, so that a late copy of what was refused is
+// refused too.
+SendBack AtMostOnceCore::RefuseOne(const Waiter& waiter, RefusalReason reason,
+                                   const TargetId& owner) {
+  ledger_.Refuse(waiter);
+  return {waiter.connection, Refused{waiter.request_id, waiter.attempt, reason,
+                                     kRetryAfter, owner.value}};
+}
+
+}  // namespace dogwoodlatch
--- a/src/libdogwoodlatch/idempotent_life.cc
+++ b/src/libdogwoodlatch/idempotent_life.cc
@@ -30,7 +30,7 @@
 IdempotentLife::IdempotentLife(RequestPlan plan) : plan_(std::move(plan)) {}
 
 std::vector<RequestCommand> IdempotentLife::Start() {
-  return {ChooseTargetCommand{avoid_}};
+  return {ChooseTargetCommand{avoid_, {}}};
 }
 
 std::vector<RequestCommand> IdempotentLife::Handle(const RequestEvent& event) {
@@ -43,8 +43,12 @@
   attempt_open_ = true;
   next_sequence_ = 0;
   target_ = event.target;
-  return {SendAttempt{target_, attempt_, event.incarnation,
-                      event.weights_version, delivered_text_}};
+  return {SendAttempt{target_,
+                      attempt_,
+                      event.incarnation,
+                      event.weights_version,
+                      delivered_text_,
+                      {}}};
 }
 
 IdempotentLife::Commands IdempotentLife::On(const NoTargetFound& event) {
@@ -123,7 +127,7 @@
 IdempotentLife::Commands IdempotentLife::RetryElsewhere(Outcome otherwise) {
   avoid_.push_back(target_);
   if (attempt_ >= plan_.max_attempts) return End(std::move(otherwise));
-  return {ChooseTargetCommand{avoid_}};
+  return {ChooseTargetCommand{avoid_, {}}};
 }
 
 // The attempt may have run: only an idempotent request may be sent again.
--- a/src/libdogwoodlatch/messages.cc
+++ b/src/libdogwoodlatch/messages.cc
@@ -29,7 +29,9 @@
     visit(m.request_id, m.attempt, m.incarnation, m.weights_version,
           m.time_left, m.kind, m.idempotent, m.idempotency_key, m.workspace,
           m.digest, m.priority, m.method, m.path, m.content_type, m.body,
-          m.piece_keys, m.prompt_tokens, m.delivered_text, m.run_alone);
+          m.piece_keys, m.prompt_tokens, m.delivered_text, m.run_alone,
+          m.claim.service, m.claim.logs, m.claim.retention,
+          m.claim.take_over_from, m.claim.issued);
   } else if constexpr (std::is_same_v<T, Refused>) {
     visit(m.request_id, m.attempt, m.reason, m.retry_after, m.owner);
   } else if constexpr (std::is_same_v<T, Chunk>) {
@@ -57,6 +59,7 @@
   return field.value;
 }
 Json ToField(const Duration& field) { return field.count(); }
+Json ToField(const WallTime& field) { return field.time_since_epoch().count(); }
 Json ToField(RequestKind field) { return static_cast<int>(field); }
 Json ToField(RefusalReason field) { return static_cast<int>(field); }
 Json ToField(BreakCause field) { return static_cast<int>(field); }
@@ -73,6 +76,10 @@
   field = Duration(json.get<int64_t>());
 }
 
+void FromField(const Json& json, WallTime& field) {
+  field = WallTime(Duration(json.get<int64_t>()));
+}
+
 template <typename E>
 void FromEnum(const Json& json, E& field, E last) {
   const int value = json.get<int>();
--- a/src/libdogwoodlatch/settings.cc
+++ b/src/libdogwoodlatch/settings.cc
@@ -38,6 +38,11 @@
     KeySpec{"services.*", ValueType::kObject, "", 0, 0, "", "One service."},
     KeySpec{"services.*.deadline_ms", ValueType::kInteger, "ms", 100, 3600000,
             "10000", "Time within which a call gets its final answer."},
+    KeySpec{"services.*.claim_logs", ValueType::kInteger, "logs", 1, 64, "4",
+            "Claim logs of a new service; each is owned by one replica."},
+    KeySpec{"services.*.claim_retention_ms", ValueType::kInteger, "ms", 600000,
+            604800000, "3600000",
+            "How long a claimed idempotency key is kept, at least."},
     KeySpec{"services.*.idempotent_routes", ValueType::kArray, "elements", 0,
             1000, "[]",
             "Calls that may be repeated; every other call runs at most once."},
@@ -79,7 +84,11 @@
 
 ServiceSettings ParseService(const std::string& name, const Json& json) {
   ServiceSettings service{
-      name, {}, std::chrono::milliseconds(json["deadline_ms"].get<int64_t>())};
+      name,
+      {},
+      std::chrono::milliseconds(json["deadline_ms"].get<int64_t>()),
+      json["claim_logs"].get<uint32_t>(),
+      std::chrono::milliseconds(json["claim_retention_ms"].get<int64_t>())};
   for (const Json& route : json["idempotent_routes"]) {
     service.idempotent_routes.push_back({route["method"], route["path"]});
   }
--- a/src/libutil/platform_client.cc
+++ b/src/libutil/platform_client.cc
@@ -65,7 +65,12 @@
     return Error{ErrorCode::kUnknownOutcome, std::string(path),
                  httplib::to_string(result.error())};
   }
-  return ParseAnswer(result, path);
+  Result<Json> json = ParseAnswer(result, path);
+  if (!json && result && result->status == kHttpOk) {
+    return Error{ErrorCode::kUnknownOutcome, std::string(path),
+                 "the answer to a write is not JSON"};
+  }
+  return json;
 }
 
 PlatformObject ParseObject(const Json& json) {
--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -171,7 +171,9 @@
         process = self.spawn(target_id, self.standin(kind, target_port, *options))
         settings = {"id": target_id + "-agent", "router_address": f"{HOST}:{agent_port}",
                     "ops_address": f"{HOST}:{ops_port}",
-                    "target": {"kind": kind, "address": f"{HOST}:{target_port}"}}
+                    "target": {"id": target_id, "kind": kind, "address": f"{HOST}:{target_port}"}}
+        if kind == "service":
+            settings["platform"] = {"address": f"{HOST}:{self.platform_port}", "timeout_ms": 500}
         settings.update(agent_settings or {})
         agent = self.daemon("dogwoodlatch-agent", settings["id"], settings)
         target = Target(target_id, kind, serves, process, agent, target_port, agent_port, ops_port, domain)
