--- a/src/libdogwoodlatch/at_most_once_core.cc
+++ b/src/libdogwoodlatch/at_most_once_core.cc
@@ -73,6 +73,10 @@
   if (submit.claim.logs == 0) {
     return {RefuseOne(waiter, RefusalReason::kClaimFailed, {})};
   }
+  // One that old was held up on its way; its key may have been dropped by now.
+  if (wall - submit.claim.issued > submit.claim.retention / 2) {
+    return {RefuseOne(waiter, RefusalReason::kSealed, {})};
+  }
   if (const std::optional<Refused> refused = admit_(submit)) {
     ledger_.Refuse(waiter);
     return {SendBack{connection, *refused}};
--- /dev/null
+++ b/src/libdogwoodlatch/at_most_once_world.h
@@ -0,0 +1,222 @@
+// A small world for tests of the non-idempotent path: the real decision code of
+// routers and agents between fakes of network, platform and service, on a
+// virtual clock, with an oracle that sees only runs and outcomes.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dogwoodlatch/agent_core.h"
+#include "dogwoodlatch/at_most_once_core.h"
+#include "dogwoodlatch/at_most_once_life.h"
+
+namespace dogwoodlatch::test {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Duration kRetention = minutes(30);
+
+// Deliberate faults of the system under test, which the oracle must notice.
+enum class Mutation {
+  kNone,
+  kForgetOtherLives,  // a new owner overlooks the claims of earlier lives
+  kIgnoreConflict,    // a conflicting write counts as written
+  kTrustLostWrite,    // a write whose answer was lost counts as written
+  kForgetRefusals,    // late copies of refused submits look new
+  kIgnoreBody,        // the body digest is not compared
+  kNotRunAfterLoss,   // a lost connection counts as a refusal
+  kNoJoin,            // a resend does not find the running call
+  kStartLate,         // a run begins however long ago it was claimed
+};
+
+// Knows what ran and what callers were told.
+class Oracle {
+ public:
+  void OnSubmitted(const RequestId& id, const std::string& key,
+                   const std::string& body, TimePoint now) {
+    submits_[id] = {key, body, now, false, false};
+    bodies_[key].insert(body);
+  }
+
+  // Returns the answer.
+  std::string OnRun(const RequestId& id, TimePoint now) {
+    Submitted& submit = submits_.at(id);
+    if (now - submit.at > kRetention) Blame("ran too late: " + id.value);
+    if (++runs_[submit.key] > 1) Blame("ran twice: " + submit.key);
+    if (submit.told_not_run) Blame("ran after not_run: " + id.value);
+    submit.ran = true;
+    return answers_[submit.key] = submit.key + "=" + submit.body;
+  }
+
+  void OnOutcome(const RequestId& id, const Outcome& outcome,
+                 const std::string& answer) {
+    Submitted& submit = submits_.at(id);
+    ++told[outcome.kind];
+    if (outcome.kind == OutcomeKind::kNotRun) {
+      if (submit.ran) Blame("not_run after a run: " + id.value);
+      submit.told_not_run = true;
+    }
+    if (outcome.kind == OutcomeKind::kComplete &&
+        answer != submit.key + "=" + submit.body) {
+      Blame("wrong answer: " + id.value + " got " + answer);
+    }
+    if (outcome.kind == OutcomeKind::kRejected &&
+        bodies_[submit.key].size() < 2) {
+      Blame("rejected without cause: " + id.value);
+    }
+  }
+
+  const std::string& blame() const { return blame_; }
+  std::map<OutcomeKind, int> told;
+
+ private:
+  struct Submitted {
+    std::string key;
+    std::string body;
+    TimePoint at;
+    bool ran = false;
+    bool told_not_run = false;
+  };
+
+  void Blame(const std::string& what) {
+    if (blame_.empty()) blame_ = what;
+  }
+
+  std::map<RequestId, Submitted> submits_;
+  std::map<std::string, std::set<std::string>> bodies_;
+  std::map<std::string, int> runs_;
+  std::map<std::string, std::string> answers_;
+  std::string blame_;
+};
+
+class World {
+ public:
+  explicit World(uint32_t seed, Mutation mutation = Mutation::kNone);
+
+  // One step, chosen by the number.
+  void Step(uint32_t choice);
+
+  // Heals all faults and lets every request reach its outcome.
+  void Settle();
+
+  const Oracle& oracle() const { return oracle_; }
+  bool is_over() const { return open_calls_ == 0; }
+
+ private:
+  static constexpr size_t kAgents = 3;
+  static constexpr size_t kRouters = 2;
+
+  struct Agent {
+    int life = 0;
+    bool alive = false;
+    bool ticks = false;
+    bool service_up = true;
+    int service_life = 0;
+    TimePoint paused_until;
+    std::unique_ptr<AgentCore> admission;
+    std::unique_ptr<AtMostOnceCore> core;
+  };
+  struct Router {
+    TimePoint paused_until;
+    std::array<bool, kAgents> lists{true, true, true};
+    Duration clock_skew{0};
+  };
+  struct Call {
+    size_t router = 0;
+    Submit order;
+    std::unique_ptr<RequestLife> life;
+    std::string answer;
+    std::optional<size_t> agent;
+    uint32_t attempt = 0;
+    bool over = false;
+  };
+  struct Object {
+    uint64_t version = 0;
+    nlohmann::json json;
+  };
+  using Action = std::function<void()>;
+
+  uint32_t Random(uint32_t limit) {
+    return static_cast<uint32_t>(random_() % limit);
+  }
+  bool OneIn(uint32_t n) { return Random(n) == 0; }
+  Duration Delay() { return milliseconds(1 + Random(OneIn(20) ? 800 : 6)); }
+  WallTime Wall(Duration skew = Duration(0)) const {
+    return WallTime(now_.time_since_epoch() + skew + std::chrono::hours(1000));
+  }
+  void At(Duration delay, Action action) {
+    queue_.emplace(now_ + delay, std::move(action));
+  }
+  void Advance(Duration span);
+
+  // Runs the action in this life of the agent, after any pause.
+  void AtAgent(size_t i, int life, Duration delay, Action action);
+  void AtRouter(size_t i, Duration delay, Action action);
+
+  void StartAgent(size_t i);
+  void KillAgent(size_t i);
+  void SetService(size_t i, bool up);
+  void ShowService(size_t i);
+  static TargetId NameOf(size_t i) { return {"t" + std::to_string(i)}; }
+  static size_t IndexOf(const TargetId& id) { return id.value[1] - '0'; }
+  std::string BootOf(size_t i) const {
+    return "b" + std::to_string(i) + "." + std::to_string(agents_[i].life);
+  }
+
+  void NewCall();
+  void Feed(const std::shared_ptr<Call>& call, const RequestEvent& event);
+  void Do(const std::shared_ptr<Call>& call,
+          const std::vector<RequestCommand>& commands);
+  void Choose(const std::shared_ptr<Call>& call,
+              const ChooseTargetCommand& command);
+  void Send(const std::shared_ptr<Call>& call, const SendAttempt& command);
+  void Deliver(size_t i, Submit submit);
+  void LoseConnection(const std::shared_ptr<Call>& call, Duration delay);
+  void SendToRouter(const Message& message);
+
+  void Do(size_t i, const AtMostOnceCore::Commands& commands);
+  void Run(size_t i, const StartRun& start);
+  void EndRun(size_t i, int life, const ClaimKey& key, RunEnd end,
+              const std::string& body, Duration delay);
+  void Access(size_t i, const AccessLog& access);
+  void Layout(size_t i, const EnsureLayout& command);
+  void KeepTicking(size_t i);
+
+  // One platform write: the end and version as the writer sees them.
+  using WriteDone = std::function<void(WriteEnd, uint64_t)>;
+  void Write(size_t i, const std::string& path, const nlohmann::json& json,
+             uint64_t expected, const WriteDone& done);
+  HeadWritten Mutate(WriteEnd end, uint64_t version, uint64_t expected) const;
+  std::optional<ClaimsRead> ReadLog(size_t i, const ClaimLogName& name);
+  bool IsPlatformDown() const { return now_ < platform_down_until_; }
+
+  Mutation mutation_;
+  std::mt19937 random_;
+  TimePoint now_;
+  std::multimap<TimePoint, Action> queue_;
+  std::array<Agent, kAgents> agents_;
+  std::array<Router, kRouters> routers_;
+  std::map<RequestId, std::shared_ptr<Call>> calls_;
+  std::map<std::string, Object> objects_;
+  uint64_t revision_ = 0;
+  TimePoint platform_down_until_;
+  TimePoint platform_slow_until_;
+  int next_request_ = 0;
+  int next_key_ = 0;
+  int first_fresh_key_ = 0;
+  int open_calls_ = 0;
+  bool calm_ = false;
+  Oracle oracle_;
+};
+
+}  // namespace dogwoodlatch::test
