--- a/src/dogwoodlatch-agent/agent.cc
+++ b/src/dogwoodlatch-agent/agent.cc
@@ -1,5 +1,6 @@
 #include "agent.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <sstream>
 #include <utility>
@@ -18,12 +19,6 @@
   return MakeRandomHex(random);
 }
 
-BreakCause CauseOf(CallEnd end) {
-  if (end == CallEnd::kCancelled) return BreakCause::kCancelled;
-  return end == CallEnd::kCrashed ? BreakCause::kTargetCrashed
-                                  : BreakCause::kTargetError;
-}
-
 }  // namespace
 
 Agent::Agent(const AgentSettings& settings)
@@ -42,8 +37,9 @@
 Agent::~Agent() {
   stopping_ = true;
   if (monitor_.joinable()) monitor_.join();
-  node_.Stop();
+  // The last messages go out before connections close.
   pool_.join();
+  node_.Stop();
 }
 
 bool Agent::Start() {
@@ -58,14 +54,31 @@
     const std::lock_guard lock(mutex_);
     core_.StartDraining();
   }
-  const TimePoint end = SteadyNow() + settings_.drain_timeout;
+  const TimePoint start = SteadyNow();
+  const TimePoint end = start + settings_.drain_timeout;
+  if (WaitUntilIdle(std::min(start + settings_.handover_after, end))) return;
+  HandOverRuns();
+  WaitUntilIdle(end);
+}
+
+bool Agent::WaitUntilIdle(TimePoint until) const {
   const auto running = [this] {
     const std::lock_guard lock(mutex_);
     return core_.running();
   };
-  while (running() > 0 && SteadyNow() < end) {
+  while (running() > 0 && SteadyNow() < until) {
     std::this_thread::sleep_for(kDrainPoll);
   }
+  return running() == 0;
+}
+
+void Agent::HandOverRuns() {
+  const std::lock_guard lock(mutex_);
+  for (const auto& [id, run] : runs_) {
+    if (!run->order.idempotent) continue;
+    LogEvent(EventId::kRunHandedOver, {{"request", id.value}});
+    run->cancellation.Cancel(BreakCause::kHandedOver);
+  }
 }
 
 nlohmann::json Agent::Status() const {
@@ -108,7 +121,7 @@
   const std::lock_guard lock(mutex_);
   for (const auto& [id, run] : runs_) {
     if (run->connection == connection && run->order.idempotent) {
-      run->cancelled = true;
+      run->cancellation.Cancel(BreakCause::kCancelled);
     }
   }
 }
@@ -127,8 +140,11 @@
   std::optional<Refused> refused;
   {
     const std::lock_guard lock(mutex_);
-    refused = core_.Admit(submit);
+    if (core_.IsRepeat(submit)) return;
+    const TimePoint now = SteadyNow();
+    refused = core_.Admit(submit, now);
     if (!refused) {
+      run->deadline = now + submit.time_left;
       run->order = std::move(submit);
       run->connection = connection;
       runs_[run->order.request_id] = run;
@@ -143,25 +159,25 @@
   const auto found = runs_.find(cancel.request_id);
   if (found != runs_.end() && found->second->order.attempt == cancel.attempt &&
       found->second->order.idempotent) {
-    found->second->cancelled = true;
+    found->second->cancellation.Cancel(BreakCause::kCancelled);
   }
 }
 
 void Agent::Execute(const std::shared_ptr<Run>& run) {
   const Submit& order = run->order;
   const CallResult result =
-      target_.Run(order, run->cancelled, [&](std::string part) {
+      target_.Run(order, run->cancellation, [&](std::string part) {
         Send(run->connection, Chunk{order.request_id, order.attempt,
                                     run->next_sequence++, std::move(part)});
       });
-  {
-    const std::lock_guard lock(mutex_);
-    core_.OnEnded(order.prompt_tokens);
-    const auto found = runs_.find(order.request_id);
-    if (found != runs_.end() && found->second == run) runs_.erase(found);
-  }
-  ++finished_;
+  // Reported before it counts as ended, so that a draining agent does not close
+  // the connection ahead of the last message.
   Report(*run, result);
+  const std::lock_guard lock(mutex_);
+  core_.OnEnded(order);
+  const auto found = runs_.find(order.request_id);
+  if (found != runs_.end() && found->second == run) runs_.erase(found);
+  ++finished_;
 }
 
 void Agent::Report(const Run& run, const CallResult& result) {
@@ -173,17 +189,59 @@
                  result.status, result.content_type, result.prompt_tokens,
                  result.cached_tokens, result.output_tokens});
   }
-  Send(run.connection, Broken{order.request_id,
-                              order.attempt,
-                              run.next_sequence,
-                              CauseOf(result.end),
-                              {}});
+  if (result.end == CallEnd::kNotSent) {
+    return Send(run.connection, Refused{order.request_id, order.attempt,
+                                        RefusalReason::kTargetDown,
+                                        settings_.health_interval, ""});
+  }
+  if (result.end == CallEnd::kCrashed && HasTargetRestarted(run)) {
+    return ReportCrash(run);
+  }
+  const BreakCause cause = result.end == CallEnd::kCancelled
+                               ? run.cancellation.cause()
+                               : BreakCause::kTargetError;
+  Send(run.connection,
+       Broken{order.request_id, order.attempt, run.next_sequence, cause, {}});
+}
+
+void Agent::ReportCrash(const Run& run) {
+  std::vector<uint64_t> suspects;
+  {
+    const std::lock_guard lock(mutex_);
+    suspects = core_.OnCrash(run.order.incarnation);
+  }
+  LogEvent(EventId::kTargetCrashed,
+           {{"target", settings_.target_address},
+            {"in_flight", std::to_string(suspects.size())}});
+  Send(run.connection,
+       Broken{run.order.request_id, run.order.attempt, run.next_sequence,
+              BreakCause::kTargetCrashed, std::move(suspects)});
+}
+
+// A broken connection alone does not tell a crash from a target that gave up
+// on one call; the identity of who answers now does.
+bool Agent::HasTargetRestarted(const Run& run) const {
+  const std::optional<TargetHealth> health = target_.CheckHealth();
+  return !health ||
+         JoinIncarnation(boot_id_, health->boot_id) != run.order.incarnation;
 }
 
 void Agent::MonitorTarget() {
   while (!stopping_) {
     std::this_thread::sleep_for(settings_.health_interval);
     SetTargetHealth(target_.CheckHealth());
+    CancelLateRuns();
+  }
+}
+
+// Nobody waits any more for a run that is past its deadline.
+void Agent::CancelLateRuns() {
+  const TimePoint now = SteadyNow();
+  const std::lock_guard lock(mutex_);
+  for (const auto& [id, run] : runs_) {
+    if (run->order.idempotent && run->deadline <= now) {
+      run->cancellation.Cancel(BreakCause::kDeadline);
+    }
   }
 }
 
@@ -197,9 +255,8 @@
   if (!health) return core_.SetTarget({});
   // Both lives are in the incarnation: a restart of the agent or of the target
   // gives a new one.
-  core_.SetTarget({{boot_id_ + "/" + health->boot_id},
-                   health->weights_version,
-                   true,
+  core_.SetTarget({JoinIncarnation(boot_id_, health->boot_id),
+                   health->weights_version, true,
                    health->prefill_tokens_per_second});
 }
 
--- a/src/dogwoodlatch-agent/agent.h
+++ b/src/dogwoodlatch-agent/agent.h
@@ -27,8 +27,9 @@
   // False when the address cannot be bound.
   bool Start();
 
-  // Refuses new work, finishes what runs for at most the drain time-out, then
-  // closes connections.
+  // Refuses new work and finishes what runs. What still runs after a bound is
+  // handed over to another target, if it is idempotent. Returns after the drain
+  // time-out at the latest; connections close later, with the agent itself.
   void DrainAndStop();
 
   bool is_ready() const { return target_up_; }
@@ -40,7 +41,8 @@
   struct Run {
     Submit order;
     ConnectionId connection = 0;
-    std::atomic<bool> cancelled{false};
+    TimePoint deadline;
+    Cancellation cancellation;
     uint64_t next_sequence = 0;
   };
 
@@ -51,6 +53,11 @@
   void Handle(ConnectionId connection, const Cancel& cancel);
   void Execute(const std::shared_ptr<Run>& run);
   void Report(const Run& run, const CallResult& result);
+  void ReportCrash(const Run& run);
+  bool HasTargetRestarted(const Run& run) const;
+  bool WaitUntilIdle(TimePoint until) const;
+  void HandOverRuns();
+  void CancelLateRuns();
   void MonitorTarget();
   void SetTargetHealth(const std::optional<TargetHealth>& health);
   void Send(ConnectionId connection, const Message& message) {
--- a/src/dogwoodlatch-agent/agent_settings.cc
+++ b/src/dogwoodlatch-agent/agent_settings.cc
@@ -30,6 +30,9 @@
             "64", "Requests at the target at once."},
     KeySpec{"drain_timeout_ms", ValueType::kInteger, "ms", 0, 600000, "30000",
             "Longest graceful shutdown."},
+    KeySpec{"handover_after_ms", ValueType::kInteger, "ms", 0, 600000, "20000",
+            "Time into a shutdown after which idempotent runs are handed over "
+            "to other targets."},
 };
 
 milliseconds Millis(const nlohmann::json& value) {
@@ -53,6 +56,7 @@
   settings.target_timeout = Millis(target["timeout_ms"]);
   settings.limits.max_running = document["limits"]["max_running"];
   settings.drain_timeout = Millis(document["drain_timeout_ms"]);
+  settings.handover_after = Millis(document["handover_after_ms"]);
   return settings;
 }
 
--- a/src/dogwoodlatch-agent/agent_settings.h
+++ b/src/dogwoodlatch-agent/agent_settings.h
@@ -22,6 +22,7 @@
   std::chrono::milliseconds target_timeout{0};
   AgentLimits limits;
   std::chrono::milliseconds drain_timeout{0};
+  std::chrono::milliseconds handover_after{0};
 };
 
 std::span<const KeySpec> AgentSchema();
--- a/src/dogwoodlatch-agent/target_client.cc
+++ b/src/dogwoodlatch-agent/target_client.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "dogwoodlatch/agent_core.h"
 #include "dogwoodlatch/util/address.h"
 
 namespace dogwoodlatch::agent {
@@ -45,18 +46,24 @@
 // Reads server-sent events out of arbitrary cuts of the byte stream.
 class EventReader {
  public:
-  EventReader(CallResult& result, const PartHandler& on_part)
-      : result_(result), on_part_(on_part) {}
+  EventReader(const Submit& order, CallResult& result,
+              const PartHandler& on_part)
+      : order_(order), result_(result), on_part_(on_part) {}
 
-  void Read(std::string_view bytes) {
+  // False once the answer turned out to be of another life of the target or of
+  // other weights.
+  bool Read(std::string_view bytes) {
     buffer_ += bytes;
     size_t end = 0;
-    while ((end = buffer_.find('\n')) != std::string::npos) {
+    while (!is_foreign_ && (end = buffer_.find('\n')) != std::string::npos) {
       ReadLine({buffer_.data(), end});
       buffer_.erase(0, end + 1);
     }
+    return !is_foreign_;
   }
 
+  bool is_foreign() const { return is_foreign_; }
+
  private:
   void ReadLine(std::string_view line) {
     if (!line.starts_with(kDataPrefix)) return;
@@ -67,6 +74,12 @@
     }
     const Json event = Json::parse(line, nullptr, false);
     if (!event.is_object()) return;
+    const auto fingerprint = event.find("system_fingerprint");
+    if (fingerprint != event.end() && fingerprint->is_string() &&
+        IsForeign(fingerprint->get_ref<const std::string&>())) {
+      is_foreign_ = true;
+      return;
+    }
     if (event.contains("usage")) ReadUsage(event["usage"]);
     for (const Json& choice : event.value("choices", Json::array())) {
       std::string text =
@@ -75,19 +88,67 @@
     }
   }
 
+  // "<boot id>/<weights version>"; an engine that does not say is believed.
+  bool IsForeign(std::string_view fingerprint) const {
+    const size_t slash = fingerprint.find('/');
+    if (slash == std::string_view::npos) return false;
+    return !IsAnswerOf(order_, fingerprint.substr(0, slash),
+                       fingerprint.substr(slash + 1));
+  }
+
   void ReadUsage(const Json& usage) {
     result_.prompt_tokens = usage.value("prompt_tokens", 0U);
     result_.cached_tokens = usage.value("cached_tokens", 0U);
     result_.output_tokens = usage.value("completion_tokens", 0U);
   }
 
+  const Submit& order_;
   CallResult& result_;
   const PartHandler& on_part_;
+  bool is_foreign_ = false;
   std::string buffer_;
 };
 
+// A call that gave no whole answer.
+CallEnd EndOfFailure(const httplib::Result& answer,
+                     const Cancellation& cancellation) {
+  if (cancellation.is_cancelled()) return CallEnd::kCancelled;
+  // An answer that ended in good order but said something else than was asked.
+  if (answer) return CallEnd::kError;
+  return answer.error() == httplib::Error::Connection ? CallEnd::kNotSent
+                                                      : CallEnd::kCrashed;
+}
+
+httplib::Result SendCancellable(httplib::Client& client,
+                                const httplib::Request& request,
+                                Cancellation& cancellation) {
+  cancellation.Attach([&client] { client.stop(); });
+  httplib::Result answer = client.send(request);
+  cancellation.Detach();
+  return answer;
+}
+
 }  // namespace
 
+void Cancellation::Cancel(BreakCause cause) {
+  const std::lock_guard lock(mutex_);
+  if (cancelled_) return;
+  cause_ = cause;
+  cancelled_ = true;
+  if (stop_) stop_();
+}
+
+BreakCause Cancellation::cause() const {
+  const std::lock_guard lock(mutex_);
+  return cause_;
+}
+
+void Cancellation::Attach(std::function<void()> stop) {
+  const std::lock_guard lock(mutex_);
+  stop_ = std::move(stop);
+  if (cancelled_ && stop_) stop_();
+}
+
 std::optional<TargetHealth> TargetClient::CheckHealth() const {
   httplib::Client client = Open(settings_, kConnectTimeout);
   const bool is_engine = settings_.target_kind == RequestKind::kChat;
@@ -101,21 +162,19 @@
                       state.value("prefill_tokens_per_second", uint64_t{1})};
 }
 
-CallResult TargetClient::Run(const Submit& order,
-                             const std::atomic<bool>& cancelled,
+CallResult TargetClient::Run(const Submit& order, Cancellation& cancellation,
                              const PartHandler& on_part) const {
   if (order.kind == RequestKind::kChat) {
-    return RunChat(order, cancelled, on_part);
+    return RunChat(order, cancellation, on_part);
   }
-  return RunService(order, cancelled, on_part);
+  return RunService(order, cancellation, on_part);
 }
 
 CallResult TargetClient::RunChat(const Submit& order,
-                                 const std::atomic<bool>& cancelled,
+                                 Cancellation& cancellation,
                                  const PartHandler& on_part) const {
   CallResult result;
-  result.end = CallEnd::kCrashed;
-  EventReader reader(result, on_part);
+  EventReader reader(order, result, on_part);
   httplib::Client client = Open(settings_, settings_.target_timeout);
   httplib::Request request;
   request.method = "POST";
@@ -124,20 +183,19 @@
   request.set_header("Content-Type", "application/json");
   request.content_receiver = [&](const char* data, size_t size, uint64_t,
                                  uint64_t) {
-    reader.Read({data, size});
-    return !cancelled;
+    return reader.Read({data, size}) && !cancellation.is_cancelled();
   };
-  const auto answer = client.send(request);
+  const auto answer = SendCancellable(client, request, cancellation);
   if (answer) result.status = answer->status;
-  if (cancelled) result.end = CallEnd::kCancelled;
-  // An answer that ended in good order but said something else than a
-  // completion.
-  if (answer && result.end == CallEnd::kCrashed) result.end = CallEnd::kError;
+  if (result.end != CallEnd::kWhole) {
+    result.end = reader.is_foreign() ? CallEnd::kError
+                                     : EndOfFailure(answer, cancellation);
+  }
   return result;
 }
 
 CallResult TargetClient::RunService(const Submit& order,
-                                    const std::atomic<bool>& cancelled,
+                                    Cancellation& cancellation,
                                     const PartHandler& on_part) const {
   CallResult result;
   httplib::Client client = Open(settings_, settings_.target_timeout);
@@ -151,9 +209,9 @@
   if (!order.idempotency_key.empty()) {
     request.set_header("Idempotency-Key", order.idempotency_key);
   }
-  const auto answer = client.send(request);
+  const auto answer = SendCancellable(client, request, cancellation);
   if (!answer) {
-    result.end = cancelled ? CallEnd::kCancelled : CallEnd::kCrashed;
+    result.end = EndOfFailure(answer, cancellation);
     return result;
   }
   result.end = CallEnd::kWhole;
--- a/src/dogwoodlatch-agent/target_client.h
+++ b/src/dogwoodlatch-agent/target_client.h
@@ -4,8 +4,10 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "agent_settings.h"
 #include "dogwoodlatch/messages.h"
@@ -18,7 +20,32 @@
   uint64_t prefill_tokens_per_second = 0;
 };
 
-enum class CallEnd { kWhole, kCrashed, kError, kCancelled };
+enum class CallEnd {
+  kWhole,
+  kNotSent,  // the target refused the connection: nothing ran
+  kCrashed,
+  kError,
+  kCancelled
+};
+
+// Stops one call from another thread, also while the call waits. Thread-safe.
+class Cancellation {
+ public:
+  // The first cause stays.
+  void Cancel(BreakCause cause);
+  bool is_cancelled() const { return cancelled_; }
+  BreakCause cause() const;
+
+  // While attached, Cancel also calls `stop`.
+  void Attach(std::function<void()> stop);
+  void Detach() { Attach(nullptr); }
+
+ private:
+  mutable std::mutex mutex_;
+  std::atomic<bool> cancelled_{false};
+  BreakCause cause_ = BreakCause::kCancelled;
+  std::function<void()> stop_;
+};
 
 struct CallResult {
   CallEnd end = CallEnd::kError;
@@ -40,15 +67,14 @@
   // None when the target does not answer.
   std::optional<TargetHealth> CheckHealth() const;
 
-  // Runs one order to its end, or until `cancelled` is seen set at the next
-  // part of the answer.
-  CallResult Run(const Submit& order, const std::atomic<bool>& cancelled,
+  // Runs one order to its end, or until it is cancelled.
+  CallResult Run(const Submit& order, Cancellation& cancellation,
                  const PartHandler& on_part) const;
 
  private:
-  CallResult RunChat(const Submit& order, const std::atomic<bool>& cancelled,
+  CallResult RunChat(const Submit& order, Cancellation& cancellation,
                      const PartHandler& on_part) const;
-  CallResult RunService(const Submit& order, const std::atomic<bool>& cancelled,
+  CallResult RunService(const Submit& order, Cancellation& cancellation,
                         const PartHandler& on_part) const;
 
   const AgentSettings& settings_;
--- a/src/dogwoodlatch-router/http_answers.cc
+++ b/src/dogwoodlatch-router/http_answers.cc
@@ -30,8 +30,12 @@
   return 500;
 }
 
-std::string_view MessageOf(OutcomeKind kind) {
-  switch (kind) {
+std::string_view MessageOf(const Outcome& outcome) {
+  if (outcome.kind == OutcomeKind::kUnknown && outcome.may_resend) {
+    return "the request may have run in part; it is idempotent and may be sent "
+           "again";
+  }
+  switch (outcome.kind) {
     case OutcomeKind::kNotRun:
       return "the request was not run; it may be sent again";
     case OutcomeKind::kUnknown:
@@ -78,11 +82,10 @@
   response.status = StatusOf(outcome);
   response.set_header(kOutcomeHeader, std::string(ToString(outcome.kind)));
   SetRetryAfter(response, outcome.retry_after);
-  response.set_content(
-      ErrorJson(ToString(outcome.kind), ToString(outcome.reason),
-                MessageOf(outcome.kind))
-          .dump(),
-      kJsonType);
+  response.set_content(ErrorJson(ToString(outcome.kind),
+                                 ToString(outcome.reason), MessageOf(outcome))
+                           .dump(),
+                       kJsonType);
 }
 
 void GiveWhole(httplib::Response& response, const Outcome& outcome,
@@ -107,9 +110,13 @@
 
 std::string StreamEvent(const Outcome& outcome) {
   if (outcome.kind != OutcomeKind::kComplete) {
-    const Json error =
-        ErrorJson(ToString(outcome.kind), ToString(outcome.reason),
-                  MessageOf(outcome.kind));
+    Json error = ErrorJson(ToString(outcome.kind), ToString(outcome.reason),
+                           MessageOf(outcome));
+    // The headers have gone; the time to come back stands in the event.
+    error["error"]["retry_after_ms"] =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            outcome.retry_after)
+            .count();
     return "event: error\ndata: " + error.dump() + "\n\n";
   }
   Json last = ChatJson(outcome.answer, "");
--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -18,6 +18,8 @@
 
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::chrono::milliseconds kDrainPoll{10};
+// How soon a caller that has gone is noticed while no part arrives.
+constexpr std::chrono::milliseconds kCallerPoll{100};
 
 // The text whose prefixes engines cache; empty when the body has no messages.
 std::string PromptOf(const Json& body) {
@@ -45,8 +47,12 @@
 };
 
 HttpFront::HttpFront(const RouterSettings& settings, const PlatformSync& sync,
-                     AgentLinks& links)
-    : settings_(settings), sync_(sync), links_(links) {
+                     AgentLinks& links, CrashGuard& crash_guard)
+    : settings_(settings),
+      sync_(sync),
+      links_(links),
+      crash_guard_(crash_guard),
+      retry_budget_(settings.retry_budget) {
   server_.new_task_queue = [this] {
     return new httplib::ThreadPool(settings_.threads);
   };
@@ -184,8 +190,8 @@
   auto in_flight = std::make_shared<InFlight>(in_flight_);
   const RequestKind kind = context.order.kind;
   response.set_header("X-Request-Id", context.order.request_id.value);
-  auto driver =
-      std::make_shared<RequestDriver>(std::move(context), links_, settings_);
+  auto driver = std::make_shared<RequestDriver>(
+      std::move(context), links_, crash_guard_, retry_budget_, settings_);
   DriverStep first = driver->Next();
   if (stream && std::holds_alternative<std::string>(first)) {
     return AnswerStreamed(driver, in_flight,
@@ -201,22 +207,29 @@
       "text/event-stream",
       [this, driver, in_flight, pending = std::move(first)](
           size_t, httplib::DataSink& sink) mutable {
-        DriverStep step = pending.empty()
-                              ? driver->Next()
-                              : DriverStep(std::exchange(pending, ""));
-        const std::string event =
-            std::visit([](const auto& s) { return StreamEvent(s); }, step);
-        const bool written = sink.write(event.data(), event.size());
-        if (const auto* outcome = std::get_if<Outcome>(&step)) {
-          Count(*outcome);
-          sink.done();
-        } else if (!written) {
-          driver->Abandon();
+        std::optional<DriverStep> step;
+        if (pending.empty()) {
+          step = driver->NextBefore(SteadyNow() + kCallerPoll);
+        } else {
+          step = std::exchange(pending, "");
         }
+        const bool written = step ? WriteStep(*step, sink) : sink.is_writable();
+        if (!written) driver->Abandon();
         return written;
       });
 }
 
+bool HttpFront::WriteStep(const DriverStep& step, httplib::DataSink& sink) {
+  const std::string event =
+      std::visit([](const auto& s) { return StreamEvent(s); }, step);
+  const bool written = sink.write(event.data(), event.size());
+  if (const auto* outcome = std::get_if<Outcome>(&step)) {
+    Count(*outcome);
+    sink.done();
+  }
+  return written;
+}
+
 void HttpFront::AnswerWhole(RequestDriver& driver, DriverStep first,
                             RequestKind kind, Response& response) {
   std::string answer;
@@ -253,6 +266,7 @@
                                       const Request& request) {
   RequestContext context;
   context.vms = sync_.vms();
+  context.latest_vms = [this] { return sync_.vms(); };
   context.policy.max_candidates = settings_.max_candidates;
   context.policy.failure_domain = settings_.failure_domain;
   Submit& order = context.order;
--- a/src/dogwoodlatch-router/http_front.h
+++ b/src/dogwoodlatch-router/http_front.h
@@ -20,7 +20,7 @@
 class HttpFront {
  public:
   HttpFront(const RouterSettings& settings, const PlatformSync& sync,
-            AgentLinks& links);
+            AgentLinks& links, CrashGuard& crash_guard);
   ~HttpFront();
   HttpFront(const HttpFront&) = delete;
   HttpFront& operator=(const HttpFront&) = delete;
@@ -32,6 +32,8 @@
   // time-out, then closes the listener.
   void DrainAndStop();
 
+  bool is_draining() const { return draining_; }
+
   // Text lines of figures.
   std::string Metrics() const;
 
@@ -45,6 +47,7 @@
   void AnswerStreamed(const std::shared_ptr<RequestDriver>& driver,
                       const std::shared_ptr<InFlight>& in_flight,
                       std::string first, httplib::Response& response);
+  bool WriteStep(const DriverStep& step, httplib::DataSink& sink);
   void AnswerWhole(RequestDriver& driver, DriverStep first, RequestKind kind,
                    httplib::Response& response);
   const WorkspaceSettings* Authenticate(const SettingsSnapshot& settings,
@@ -59,6 +62,8 @@
   const RouterSettings& settings_;
   const PlatformSync& sync_;
   AgentLinks& links_;
+  CrashGuard& crash_guard_;
+  SharedRetryBudget retry_budget_;
   httplib::Server server_;
   std::thread thread_;
   std::atomic<bool> draining_{false};
--- a/src/dogwoodlatch-router/main.cc
+++ b/src/dogwoodlatch-router/main.cc
@@ -12,18 +12,23 @@
 namespace dogwoodlatch::router {
 namespace {
 
-OpsHandlers MakeOpsHandlers(const PlatformSync& sync, const HttpFront& front) {
+OpsHandlers MakeOpsHandlers(const PlatformSync& sync, const HttpFront& front,
+                            CrashGuard& crash_guard) {
   OpsHandlers handlers;
-  handlers.is_ready = [&sync] { return sync.is_ready(); };
+  handlers.is_ready = [&] { return sync.is_ready() && !front.is_draining(); };
   handlers.metrics = [&front] { return front.Metrics(); };
-  handlers.status = [&sync] {
+  handlers.commands["/quarantine"] = [&](const nlohmann::json& body) {
+    return crash_guard.OnPeerMessage(body);
+  };
+  handlers.status = [&] {
     nlohmann::json teams = nlohmann::json::object();
     for (const auto& [name, team] : sync.settings()->teams) {
       teams[name] = team.version;
     }
     return nlohmann::json{{"ready", sync.is_ready()},
                           {"settings", teams},
-                          {"vm_list", sync.vms()->revision}};
+                          {"vm_list", sync.vms()->revision},
+                          {"quarantine", crash_guard.Status()}};
   };
   return handlers;
 }
@@ -32,19 +37,23 @@
   InitLogging(settings.id, Severity::kInfo);
   PlatformSync sync(settings.platform);
   AgentLinks links(settings.id, settings.connect_timeout);
-  HttpFront front(settings, sync, links);
-  OpsServer ops(settings.ops_address, MakeOpsHandlers(sync, front));
+  CrashGuard crash_guard(settings);
+  HttpFront front(settings, sync, links, crash_guard);
+  OpsServer ops(settings.ops_address,
+                MakeOpsHandlers(sync, front, crash_guard));
   if (!front.Start() || !ops.Start()) {
     LogEvent(EventId::kListenFailed, {{"caller", settings.caller_address},
                                       {"ops", settings.ops_address}});
     return ExitCode::kFailed;
   }
   sync.Start();
+  crash_guard.Start();
   LogEvent(EventId::kStarted, {{"address", settings.caller_address}});
   WaitForStopSignal();
   LogEvent(EventId::kStopping, {});
   front.DrainAndStop();
   sync.Stop();
+  crash_guard.Stop();
   links.Stop();
   LogEvent(EventId::kStopped, {});
   return ExitCode::kOk;
--- a/src/dogwoodlatch-router/request_driver.cc
+++ b/src/dogwoodlatch-router/request_driver.cc
@@ -12,18 +12,36 @@
 
 constexpr Duration kNoTargetRetryAfter = std::chrono::seconds(1);
 
-RequestPlan PlanOf(const RequestContext& context) {
-  return {context.order.request_id, context.order.idempotent, context.deadline};
+RequestPlan PlanOf(const RequestContext& context, Suspicion suspicion,
+                   const RouterSettings& settings) {
+  const Submit& order = context.order;
+  RequestPlan plan;
+  plan.request_id = order.request_id;
+  plan.idempotent = order.idempotent;
+  plan.deadline = context.deadline;
+  plan.can_continue = order.kind == RequestKind::kChat;
+  plan.suspicion = suspicion;
+  // Request identifiers are random.
+  plan.random_seed = DigestOf({order.request_id.value});
+  plan.retry = settings.retry;
+  return plan;
 }
 
 }  // namespace
 
 RequestDriver::RequestDriver(RequestContext context, AgentLinks& links,
+                             CrashGuard& crash_guard,
+                             SharedRetryBudget& retry_budget,
                              const RouterSettings& settings)
     : context_(std::move(context)),
       links_(links),
+      crash_guard_(crash_guard),
+      retry_budget_(retry_budget),
       settings_(settings),
-      life_(MakeRequestLife(PlanOf(context_))) {
+      life_(MakeRequestLife(PlanOf(
+          context_, crash_guard.Find(context_.order.digest), settings))) {
+  retry_budget_.OnFirstAttempt();
+  life_->Advance(SteadyNow());
   Push(life_->Start());
 }
 
@@ -32,18 +50,25 @@
 }
 
 DriverStep RequestDriver::Next() {
+  std::optional<DriverStep> step;
+  while (!step) step = NextBefore(TimePoint::max());
+  return std::move(*step);
+}
+
+std::optional<DriverStep> RequestDriver::NextBefore(TimePoint until) {
   while (true) {
     if (commands_.empty()) {
-      WaitForEvent();
+      if (SteadyNow() >= until) return std::nullopt;
+      WaitForEvent(until);
       continue;
     }
     const RequestCommand command = std::move(commands_.front());
     commands_.pop_front();
     if (const auto* deliver = std::get_if<Deliver>(&command)) {
-      return deliver->data;
+      return DriverStep(deliver->data);
     }
     if (const auto* give = std::get_if<GiveOutcome>(&command)) {
-      return give->outcome;
+      return DriverStep(give->outcome);
     }
     std::visit(
         [this](const auto& c) {
@@ -68,17 +93,25 @@
 }
 
 void RequestDriver::Execute(const ChooseTargetCommand& command) {
+  if (command.spends_budget && !retry_budget_.Withdraw()) {
+    Push(life_->Handle(
+        NoTargetFound{kNoTargetRetryAfter, OutcomeReason::kRetryBudget}));
+    return;
+  }
+  if (context_.latest_vms) context_.vms = context_.latest_vms();
   const std::vector<ProbedTarget> probed =
       ProbeAll(CandidatesFor(command.avoid));
   const std::optional<size_t> best =
       ChooseTarget(probed, context_.prompt, context_.policy);
+  life_->Advance(SteadyNow());
   if (!best) {
     Push(life_->Handle(NoTargetFound{kNoTargetRetryAfter}));
     return;
   }
   const ProbedTarget& chosen = probed[*best];
   Push(life_->Handle(TargetChosen{chosen.target, chosen.reply.incarnation,
-                                  chosen.reply.weights_version}));
+                                  chosen.reply.weights_version,
+                                  crash_guard_.Find(context_.order.digest)}));
 }
 
 void RequestDriver::Execute(const SendAttempt& command) {
@@ -87,26 +120,48 @@
   submit.incarnation = command.incarnation;
   submit.weights_version = command.weights_version;
   submit.delivered_text = command.delivered_text;
+  submit.run_alone = command.run_alone;
   submit.time_left = context_.deadline - SteadyNow();
   current_address_ = AddressOf(command.target);
   current_attempt_ = command.attempt;
+  current_alone_ = command.run_alone;
   links_.SendForRequest(current_address_, submit.request_id, submit, mailbox_);
 }
 
 void RequestDriver::Execute(const CancelAttempt& command) {
-  links_.SendForRequest(AddressOf(command.target), context_.order.request_id,
+  links_.SendForRequest(current_address_, context_.order.request_id,
                         Cancel{context_.order.request_id, command.attempt},
                         mailbox_);
 }
 
-void RequestDriver::WaitForEvent() {
-  std::optional<MailItem> item = mailbox_->Wait(context_.deadline);
-  if (!item) {
+void RequestDriver::WaitForEvent(TimePoint until) {
+  std::optional<MailItem> item =
+      mailbox_->Wait(std::min({until, context_.deadline, life_->WakeAt()}));
+  const TimePoint now = SteadyNow();
+  life_->Advance(now);
+  if (now >= context_.deadline) {
     Push(life_->Handle(DeadlineReached{}));
-    return;
+  } else if (item) {
+    const std::optional<RequestEvent> event = ToEvent(std::move(*item));
+    if (!event) return;
+    TellCrashGuard(*event);
+    Push(life_->Handle(*event));
+  } else if (now >= life_->WakeAt()) {
+    Push(life_->OnTimer());
+  }
+}
+
+// Told ahead of the life, so that the next choice knows of the crash.
+void RequestDriver::TellCrashGuard(const RequestEvent& event) {
+  if (const auto* broken = std::get_if<Broken>(&event)) {
+    if (broken->cause != BreakCause::kTargetCrashed) return;
+    crash_guard_.OnCrash(broken->crash_suspects,
+                         current_alone_ && broken->attempt == current_attempt_);
+  } else if (const auto* finished = std::get_if<Finished>(&event)) {
+    if (current_alone_ && finished->attempt == current_attempt_) {
+      crash_guard_.OnCompletedAlone(context_.order.digest);
+    }
   }
-  const std::optional<RequestEvent> event = ToEvent(std::move(*item));
-  if (event) Push(life_->Handle(*event));
 }
 
 std::optional<RequestEvent> RequestDriver::ToEvent(MailItem item) const {
--- a/src/dogwoodlatch-router/request_driver.h
+++ b/src/dogwoodlatch-router/request_driver.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "agent_links.h"
+#include "crash_guard.h"
 #include "dogwoodlatch/membership.h"
 #include "dogwoodlatch/request_life.h"
 #include "dogwoodlatch/routing.h"
@@ -23,6 +25,8 @@
 // arrived.
 struct RequestContext {
   std::shared_ptr<const VmList> vms;
+  // The VM list of the moment; an attempt to come uses it.
+  std::function<std::shared_ptr<const VmList>()> latest_vms;
   std::string serves;
   Submit
       order;  // the order as it goes to agents, less the fields of one attempt
@@ -37,6 +41,7 @@
 class RequestDriver {
  public:
   RequestDriver(RequestContext context, AgentLinks& links,
+                CrashGuard& crash_guard, SharedRetryBudget& retry_budget,
                 const RouterSettings& settings);
   ~RequestDriver();
   RequestDriver(const RequestDriver&) = delete;
@@ -45,6 +50,9 @@
   // Blocks until there is a part of the answer or the final outcome.
   DriverStep Next();
 
+  // The same, or none when there is nothing yet at `until`.
+  std::optional<DriverStep> NextBefore(TimePoint until);
+
   // The caller has gone: the running attempt is cancelled.
   void Abandon();
 
@@ -53,7 +61,8 @@
   void Execute(const ChooseTargetCommand& command);
   void Execute(const SendAttempt& command);
   void Execute(const CancelAttempt& command);
-  void WaitForEvent();
+  void WaitForEvent(TimePoint until);
+  void TellCrashGuard(const RequestEvent& event);
   std::optional<RequestEvent> ToEvent(MailItem item) const;
   std::vector<TargetId> CandidatesFor(const std::vector<TargetId>& avoid) const;
   std::vector<ProbedTarget> ProbeAll(const std::vector<TargetId>& candidates);
@@ -61,12 +70,15 @@
 
   RequestContext context_;
   AgentLinks& links_;
+  CrashGuard& crash_guard_;
+  SharedRetryBudget& retry_budget_;
   const RouterSettings& settings_;
   std::shared_ptr<Mailbox> mailbox_ = std::make_shared<Mailbox>();
   std::unique_ptr<RequestLife> life_;
   std::deque<RequestCommand> commands_;
   std::string current_address_;
   uint32_t current_attempt_ = 0;
+  bool current_alone_ = false;
 };
 
 }  // namespace dogwoodlatch::router
--- a/src/dogwoodlatch-router/router_settings.cc
+++ b/src/dogwoodlatch-router/router_settings.cc
@@ -6,6 +6,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr std::array kSchema = {
     KeySpec{"id", ValueType::kString, "characters", 1, 64, "",
@@ -46,12 +47,52 @@
             "4", "Targets probed for one request."},
     KeySpec{"drain_timeout_ms", ValueType::kInteger, "ms", 0, 600000, "30000",
             "Longest graceful shutdown."},
+    KeySpec{"peers", ValueType::kArray, "elements", 0, 1000, "[]",
+            "Operations addresses of the other routers."},
+    KeySpec{"peers[]", ValueType::kString, "characters", 3, 64, "",
+            "ip:port of one router's operations."},
+    KeySpec{"retry", ValueType::kObject, "", 0, 0, "{}",
+            "Retries of idempotent requests."},
+    KeySpec{"retry.max_attempts", ValueType::kInteger, "attempts", 1, 16, "4",
+            "Failed attempts after which a request is given up."},
+    KeySpec{"retry.first_part_timeout_ms", ValueType::kInteger, "ms", 100,
+            3600000, "20000", "Longest wait for the first part of an answer."},
+    KeySpec{"retry.part_timeout_ms", ValueType::kInteger, "ms", 50, 600000,
+            "5000", "Longest wait between two parts of an answer."},
+    KeySpec{"retry.budget_share", ValueType::kNumber, "", 0, 1, "0.2",
+            "Retries allowed for each request."},
+    KeySpec{"retry.budget_per_second", ValueType::kNumber, "retries/s", 0,
+            10000, "10.0", "Retries allowed without any traffic."},
+    KeySpec{"retry.budget_burst", ValueType::kNumber, "retries", 1, 100000,
+            "100.0", "Retries that may be saved up."},
+    KeySpec{"quarantine", ValueType::kObject, "", 0, 0, "{}",
+            "Requests that crash targets."},
+    KeySpec{"quarantine.suspect_seconds", ValueType::kInteger, "s", 1, 86400,
+            "300", "Time for which a suspect of a crash runs alone."},
+    KeySpec{"quarantine.seconds", ValueType::kInteger, "s", 1, 604800, "1800",
+            "Time for which a request that crashes targets is refused."},
 };
 
 milliseconds Millis(const nlohmann::json& value) {
   return milliseconds(value.get<int64_t>());
 }
 
+void ParseOutcomeSettings(const nlohmann::json& document,
+                          RouterSettings& settings) {
+  const auto& retry = document["retry"];
+  settings.retry.max_attempts = retry["max_attempts"];
+  settings.retry.first_part_timeout = Millis(retry["first_part_timeout_ms"]);
+  settings.retry.part_timeout = Millis(retry["part_timeout_ms"]);
+  settings.retry_budget.share = retry["budget_share"];
+  settings.retry_budget.per_second = retry["budget_per_second"];
+  settings.retry_budget.max_saved = retry["budget_burst"];
+  const auto& quarantine = document["quarantine"];
+  settings.quarantine.suspect_for =
+      seconds(quarantine["suspect_seconds"].get<int64_t>());
+  settings.quarantine.quarantine_for =
+      seconds(quarantine["seconds"].get<int64_t>());
+}
+
 }  // namespace
 
 std::span<const KeySpec> RouterSchema() { return kSchema; }
@@ -77,6 +118,8 @@
   settings.connect_timeout = Millis(routing["connect_timeout_ms"]);
   settings.max_candidates = routing["max_candidates"];
   settings.drain_timeout = Millis(document["drain_timeout_ms"]);
+  settings.peers = document["peers"].get<std::vector<std::string>>();
+  ParseOutcomeSettings(document, settings);
   return settings;
 }
 
--- a/src/dogwoodlatch-router/router_settings.h
+++ b/src/dogwoodlatch-router/router_settings.h
@@ -5,7 +5,11 @@
 #include <nlohmann/json.hpp>
 #include <span>
 #include <string>
+#include <vector>
 
+#include "dogwoodlatch/quarantine.h"
+#include "dogwoodlatch/request_life.h"
+#include "dogwoodlatch/retry_budget.h"
 #include "dogwoodlatch/schema.h"
 #include "dogwoodlatch/util/platform_sync.h"
 
@@ -25,6 +29,10 @@
   std::chrono::milliseconds connect_timeout{0};
   size_t max_candidates = 0;
   std::chrono::milliseconds drain_timeout{0};
+  std::vector<std::string> peers;  // ops addresses of the other routers
+  RetryTuning retry;
+  RetryBudgetLimits retry_budget;
+  QuarantineLimits quarantine;
 };
 
 std::span<const KeySpec> RouterSchema();
--- a/src/dogwoodlatch-standin/engine.cc
+++ b/src/dogwoodlatch-standin/engine.cc
@@ -144,7 +144,15 @@
         {"index", 0},
         {"delta", {{"content", AnswerWord(generation.digest, index)}}}};
     ++index;
-    return Write(sink, Json({{"choices", Json::array({choice})}}).dump());
+    return Write(sink, Json({{"system_fingerprint", Fingerprint()},
+                             {"choices", Json::array({choice})}})
+                           .dump());
+  }
+
+  // Names this life of the engine and its weights in each part of an answer.
+  std::string Fingerprint() {
+    const std::lock_guard lock(mutex_);
+    return boot_id_ + "/" + weights_version_;
   }
 
   static bool Write(httplib::DataSink& sink, const std::string& data) {
--- a/src/include/dogwoodlatch/agent_core.h
+++ b/src/include/dogwoodlatch/agent_core.h
@@ -3,8 +3,14 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include "dogwoodlatch/ids.h"
 #include "dogwoodlatch/messages.h"
@@ -24,6 +30,16 @@
   uint32_t max_running = 64;
 };
 
+/// The incarnation of an agent's life and its target's life together.
+Incarnation JoinIncarnation(std::string_view agent_boot_id,
+                            std::string_view target_boot_id);
+
+/// Whether an answer that names this life of the target and these weights is
+/// the one that the order was routed on. A target may restart or load other
+/// weights between the agent's health check and the run.
+bool IsAnswerOf(const Submit& order, std::string_view target_boot_id,
+                std::string_view weights_version);
+
 /// Admission and state of one agent. Not thread-safe; the daemon guards it.
 class AgentCore {
  public:
@@ -36,22 +52,55 @@
   /// From now on new work is refused; what runs is finished.
   void StartDraining() { draining_ = true; }
 
+  /// Whether this attempt was admitted before; a copy of it is dropped.
+  bool IsRepeat(const Submit& submit) const;
+
   /// Admits the attempt, which then counts as running, or gives the refusal.
-  std::optional<Refused> Admit(const Submit& submit);
+  std::optional<Refused> Admit(const Submit& submit, TimePoint now);
+
+  /// The target was lost under an admitted attempt of this incarnation. Returns
+  /// the digests that were in flight; the same ones for each attempt that the
+  /// crash broke.
+  std::vector<uint64_t> OnCrash(const Incarnation& incarnation);
 
   /// An admitted attempt ended, in whatever way.
-  void OnEnded(uint32_t prompt_tokens);
+  void OnEnded(const Submit& submit);
 
   ProbeReply Answer(const Probe& probe) const;
-  uint32_t running() const { return running_; }
+  uint32_t running() const { return static_cast<uint32_t>(running_.size()); }
+  const TargetState& target() const { return target_; }
 
  private:
-  std::optional<RefusalReason> FindRefusal(const Submit& submit) const;
+  using AttemptKey = std::pair<RequestId, uint32_t>;
+
+  struct Running {
+    uint64_t digest = 0;
+    bool alone = false;
+    uint32_t prompt_tokens = 0;
+    Incarnation incarnation;
+  };
+
+  /// Keeps new work away until the target has run empty for a suspect.
+  struct Reservation {
+    uint64_t digest = 0;
+    TimePoint until;
+  };
+
+  std::optional<RefusalReason> FindRefusal(const Submit& submit,
+                                           TimePoint now) const;
+  bool IsBusyAlone(const Submit& submit, TimePoint now) const;
+  void Remember(const AttemptKey& key);
+  void Reserve(const Submit& submit, TimePoint now);
 
   AgentLimits limits_;
   TargetState target_;
   bool draining_ = false;
-  uint32_t running_ = 0;
+  std::map<AttemptKey, Running> running_;
+  std::set<AttemptKey> recent_;
+  std::deque<AttemptKey> recent_order_;
+  std::optional<Reservation> reservation_;
+  Incarnation crashed_;
+  std::vector<uint64_t> crash_suspects_;
   uint64_t queued_tokens_ = 0;
 };
 
--- a/src/include/dogwoodlatch/idempotent_life.h
+++ b/src/include/dogwoodlatch/idempotent_life.h
@@ -1,6 +1,7 @@
 /// Decisions about one idempotent request.
 #pragma once
 
+#include <random>
 #include <string>
 #include <vector>
 
@@ -18,9 +19,25 @@
 
   std::vector<RequestCommand> Handle(const RequestEvent& event) override;
 
+  void Advance(TimePoint now) override { now_ = now; }
+
+  TimePoint WakeAt() const override { return wake_at_; }
+
+  std::vector<RequestCommand> OnTimer() override;
+
  private:
   using Commands = std::vector<RequestCommand>;
 
+  enum class Phase { kChoosing, kRunning, kPausing, kOver };
+
+  /// One life of a target that failed this request.
+  struct FailedLife {
+    TargetId target;
+    Incarnation incarnation;
+
+    bool operator==(const FailedLife&) const = default;
+  };
+
   Commands On(const TargetChosen& event);
   Commands On(const NoTargetFound& event);
   Commands On(const Refused& event);
@@ -32,17 +49,31 @@
   Commands On(const DeadlineReached& event);
 
   bool IsCurrent(const RequestId& request_id, uint32_t attempt) const;
-  Commands RetryElsewhere(Outcome otherwise);
+  Commands Send();
+  Commands Choose(bool spends_budget);
+  Commands Pause(Outcome otherwise, bool same_target);
+  Commands RetryElsewhere(OutcomeReason reason, Duration retry_after);
   Commands AfterLoss(OutcomeReason reason);
+  Commands CancelAndRetry(OutcomeReason reason);
+  void BlameTarget();
+  Outcome Failure(OutcomeReason reason, Duration retry_after) const;
   Commands End(Outcome outcome);
 
   RequestPlan plan_;
+  std::minstd_rand random_;
+  TimePoint now_;
+  TimePoint wake_at_ = TimePoint::max();
+  Phase phase_ = Phase::kChoosing;
+  TargetChosen target_;
   uint32_t attempt_ = 0;
-  bool attempt_open_ = false;
-  bool over_ = false;
+  uint32_t failed_attempts_ = 0;
+  uint32_t pauses_ = 0;
+  bool resend_to_same_ = false;
+  bool run_alone_ = false;
+  bool may_have_run_ = false;
   uint64_t next_sequence_ = 0;
-  TargetId target_;
   std::vector<TargetId> avoid_;
+  std::vector<FailedLife> failed_lives_;
   std::string delivered_text_;
 };
 
--- a/src/include/dogwoodlatch/request_life.h
+++ b/src/include/dogwoodlatch/request_life.h
@@ -10,6 +10,7 @@
 
 #include "dogwoodlatch/ids.h"
 #include "dogwoodlatch/messages.h"
+#include "dogwoodlatch/quarantine.h"
 #include "dogwoodlatch/time.h"
 
 namespace dogwoodlatch {
@@ -43,14 +44,27 @@
   OutcomeKind kind = OutcomeKind::kNotRun;
   OutcomeReason reason = OutcomeReason::kNone;
   Duration retry_after{0};
-  Finished answer;  ///< with kComplete
+  Finished answer;          ///< with kComplete
+  bool may_resend = false;  ///< sending the same request again does no harm
+};
+
+/// Times and bounds of the retries of one idempotent request.
+struct RetryTuning {
+  uint32_t max_attempts = 4;  ///< attempts that count as failed
+  uint32_t max_pauses = 4;    ///< pauses after every target was tried
+  Duration pause_base = std::chrono::milliseconds(50);
+  Duration first_part_timeout = std::chrono::seconds(20);
+  Duration part_timeout = std::chrono::seconds(5);
 };
 
 struct RequestPlan {
   RequestId request_id;
   bool idempotent = false;
   TimePoint deadline;
-  uint32_t max_attempts = 4;
+  bool can_continue = true;  ///< a broken answer is continued, not restarted
+  Suspicion suspicion = Suspicion::kNone;
+  uint64_t random_seed = 1;
+  RetryTuning retry;
 };
 
 // What happens to a request.
@@ -58,9 +72,11 @@
   TargetId target;
   Incarnation incarnation;
   std::string weights_version;
+  Suspicion suspicion = Suspicion::kNone;  ///< as known at the choice
 };
 struct NoTargetFound {
   Duration retry_after{0};
+  OutcomeReason reason = OutcomeReason::kNoTarget;
 };
 struct ConnectionLost {
   uint32_t attempt = 0;
@@ -74,6 +90,7 @@
 // What the daemon does about it, in order.
 struct ChooseTargetCommand {
   std::vector<TargetId> avoid;
+  bool spends_budget = false;  ///< a retry: ask the retry budget first
 };
 struct SendAttempt {
   TargetId target;
@@ -81,6 +98,7 @@
   Incarnation incarnation;
   std::string weights_version;
   std::string delivered_text;
+  bool run_alone = false;
 };
 struct CancelAttempt {
   TargetId target;
@@ -107,6 +125,15 @@
   /// Takes one event; messages of superseded attempts and events after the
   /// outcome give no commands.
   virtual std::vector<RequestCommand> Handle(const RequestEvent& event) = 0;
+
+  /// Tells the present time, ahead of Start, Handle and OnTimer.
+  virtual void Advance(TimePoint) {}
+
+  /// When OnTimer is due if nothing arrives before.
+  virtual TimePoint WakeAt() const { return TimePoint::max(); }
+
+  /// The time of WakeAt has come.
+  virtual std::vector<RequestCommand> OnTimer() { return {}; }
 };
 
 /// The life that fits the plan: of an idempotent or of a non-idempotent
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -28,6 +28,12 @@
   kAgentUnreachable = 310,
   kBadMessage = 311,
   kRequestEnded = 400,
+  kTargetCrashed = 500,
+  kCrashSuspects = 501,
+  kQuarantined = 502,
+  kQuarantineLifted = 503,
+  kQuarantineUnwritten = 504,
+  kRunHandedOver = 510,
 };
 
 struct EventSpec {
--- a/src/include/dogwoodlatch/util/program.h
+++ b/src/include/dogwoodlatch/util/program.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <span>
@@ -49,10 +50,12 @@
   std::function<nlohmann::json()> snapshot = [] {
     return nlohmann::json();
   };  ///< for a peer that starts
+  std::map<std::string, std::function<bool(const nlohmann::json&)>>
+      commands;  ///< POSTed JSON by path; false when it is not understood
 };
 
-/// Serves /healthz, /readyz, /metrics, /status and /snapshot on a port of its
-/// own.
+/// Serves /healthz, /readyz, /metrics, /status, /snapshot and the commands on
+/// a port of its own.
 class OpsServer {
  public:
   OpsServer(std::string_view address, OpsHandlers handlers);
--- a/src/libdogwoodlatch/agent_core.cc
+++ b/src/libdogwoodlatch/agent_core.cc
@@ -6,23 +6,69 @@
 namespace {
 
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
+constexpr Duration kBusyAloneRetryAfter = std::chrono::milliseconds(50);
+// A suspect asks again well within this time, or has gone elsewhere.
+constexpr Duration kReservation = std::chrono::seconds(1);
+constexpr size_t kMaxRecent = 4096;
+
+Duration RetryAfterOf(RefusalReason reason) {
+  return reason == RefusalReason::kBusyAlone ? kBusyAloneRetryAfter
+                                             : kOverloadRetryAfter;
+}
 
 }  // namespace
 
-std::optional<Refused> AgentCore::Admit(const Submit& submit) {
-  const std::optional<RefusalReason> refusal = FindRefusal(submit);
+Incarnation JoinIncarnation(std::string_view agent_boot_id,
+                            std::string_view target_boot_id) {
+  return {std::string(agent_boot_id) + "/" + std::string(target_boot_id)};
+}
+
+bool IsAnswerOf(const Submit& order, std::string_view target_boot_id,
+                std::string_view weights_version) {
+  return order.incarnation.value.ends_with("/" + std::string(target_boot_id)) &&
+         order.weights_version == weights_version;
+}
+
+bool AgentCore::IsRepeat(const Submit& submit) const {
+  return recent_.contains({submit.request_id, submit.attempt});
+}
+
+std::optional<Refused> AgentCore::Admit(const Submit& submit, TimePoint now) {
+  const std::optional<RefusalReason> refusal = FindRefusal(submit, now);
+  if (refusal == RefusalReason::kBusyAlone) Reserve(submit, now);
   if (refusal) {
     return Refused{submit.request_id, submit.attempt, *refusal,
-                   kOverloadRetryAfter, ""};
+                   RetryAfterOf(*refusal), ""};
   }
-  ++running_;
+  if (submit.run_alone) reservation_.reset();
+  const AttemptKey key{submit.request_id, submit.attempt};
+  running_[key] = {submit.digest, submit.run_alone, submit.prompt_tokens,
+                   submit.incarnation};
+  Remember(key);
   queued_tokens_ += submit.prompt_tokens;
   return std::nullopt;
 }
 
-void AgentCore::OnEnded(uint32_t prompt_tokens) {
-  --running_;
-  queued_tokens_ -= std::min<uint64_t>(queued_tokens_, prompt_tokens);
+std::vector<uint64_t> AgentCore::OnCrash(const Incarnation& incarnation) {
+  if (crashed_ != incarnation) {
+    crashed_ = incarnation;
+    crash_suspects_.clear();
+    for (const auto& [key, running] : running_) {
+      if (running.incarnation == incarnation) {
+        crash_suspects_.push_back(running.digest);
+      }
+    }
+    std::ranges::sort(crash_suspects_);
+    const auto same = std::ranges::unique(crash_suspects_);
+    crash_suspects_.erase(same.begin(), same.end());
+  }
+  if (target_.incarnation == incarnation) target_ = {};
+  return crash_suspects_;
+}
+
+void AgentCore::OnEnded(const Submit& submit) {
+  running_.erase({submit.request_id, submit.attempt});
+  queued_tokens_ -= std::min<uint64_t>(queued_tokens_, submit.prompt_tokens);
 }
 
 ProbeReply AgentCore::Answer(const Probe& probe) const {
@@ -31,15 +77,15 @@
   reply.incarnation = target_.incarnation;
   reply.weights_version = target_.weights_version;
   reply.queued_tokens = queued_tokens_;
-  reply.running = running_;
+  reply.running = running();
   reply.draining = draining_;
   reply.healthy = target_.healthy;
   reply.prefill_tokens_per_second = target_.prefill_tokens_per_second;
   return reply;
 }
 
-std::optional<RefusalReason> AgentCore::FindRefusal(
-    const Submit& submit) const {
+std::optional<RefusalReason> AgentCore::FindRefusal(const Submit& submit,
+                                                    TimePoint now) const {
   if (submit.incarnation != target_.incarnation) {
     return RefusalReason::kStaleIncarnation;
   }
@@ -48,8 +94,39 @@
   }
   if (draining_) return RefusalReason::kDraining;
   if (!target_.healthy) return RefusalReason::kTargetDown;
-  if (running_ >= limits_.max_running) return RefusalReason::kOverloaded;
+  if (submit.time_left <= Duration(0)) return RefusalReason::kOverloaded;
+  if (IsBusyAlone(submit, now)) return RefusalReason::kBusyAlone;
+  if (running() >= limits_.max_running) return RefusalReason::kOverloaded;
   return std::nullopt;
 }
 
+bool AgentCore::IsBusyAlone(const Submit& submit, TimePoint now) const {
+  if (reservation_ && reservation_->until > now &&
+      reservation_->digest != submit.digest) {
+    return true;
+  }
+  if (submit.run_alone) return !running_.empty();
+  return std::ranges::any_of(
+      running_, [](const auto& item) { return item.second.alone; });
+}
+
+void AgentCore::Remember(const AttemptKey& key) {
+  recent_.insert(key);
+  recent_order_.push_back(key);
+  if (recent_order_.size() <= kMaxRecent) return;
+  recent_.erase(recent_order_.front());
+  recent_order_.pop_front();
+}
+
+// Without it a busy target would never run empty. One suspect at a time holds
+// it; the hold lapses when the suspect stops asking.
+void AgentCore::Reserve(const Submit& submit, TimePoint now) {
+  if (!submit.run_alone) return;
+  if (reservation_ && reservation_->until > now &&
+      reservation_->digest != submit.digest) {
+    return;
+  }
+  reservation_ = Reservation{submit.digest, now + kReservation};
+}
+
 }  // namespace dogwoodlatch
--- a/src/libdogwoodlatch/idempotent_life.cc
+++ b/src/libdogwoodlatch/idempotent_life.cc
@@ -1,10 +1,14 @@
 #include "dogwoodlatch/idempotent_life.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dogwoodlatch {
 namespace {
 
+constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
+constexpr Duration kMaxPause = std::chrono::milliseconds(400);
+
 OutcomeReason ReasonOf(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::kQuarantined:
@@ -25,125 +29,251 @@
          reason == RefusalReason::kKeyReused;
 }
 
+// The target is well; only what the router knew of it was out of date.
+bool IsStaleRoute(RefusalReason reason) {
+  return reason == RefusalReason::kStaleIncarnation ||
+         reason == RefusalReason::kStaleWeights;
+}
+
+Outcome Rejected(OutcomeReason reason, Duration retry_after = Duration(0)) {
+  return {OutcomeKind::kRejected, reason, retry_after, {}};
+}
+
 }  // namespace
 
-IdempotentLife::IdempotentLife(RequestPlan plan) : plan_(std::move(plan)) {}
+IdempotentLife::IdempotentLife(RequestPlan plan)
+    : plan_(std::move(plan)),
+      random_(static_cast<std::minstd_rand::result_type>(plan_.random_seed)) {}
 
 std::vector<RequestCommand> IdempotentLife::Start() {
-  return {ChooseTargetCommand{avoid_}};
+  if (plan_.suspicion == Suspicion::kQuarantined) {
+    return End(Rejected(OutcomeReason::kQuarantined));
+  }
+  return Choose(false);
 }
 
 std::vector<RequestCommand> IdempotentLife::Handle(const RequestEvent& event) {
-  if (over_) return {};
+  if (phase_ == Phase::kOver) return {};
   return std::visit([this](const auto& e) { return On(e); }, event);
 }
 
+std::vector<RequestCommand> IdempotentLife::OnTimer() {
+  if (phase_ == Phase::kOver || now_ < wake_at_) return {};
+  if (phase_ == Phase::kPausing) {
+    return resend_to_same_ ? Send() : Choose(true);
+  }
+  if (phase_ != Phase::kRunning) return {};
+  BlameTarget();
+  return CancelAndRetry(OutcomeReason::kStreamBroken);
+}
+
 IdempotentLife::Commands IdempotentLife::On(const TargetChosen& event) {
-  ++attempt_;
-  attempt_open_ = true;
-  next_sequence_ = 0;
-  target_ = event.target;
-  return {SendAttempt{target_, attempt_, event.incarnation,
-                      event.weights_version, delivered_text_}};
+  if (phase_ != Phase::kChoosing) return {};
+  if (event.suspicion == Suspicion::kQuarantined) {
+    return End(Rejected(OutcomeReason::kQuarantined));
+  }
+  const FailedLife life{event.target, event.incarnation};
+  if (std::ranges::find(failed_lives_, life) != failed_lives_.end()) {
+    avoid_.push_back(event.target);
+    return Choose(false);
+  }
+  target_ = event;
+  run_alone_ = event.suspicion == Suspicion::kSuspect;
+  return Send();
 }
 
 IdempotentLife::Commands IdempotentLife::On(const NoTargetFound& event) {
-  if (!delivered_text_.empty()) {
-    return End({OutcomeKind::kNotRun,
-                OutcomeReason::kStreamBroken,
-                event.retry_after,
-                {}});
+  if (phase_ != Phase::kChoosing) return {};
+  Outcome otherwise = Failure(event.reason, event.retry_after);
+  if (event.reason == OutcomeReason::kRetryBudget || attempt_ == 0) {
+    return End(std::move(otherwise));
   }
-  return End(
-      {OutcomeKind::kNotRun, OutcomeReason::kNoTarget, event.retry_after, {}});
+  return Pause(std::move(otherwise), false);
 }
 
 IdempotentLife::Commands IdempotentLife::On(const Refused& event) {
   if (!IsCurrent(event.request_id, event.attempt)) return {};
-  attempt_open_ = false;
+  // A refusal proves that nothing ran, unless parts of the answer came before
+  // it.
+  if (next_sequence_ > 0) return {};
+  phase_ = Phase::kChoosing;
   if (IsFinalRefusal(event.reason)) {
-    return End({OutcomeKind::kRejected,
-                ReasonOf(event.reason),
-                event.retry_after,
-                {}});
+    return End(Rejected(ReasonOf(event.reason), event.retry_after));
   }
-  return RetryElsewhere(
-      {OutcomeKind::kNotRun, ReasonOf(event.reason), event.retry_after, {}});
+  if (event.reason == RefusalReason::kBusyAlone && run_alone_) {
+    return Pause(Failure(OutcomeReason::kOverloaded, event.retry_after), true);
+  }
+  if (!IsStaleRoute(event.reason)) avoid_.push_back(target_.target);
+  // A planned stop costs the request nothing.
+  if (event.reason == RefusalReason::kDraining) return Choose(false);
+  return RetryElsewhere(ReasonOf(event.reason), event.retry_after);
 }
 
 IdempotentLife::Commands IdempotentLife::On(const Chunk& event) {
   if (!IsCurrent(event.request_id, event.attempt)) return {};
   if (event.sequence < next_sequence_) return {};
   if (event.sequence > next_sequence_) {
-    return AfterLoss(OutcomeReason::kStreamBroken);
+    avoid_.push_back(target_.target);
+    return CancelAndRetry(OutcomeReason::kStreamBroken);
   }
   ++next_sequence_;
+  may_have_run_ = true;
+  wake_at_ = now_ + plan_.retry.part_timeout;
   delivered_text_ += event.data;
+  if (!plan_.can_continue) return {};
   return {Deliver{event.data}};
 }
 
 IdempotentLife::Commands IdempotentLife::On(const Finished& event) {
   if (!IsCurrent(event.request_id, event.attempt)) return {};
   if (event.sequence != next_sequence_) {
-    return AfterLoss(OutcomeReason::kStreamBroken);
+    avoid_.push_back(target_.target);
+    return CancelAndRetry(OutcomeReason::kStreamBroken);
   }
-  attempt_open_ = false;
-  return End(
-      {OutcomeKind::kComplete, OutcomeReason::kNone, Duration(0), event});
+  phase_ = Phase::kChoosing;
+  Commands commands;
+  if (!plan_.can_continue && !delivered_text_.empty()) {
+    commands.push_back(Deliver{delivered_text_});
+  }
+  const Commands end = End({OutcomeKind::kComplete, OutcomeReason::kNone,
+                            Duration(0), event, plan_.idempotent});
+  commands.insert(commands.end(), end.begin(), end.end());
+  return commands;
 }
 
 IdempotentLife::Commands IdempotentLife::On(const Broken& event) {
   if (!IsCurrent(event.request_id, event.attempt)) return {};
-  return AfterLoss(OutcomeReason::kTargetLost);
+  phase_ = Phase::kChoosing;
+  may_have_run_ = true;
+  // The target goes on planned terms: neither the attempt nor the budget pays
+  // for it.
+  if (event.cause == BreakCause::kHandedOver && plan_.idempotent) {
+    avoid_.push_back(target_.target);
+    return Choose(false);
+  }
+  if (event.cause == BreakCause::kTargetCrashed && run_alone_) {
+    return End(Rejected(OutcomeReason::kQuarantined));
+  }
+  BlameTarget();
+  return AfterLoss(event.cause == BreakCause::kDeadline
+                       ? OutcomeReason::kDeadline
+                       : OutcomeReason::kTargetLost);
 }
 
+// A lost connection says nothing about the target, which may be asked again
+// once no other is left.
 IdempotentLife::Commands IdempotentLife::On(const ConnectionLost& event) {
-  if (event.attempt != attempt_ || !attempt_open_) return {};
-  return AfterLoss(OutcomeReason::kTargetLost);
+  if (event.attempt != attempt_ || phase_ != Phase::kRunning) return {};
+  avoid_.push_back(target_.target);
+  return CancelAndRetry(OutcomeReason::kTargetLost);
 }
 
 IdempotentLife::Commands IdempotentLife::On(const CallerGone&) {
-  return End(
-      {OutcomeKind::kNotRun, OutcomeReason::kCallerGone, Duration(0), {}});
+  return End(Failure(OutcomeReason::kCallerGone, Duration(0)));
 }
 
 IdempotentLife::Commands IdempotentLife::On(const DeadlineReached&) {
-  const bool may_have_run = attempt_open_ && !plan_.idempotent;
-  return End({may_have_run ? OutcomeKind::kUnknown : OutcomeKind::kNotRun,
-              OutcomeReason::kDeadline,
-              Duration(0),
-              {}});
+  return End(Failure(OutcomeReason::kDeadline, Duration(0)));
 }
 
 bool IdempotentLife::IsCurrent(const RequestId& request_id,
                                uint32_t attempt) const {
-  return attempt_open_ && attempt == attempt_ && request_id == plan_.request_id;
+  return phase_ == Phase::kRunning && attempt == attempt_ &&
+         request_id == plan_.request_id;
 }
 
-IdempotentLife::Commands IdempotentLife::RetryElsewhere(Outcome otherwise) {
-  avoid_.push_back(target_);
-  if (attempt_ >= plan_.max_attempts) return End(std::move(otherwise));
-  return {ChooseTargetCommand{avoid_}};
+IdempotentLife::Commands IdempotentLife::Send() {
+  ++attempt_;
+  phase_ = Phase::kRunning;
+  next_sequence_ = 0;
+  wake_at_ = now_ + plan_.retry.first_part_timeout;
+  return {SendAttempt{target_.target, attempt_, target_.incarnation,
+                      target_.weights_version, delivered_text_, run_alone_}};
+}
+
+IdempotentLife::Commands IdempotentLife::Choose(bool spends_budget) {
+  phase_ = Phase::kChoosing;
+  wake_at_ = TimePoint::max();
+  return {ChooseTargetCommand{avoid_, spends_budget}};
+}
+
+// Equal jitter under a doubling bound. A suspect that waits for its target to
+// run empty pauses for as long as its deadline allows; everything else gives up
+// after a few pauses.
+IdempotentLife::Commands IdempotentLife::Pause(Outcome otherwise,
+                                               bool same_target) {
+  if (!same_target && pauses_ >= plan_.retry.max_pauses) {
+    return End(std::move(otherwise));
+  }
+  const Duration doubled = plan_.retry.pause_base * (1 << pauses_);
+  const Duration bound =
+      same_target ? plan_.retry.pause_base : std::min(kMaxPause, doubled);
+  std::uniform_int_distribution<Duration::rep> pick(bound.count() / 2,
+                                                    bound.count());
+  const Duration pause(pick(random_));
+  if (now_ + pause >= plan_.deadline) return End(std::move(otherwise));
+  if (!same_target) {
+    ++pauses_;
+    avoid_.clear();
+  }
+  resend_to_same_ = same_target;
+  phase_ = Phase::kPausing;
+  wake_at_ = now_ + pause;
+  return {};
+}
+
+IdempotentLife::Commands IdempotentLife::RetryElsewhere(OutcomeReason reason,
+                                                        Duration retry_after) {
+  ++failed_attempts_;
+  if (failed_attempts_ >= plan_.retry.max_attempts) {
+    return End(Failure(reason, retry_after));
+  }
+  return Choose(true);
 }
 
-// The attempt may have run: only an idempotent request may be sent again.
+// The attempt may have run: only an idempotent request may be sent again. An
+// answer that cannot be continued starts anew.
 IdempotentLife::Commands IdempotentLife::AfterLoss(OutcomeReason reason) {
-  if (!plan_.idempotent) {
-    return End({OutcomeKind::kUnknown, reason, Duration(0), {}});
+  phase_ = Phase::kChoosing;
+  may_have_run_ = true;
+  if (!plan_.idempotent || reason == OutcomeReason::kDeadline) {
+    return End(Failure(reason, Duration(0)));
   }
-  Commands commands = {CancelAttempt{target_, attempt_}};
-  attempt_open_ = false;
-  Commands retry =
-      RetryElsewhere({OutcomeKind::kNotRun, reason, Duration(0), {}});
+  if (!plan_.can_continue) delivered_text_.clear();
+  return RetryElsewhere(reason, Duration(0));
+}
+
+IdempotentLife::Commands IdempotentLife::CancelAndRetry(OutcomeReason reason) {
+  Commands commands = {CancelAttempt{target_.target, attempt_}};
+  const Commands retry = AfterLoss(reason);
   commands.insert(commands.end(), retry.begin(), retry.end());
   return commands;
 }
 
+void IdempotentLife::BlameTarget() {
+  avoid_.push_back(target_.target);
+  failed_lives_.push_back({target_.target, target_.incarnation});
+}
+
+// A request that was given to a target and not refused may have run, and is
+// never reported as not run.
+Outcome IdempotentLife::Failure(OutcomeReason reason,
+                                Duration retry_after) const {
+  const bool ran = may_have_run_ || phase_ == Phase::kRunning;
+  return {ran ? OutcomeKind::kUnknown : OutcomeKind::kNotRun,
+          reason,
+          retry_after > Duration(0) ? retry_after : kDefaultRetryAfter,
+          {},
+          plan_.idempotent};
+}
+
 IdempotentLife::Commands IdempotentLife::End(Outcome outcome) {
   Commands commands;
-  if (attempt_open_) commands.push_back(CancelAttempt{target_, attempt_});
-  attempt_open_ = false;
-  over_ = true;
+  if (phase_ == Phase::kRunning) {
+    commands.push_back(CancelAttempt{target_.target, attempt_});
+  }
+  phase_ = Phase::kOver;
+  wake_at_ = TimePoint::max();
   commands.push_back(GiveOutcome{std::move(outcome)});
   return commands;
 }
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -48,6 +48,20 @@
               "A message did not decode and was dropped."},
     EventSpec{EventId::kRequestEnded, Severity::kDebug, "request_ended",
               "A request has its final outcome."},
+    EventSpec{EventId::kTargetCrashed, Severity::kWarning, "target_crashed",
+              "A run broke and the target's life has ended."},
+    EventSpec{EventId::kCrashSuspects, Severity::kWarning, "crash_suspects",
+              "Requests in flight at a crash run alone from now on."},
+    EventSpec{EventId::kQuarantined, Severity::kError, "quarantined",
+              "A request crashed a target while it ran alone; it is refused "
+              "for a time."},
+    EventSpec{EventId::kQuarantineLifted, Severity::kInfo, "quarantine_lifted",
+              "An operator lifted a quarantine."},
+    EventSpec{EventId::kQuarantineUnwritten, Severity::kWarning,
+              "quarantine_unwritten",
+              "A quarantine is in force but not yet in the platform."},
+    EventSpec{EventId::kRunHandedOver, Severity::kInfo, "run_handed_over",
+              "A run of a draining agent continues at another target."},
 };
 
 log4cplus::LogLevel LevelOf(Severity severity) {
--- a/src/libutil/program.cc
+++ b/src/libutil/program.cc
@@ -125,6 +125,13 @@
                                     httplib::Response& response) {
       response.set_content(handlers_.snapshot().dump(), "application/json");
     });
+    for (const auto& [path, command] : handlers_.commands) {
+      server_.Post(path, [&command = command](const httplib::Request& request,
+                                              httplib::Response& response) {
+        const auto body = nlohmann::json::parse(request.body, nullptr, false);
+        response.status = command(body) ? 200 : 400;
+      });
+    }
   }
 
   ~Impl() {
