--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -193,10 +193,18 @@
         settings = {"id": name, "caller_address": f"{HOST}:{port}", "ops_address": f"{HOST}:{ops_port}",
                     "platform": {"address": f"{HOST}:{self.platform_port}"}}
         settings.update(extra or {})
+        ops_port = int(settings["ops_address"].rsplit(":", 1)[1])
         router = Router(self.daemon("dogwoodlatch-router", name, settings), port, ops_port)
         self.routers.append(router)
         return router
 
+    def add_routers(self, count):
+        """Routers that name each other as peers."""
+        ops_ports = [free_port() for _ in range(count)]
+        peers = [f"{HOST}:{port}" for port in ops_ports]
+        return [self.add_router(f"router-{number + 1}", {
+            "ops_address": peers[number], "peers": peers[:number] + peers[number + 1:]}) for number in range(count)]
+
     def wait_ready(self):
         for target in self.targets:
             wait_until(lambda t=target: request(t.ops_port, "GET", "/readyz")[0] == 200, target.id)
@@ -221,6 +229,35 @@
     }
 
 
+def two_engine_cluster(cluster, options=("--token-ms", "20"), agent_settings=None, routers=1):
+    """Two engines and some routers that know each other; returns the routers."""
+    cluster.put_object("settings/tengri", team())
+    for number in (1, 2):
+        cluster.add_engine(f"engine-{number}", options=options, agent_settings=agent_settings)
+    started = cluster.add_routers(routers)
+    cluster.wait_ready()
+    return started
+
+
+def serving_target(cluster):
+    """The target that runs a request now, or None."""
+    for target in cluster.targets:
+        if target.agent.child.poll() is None:
+            if json.loads(request(target.ops_port, "GET", "/status")[2])["running"] > 0:
+                return target
+    return None
+
+
+def running_requests(target):
+    """Requests at the agent of one target."""
+    return json.loads(request(target.ops_port, "GET", "/status")[2])["running"]
+
+
+def is_whole(text, reference):
+    """Whether a streamed text has every token of the reference once and in order."""
+    return text.split() == reference.split()
+
+
 def bearer(workspace):
     return {"Authorization": f"Bearer key-{workspace}", "Content-Type": "application/json"}
 
--- /dev/null
+++ b/testsuite/engine_killed_midstream/run.py
@@ -0,0 +1,51 @@
+"""kill -9 of the engine in mid-stream: the caller sees every token once and in order."""
+
+import sys
+import time
+
+from cluster import Cluster, is_whole, serving_target, stream_chat, two_engine_cluster
+
+TOKENS = 40
+KILL_AT = 10
+
+
+def run(bin_dir):
+    with Cluster(bin_dir) as cluster:
+        router = two_engine_cluster(cluster)[0]
+        reference, _, _ = stream_chat(router.port, "tengri", "explain the log", TOKENS)
+        killed = []
+
+        def kill_engine(part):
+            if part == KILL_AT:
+                target = serving_target(cluster)
+                target.process.kill()
+                killed.append(target)
+
+        text, done, error = stream_chat(router.port, "tengri", "explain the log", TOKENS, kill_engine)
+        print("killed", len(killed), "engine")
+        print("whole and in order", is_whole(text, reference), "words", len(text.split()), "done", done, "error", error)
+
+        # The last engine dies too: nothing can hide it, and the answer comes at once.
+        killed_at = []
+
+        def kill_last(part):
+            if part == KILL_AT:
+                serving_target(cluster).process.kill()
+                killed_at.append(time.monotonic())
+
+        text, done, error = stream_chat(router.port, "tengri", "explain the log", TOKENS, kill_last)
+        took = time.monotonic() - killed_at[0]
+        print("crash to final answer %.0f ms" % (took * 1000), file=sys.stderr)
+        print("no replica left: done", done, error["error"]["type"], "come back", error["error"]["retry_after_ms"] > 0)
+
+        # The engine comes back empty, as another incarnation, and serves again.
+        killed[0].process.restart()
+        wait_for_answer(router, reference)
+
+
+def wait_for_answer(router, reference):
+    end = time.monotonic() + 10
+    text = ""
+    while not is_whole(text, reference) and time.monotonic() < end:
+        text, _, _ = stream_chat(router.port, "tengri", "explain the log", TOKENS)
+    print("served after the return", is_whole(text, reference))
--- /dev/null
+++ b/testsuite/router_killed_midstream/run.py
@@ -0,0 +1,29 @@
+"""kill -9 of the router in mid-stream: the resend through the other router is whole, and the first run is cancelled."""
+
+import contextlib
+import http.client
+
+from cluster import Cluster, is_whole, running_requests, stream_chat, two_engine_cluster, wait_until
+
+TOKENS = 60
+KILL_AT = 10
+
+
+def run(bin_dir):
+    with Cluster(bin_dir) as cluster:
+        routers = two_engine_cluster(cluster, routers=2)
+        reference, _, _ = stream_chat(routers[1].port, "tengri", "explain the log", TOKENS)
+
+        def kill_router(part):
+            if part == KILL_AT:
+                routers[0].process.kill()
+
+        done = False
+        with contextlib.suppress(http.client.HTTPException, OSError):
+            _, done, _ = stream_chat(routers[0].port, "tengri", "explain the log", TOKENS, kill_router)
+        print("first answer whole", done)
+
+        text, done, error = stream_chat(routers[1].port, "tengri", "explain the log", TOKENS)
+        print("resend whole and in order", is_whole(text, reference), "done", done, "error", error)
+        wait_until(lambda: sum(running_requests(t) for t in cluster.targets) == 0, "the runs to end")
+        print("nothing runs on")
