--- /dev/null
+++ b/src/libdogwoodlatch/agent_core_test.cc
@@ -0,0 +1,90 @@
+#include "dogwoodlatch/agent_core.h"
+
+#include <catch2/catch.hpp>
+
+namespace dogwoodlatch {
+namespace {
+
+const TimePoint kStart{std::chrono::hours(1)};
+
+Submit MakeOrder(const std::string& request, uint64_t digest, bool alone) {
+  Submit order;
+  order.request_id.value = request;
+  order.attempt = 1;
+  order.incarnation.value = "a/b";
+  order.weights_version = "v1";
+  order.time_left = std::chrono::seconds(1);
+  order.digest = digest;
+  order.run_alone = alone;
+  return order;
+}
+
+AgentCore MakeCore() {
+  AgentCore core(AgentLimits{8});
+  core.SetTarget({{"a/b"}, "v1", true, 1000});
+  return core;
+}
+
+std::optional<RefusalReason> Refusal(AgentCore& core, const Submit& order,
+                                     TimePoint now = kStart) {
+  const auto refused = core.Admit(order, now);
+  if (!refused) return std::nullopt;
+  return refused->reason;
+}
+
+}  // namespace
+
+TEST_CASE("a suspect runs alone, after what ran before it") {
+  AgentCore core = MakeCore();
+  const Submit innocent = MakeOrder("r1", 1, false);
+  const Submit suspect = MakeOrder("r2", 2, true);
+  CHECK_FALSE(Refusal(core, innocent));
+  CHECK(Refusal(core, suspect) == RefusalReason::kBusyAlone);
+  // The target runs empty for the suspect.
+  CHECK(Refusal(core, MakeOrder("r3", 3, false)) == RefusalReason::kBusyAlone);
+  CHECK(Refusal(core, MakeOrder("r4", 4, true)) == RefusalReason::kBusyAlone);
+  core.OnEnded(innocent);
+  CHECK_FALSE(Refusal(core, suspect));
+  CHECK(Refusal(core, MakeOrder("r3", 3, false)) == RefusalReason::kBusyAlone);
+  core.OnEnded(suspect);
+  CHECK_FALSE(Refusal(core, MakeOrder("r3", 3, false)));
+}
+
+TEST_CASE("a suspect that stops asking frees the target") {
+  AgentCore core = MakeCore();
+  CHECK_FALSE(Refusal(core, MakeOrder("r1", 1, false)));
+  CHECK(Refusal(core, MakeOrder("r2", 2, true)) == RefusalReason::kBusyAlone);
+  const TimePoint later = kStart + std::chrono::seconds(5);
+  CHECK_FALSE(Refusal(core, MakeOrder("r3", 3, false), later));
+}
+
+TEST_CASE("every attempt that a crash broke names the same suspects") {
+  AgentCore core = MakeCore();
+  const Submit first = MakeOrder("r1", 1, false);
+  CHECK_FALSE(Refusal(core, first));
+  CHECK_FALSE(Refusal(core, MakeOrder("r2", 2, false)));
+  CHECK(core.OnCrash({"a/b"}) == std::vector<uint64_t>{1, 2});
+  core.OnEnded(first);
+  CHECK(core.OnCrash({"a/b"}) == std::vector<uint64_t>{1, 2});
+  // The dead life takes nothing more, ahead of the next health check.
+  CHECK(Refusal(core, MakeOrder("r3", 3, false)) ==
+        RefusalReason::kStaleIncarnation);
+}
+
+TEST_CASE("late, stale and repeated orders are not run") {
+  AgentCore core = MakeCore();
+  Submit order = MakeOrder("r1", 1, false);
+  order.time_left = Duration(0);
+  CHECK(Refusal(core, order) == RefusalReason::kOverloaded);
+  order = MakeOrder("r1", 1, false);
+  order.weights_version = "v0";
+  CHECK(Refusal(core, order) == RefusalReason::kStaleWeights);
+  order = MakeOrder("r1", 1, false);
+  CHECK_FALSE(core.IsRepeat(order));
+  CHECK_FALSE(Refusal(core, order));
+  CHECK(core.IsRepeat(order));
+  core.StartDraining();
+  CHECK(Refusal(core, MakeOrder("r2", 2, false)) == RefusalReason::kDraining);
+}
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/src/libdogwoodlatch/retry_budget_test.cc
@@ -0,0 +1,45 @@
+#include "dogwoodlatch/retry_budget.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+
+namespace dogwoodlatch {
+
+TEST_CASE("retries stay within a share of recent traffic") {
+  rc::prop("the bound holds over any span", [] {
+    const RetryBudgetLimits limits{0.2, 2, 5};
+    RetryBudget budget(limits);
+    TimePoint now{std::chrono::hours(1)};
+    // Over every span the retries are bounded by what was saved at its start
+    // and what came in during it.
+    double allowance = limits.max_saved;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 6));
+    for (const int step : steps) {
+      const std::chrono::milliseconds pause(step * 20);
+      now += pause;
+      allowance += limits.per_second * static_cast<double>(pause.count()) / 1e3;
+      if (step == 0) {
+        budget.OnFirstAttempt(now);
+        allowance += limits.share;
+      } else if (budget.Withdraw(now)) {
+        allowance -= 1;
+      }
+      RC_ASSERT(allowance > -1e-6);
+    }
+  });
+}
+
+TEST_CASE("a spent budget refills with traffic and with time") {
+  RetryBudget budget({0.5, 1, 1});
+  const TimePoint start{std::chrono::hours(1)};
+  CHECK(budget.Withdraw(start));
+  CHECK_FALSE(budget.Withdraw(start));
+  budget.OnFirstAttempt(start);
+  budget.OnFirstAttempt(start);
+  CHECK(budget.Withdraw(start));
+  CHECK(budget.Withdraw(start + std::chrono::seconds(1)));
+}
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/testsuite/agent_paused/run.py
@@ -0,0 +1,28 @@
+"""SIGSTOP of the agent in mid-stream: the answer goes on elsewhere; what the agent sends after SIGCONT is dropped."""
+
+import signal
+
+from cluster import Cluster, is_whole, running_requests, serving_target, stream_chat, two_engine_cluster, wait_until
+
+TOKENS = 60
+PAUSE_AT = 10
+RESUME_AT = 30
+
+
+def run(bin_dir):
+    with Cluster(bin_dir) as cluster:
+        router = two_engine_cluster(cluster, router_settings={"retry": {"part_timeout_ms": 400}})[0]
+        reference, _, _ = stream_chat(router.port, "tengri", "explain the log", TOKENS)
+        paused = []
+
+        def pause_and_resume(part):
+            if part == PAUSE_AT:
+                paused.append(serving_target(cluster))
+                paused[0].agent.send(signal.SIGSTOP)
+            if part == RESUME_AT:
+                paused[0].agent.send(signal.SIGCONT)
+
+        text, done, error = stream_chat(router.port, "tengri", "explain the log", TOKENS, pause_and_resume)
+        print("whole and in order", is_whole(text, reference), "words", len(text.split()), "done", done, "error", error)
+        wait_until(lambda: running_requests(paused[0]) == 0, "the late run to be cancelled")
+        print("served after the pause", stream_chat(router.port, "tengri", "explain the log", TOKENS)[0] == reference)
--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -198,12 +198,13 @@
         self.routers.append(router)
         return router
 
-    def add_routers(self, count):
+    def add_routers(self, count, extra=None):
         """Routers that name each other as peers."""
         ops_ports = [free_port() for _ in range(count)]
         peers = [f"{HOST}:{port}" for port in ops_ports]
-        return [self.add_router(f"router-{number + 1}", {
-            "ops_address": peers[number], "peers": peers[:number] + peers[number + 1:]}) for number in range(count)]
+        return [self.add_router(f"router-{number + 1}",
+                                {"ops_address": own, "peers": [peer for peer in peers if peer != own], **(extra or {})})
+                for number, own in enumerate(peers)]
 
     def wait_ready(self):
         for target in self.targets:
@@ -229,12 +230,13 @@
     }
 
 
-def two_engine_cluster(cluster, options=("--token-ms", "20"), agent_settings=None, routers=1):
+def two_engine_cluster(cluster, options=("--token-ms", "20"), agent_settings=None, routers=1,
+                       router_settings=None):
     """Two engines and some routers that know each other; returns the routers."""
     cluster.put_object("settings/tengri", team())
     for number in (1, 2):
         cluster.add_engine(f"engine-{number}", options=options, agent_settings=agent_settings)
-    started = cluster.add_routers(routers)
+    started = cluster.add_routers(routers, router_settings)
     cluster.wait_ready()
     return started
 
