--- a/src/dogwoodlatch-agent/agent.cc
+++ b/src/dogwoodlatch-agent/agent.cc
@@ -49,11 +49,13 @@
   return true;
 }
 
+void Agent::StartDraining() {
+  const std::lock_guard lock(mutex_);
+  core_.StartDraining();
+}
+
 void Agent::DrainAndStop() {
-  {
-    const std::lock_guard lock(mutex_);
-    core_.StartDraining();
-  }
+  StartDraining();
   const TimePoint start = SteadyNow();
   const TimePoint end = start + settings_.drain_timeout;
   if (WaitUntilIdle(std::min(start + settings_.handover_after, end))) return;
--- a/src/dogwoodlatch-agent/agent.h
+++ b/src/dogwoodlatch-agent/agent.h
@@ -27,6 +27,9 @@
   // False when the address cannot be bound.
   bool Start();
 
+  // Refuses new work from now on, and goes on with what runs.
+  void StartDraining();
+
   // Refuses new work and finishes what runs. What still runs after a bound is
   // handed over to another target, if it is idempotent. Returns after the drain
   // time-out at the latest; connections close later, with the agent itself.
--- a/src/dogwoodlatch-agent/main.cc
+++ b/src/dogwoodlatch-agent/main.cc
@@ -16,6 +16,11 @@
   handlers.is_ready = [&agent] { return agent.is_ready(); };
   handlers.metrics = [&agent] { return agent.Metrics(); };
   handlers.status = [&agent] { return agent.Status(); };
+  // For a VM that is leaving: the VM list reaches routers late.
+  handlers.commands["/drain"] = [&agent](const nlohmann::json&) {
+    agent.StartDraining();
+    return true;
+  };
   OpsServer ops(settings.ops_address, handlers);
   if (!agent.Start() || !ops.Start()) {
     LogEvent(EventId::kListenFailed, {{"router", settings.router_address},
--- a/src/libdogwoodlatch/agent_core.cc
+++ b/src/libdogwoodlatch/agent_core.cc
@@ -52,15 +52,11 @@
 std::vector<uint64_t> AgentCore::OnCrash(const Incarnation& incarnation) {
   if (crashed_ != incarnation) {
     crashed_ = incarnation;
-    crash_suspects_.clear();
+    std::set<uint64_t> digests;
     for (const auto& [key, running] : running_) {
-      if (running.incarnation == incarnation) {
-        crash_suspects_.push_back(running.digest);
-      }
+      if (running.incarnation == incarnation) digests.insert(running.digest);
     }
-    std::ranges::sort(crash_suspects_);
-    const auto same = std::ranges::unique(crash_suspects_);
-    crash_suspects_.erase(same.begin(), same.end());
+    crash_suspects_.assign(digests.begin(), digests.end());
   }
   if (target_.incarnation == incarnation) target_ = {};
   return crash_suspects_;
--- /dev/null
+++ b/src/libdogwoodlatch/outcomes_fuzz_routers.h
@@ -0,0 +1,264 @@
+/// The fuzz world's routers: they feed the real request lives and carry out
+/// their commands.
+#pragma once
+
+#include "outcomes_fuzz_world.h"
+
+namespace dogwoodlatch::fuzz {
+
+inline void World::NewRequest(bool poison, uint32_t choice) {
+  Request request;
+  request.poison = poison;
+  request.words = 3 + choice % 6;
+  request.router = choice % routers_.size();
+  // Callers send a poison request again, through any router, once it ended.
+  if (poison) {
+    const bool running = std::ranges::any_of(requests_, [](const Request& r) {
+      return r.poison && r.outcomes.empty();
+    });
+    if (running) return;
+    if (choice % 7 == 0) ++next_poison_;
+    request.digest = 1000000 + next_poison_;
+  } else {
+    request.digest = requests_.size() + 1;
+  }
+  Open(std::move(request), choice + 1);
+}
+
+inline void World::Open(Request request, uint64_t seed) {
+  Router& router = routers_[request.router];
+  RequestPlan plan;
+  plan.request_id.value = "r" + std::to_string(requests_.size());
+  plan.idempotent = true;
+  plan.deadline = now_ + std::chrono::seconds(5);
+  plan.suspicion = router.quarantine.Find(request.digest, now_);
+  plan.random_seed = seed;
+  plan.retry.first_part_timeout = std::chrono::seconds(1);
+  plan.retry.part_timeout = std::chrono::milliseconds(500);
+  request.deadline = plan.deadline;
+  request.life = std::make_unique<IdempotentLife>(plan);
+  router.budget.OnFirstAttempt(now_);
+  const size_t index = requests_.size();
+  requests_.push_back(std::move(request));
+  requests_[index].life->Advance(now_);
+  Execute(index, requests_[index].life->Start());
+}
+
+inline void World::Feed(size_t request, const RequestEvent& event) {
+  requests_[request].life->Advance(now_);
+  Execute(request, requests_[request].life->Handle(event));
+}
+
+inline void World::Execute(size_t index, std::vector<RequestCommand> commands) {
+  for (RequestCommand& command : commands) {
+    Request& request = requests_[index];
+    if (auto* choose = std::get_if<ChooseTargetCommand>(&command)) {
+      Feed(index, Choose(index, *choose));
+    } else if (auto* send = std::get_if<SendAttempt>(&command)) {
+      SendOrder(index, *send);
+    } else if (auto* cancel = std::get_if<CancelAttempt>(&command)) {
+      const size_t target = std::stoul(cancel->target.value.substr(1));
+      to_agents_.push_back(
+          {target, targets_[target].connection, index,
+           Cancel{{"r" + std::to_string(index)}, cancel->attempt}});
+      request.target.reset();
+    } else if (auto* deliver = std::get_if<Deliver>(&command)) {
+      if (!request.outcomes.empty()) request.told_after_outcome = true;
+      request.told += deliver->data;
+    } else if (auto* give = std::get_if<GiveOutcome>(&command)) {
+      GiveOutcomeTo(index, std::move(give->outcome));
+    }
+  }
+  CheckPending(index);
+}
+
+inline void World::CheckPending(size_t index) {
+  const Request& request = requests_[index];
+  if (!request.outcomes.empty() || request.target) return;
+  if (request.life->WakeAt() > now_ + std::chrono::milliseconds(500)) {
+    late_outcome_ = "request " + std::to_string(index) + " is held back";
+  }
+}
+
+inline void World::GiveOutcomeTo(size_t index, Outcome outcome) {
+  Request& request = requests_[index];
+  request.target.reset();
+  const bool may_have_run = outcome.kind == OutcomeKind::kUnknown;
+  if (mutation_ == Mutation::kClaimNotRun && may_have_run) {
+    outcome.kind = OutcomeKind::kNotRun;
+  }
+  if (mutation_ == Mutation::kHoldOutcome &&
+      outcome.kind != OutcomeKind::kComplete && now_ < request.deadline) {
+    request.held.push_back(outcome);
+    return;
+  }
+  request.outcomes.push_back(outcome);
+  if (mutation_ == Mutation::kRepeatOutcome) {
+    request.outcomes.push_back(outcome);
+  }
+}
+
+inline RequestEvent World::Choose(size_t index,
+                                  const ChooseTargetCommand& command) {
+  Router& router = routers_[requests_[index].router];
+  if (command.spends_budget && !router.budget.Withdraw(now_)) {
+    return NoTargetFound{Duration(0), OutcomeReason::kRetryBudget};
+  }
+  std::optional<TargetChosen> best;
+  uint32_t best_running = 0;
+  for (size_t i = 0; i < targets_.size(); ++i) {
+    const Target& target = targets_[i];
+    if (router.leaving.contains(i) || target.agent_paused ||
+        std::ranges::find(command.avoid, target.id) != command.avoid.end()) {
+      continue;
+    }
+    const bool is_late = router.old_replies.contains(i) &&
+                         (requests_.size() + ran_.size() + i) % 4 == 0;
+    const ProbeReply reply =
+        is_late ? router.old_replies[i] : target.core->Answer({});
+    router.old_replies[i] = target.core->Answer({});
+    if (reply.draining || !reply.healthy) continue;
+    if (best && reply.running >= best_running) continue;
+    best = TargetChosen{target.id, reply.incarnation, reply.weights_version,
+                        router.quarantine.Find(requests_[index].digest, now_)};
+    best_running = reply.running;
+  }
+  if (!best) return NoTargetFound{};
+  return *best;
+}
+
+inline void World::SendOrder(size_t index, const SendAttempt& command) {
+  Request& request = requests_[index];
+  const size_t target = std::stoul(command.target.value.substr(1));
+  request.target = target;
+  request.attempt = command.attempt;
+  request.alone = command.run_alone;
+  request.parts_fed = 0;
+  Submit order;
+  order.request_id.value = "r" + std::to_string(index);
+  order.attempt = command.attempt;
+  order.incarnation = command.incarnation;
+  order.weights_version = command.weights_version;
+  order.time_left = request.deadline - now_;
+  order.idempotent = true;
+  order.digest = request.digest;
+  order.delivered_text = command.delivered_text;
+  order.run_alone = command.run_alone;
+  to_agents_.push_back({target, targets_[target].connection, index, order});
+}
+
+inline void World::RestartRouter(size_t index) {
+  routers_[index] = Router{};
+  const size_t count = requests_.size();
+  for (size_t i = 0; i < count; ++i) {
+    Request& request = requests_[i];
+    if (request.router != index || !request.outcomes.empty()) continue;
+    if (request.abandoned) continue;
+    request.abandoned = true;
+    request.target.reset();
+    std::erase_if(to_routers_, [i](const auto& m) { return m.request == i; });
+    std::erase_if(to_agents_, [i](const auto& m) { return m.request == i; });
+    for (Target& target : targets_) {
+      std::erase_if(target.runs, [&](const Run& run) {
+        if (run.request == i) target.core->OnEnded(run.order);
+        return run.request == i;
+      });
+    }
+    Resend(i);
+  }
+}
+
+inline void World::Resend(size_t index) {
+  Request again;
+  again.digest = requests_[index].digest;
+  again.words = requests_[index].words;
+  again.router = (requests_[index].router + 1) % routers_.size();
+  Open(std::move(again), index + 1);
+}
+
+inline void World::Tick(Duration span) {
+  now_ += span;
+  for (size_t i = 0; i < requests_.size(); ++i) {
+    Request& request = requests_[i];
+    if (!request.outcomes.empty() || request.abandoned) continue;
+    if (!request.held.empty() && now_ >= request.deadline) {
+      request.outcomes = std::exchange(request.held, {});
+    } else if (now_ >= request.deadline) {
+      Feed(i, DeadlineReached{});
+    } else if (now_ >= request.life->WakeAt()) {
+      request.life->Advance(now_);
+      Execute(i, request.life->OnTimer());
+    }
+  }
+}
+
+inline void World::DeliverToRouter(size_t index) {
+  if (index >= to_routers_.size()) return;
+  const ToRouter mail = to_routers_[index];
+  to_routers_.erase(to_routers_.begin() + static_cast<std::ptrdiff_t>(index));
+  if (mail.connection != targets_[mail.target].connection) return;
+  if (requests_[mail.request].abandoned) return;
+  size_t request = mail.request;
+  if (mutation_ == Mutation::kAcceptOtherAnswer) {
+    request = (request + 1) % requests_.size();
+    if (requests_[request].abandoned) return;
+  }
+  const RequestEvent event = Mutated(request, mail.event);
+  if (const auto* broken = std::get_if<Broken>(&event)) {
+    TellCrash(request, *broken);
+  } else if (const auto* finished = std::get_if<Finished>(&event)) {
+    const Request& owner = requests_[request];
+    if (owner.alone && finished->attempt == owner.attempt) {
+      for (Router& r : routers_) r.quarantine.Clear(owner.digest);
+    }
+  }
+  const bool is_part = std::holds_alternative<Chunk>(event);
+  if (is_part) ++requests_[request].parts_fed;
+  if (!is_part && AttemptOf(event) == requests_[request].attempt) {
+    requests_[request].target.reset();
+  }
+  Feed(request, event);
+}
+
+inline void World::TellCrash(size_t index, const Broken& broken) {
+  if (broken.cause != BreakCause::kTargetCrashed) return;
+  if (mutation_ == Mutation::kForgetSuspects) return;
+  const Request& request = requests_[index];
+  Router& router = routers_[request.router];
+  std::vector<QuarantineEntry> changed;
+  if (mutation_ == Mutation::kBlameAll) {
+    for (const uint64_t digest : broken.crash_suspects) {
+      const std::vector<uint64_t> one = {digest};
+      for (const auto& e : router.quarantine.OnCrash(one, true, now_)) {
+        changed.push_back(e);
+      }
+    }
+  } else {
+    const bool alone = request.alone && broken.attempt == request.attempt;
+    changed = router.quarantine.OnCrash(broken.crash_suspects, alone, now_);
+  }
+  for (Router& peer : routers_) {
+    for (const auto& entry : changed) peer.quarantine.Adopt(entry, now_);
+  }
+}
+
+inline RequestEvent World::Mutated(size_t index, RequestEvent event) {
+  const Request& request = requests_[index];
+  if (auto* chunk = std::get_if<Chunk>(&event)) {
+    if (mutation_ == Mutation::kIgnoreSequence) {
+      chunk->sequence = request.parts_fed;
+    }
+    if (mutation_ == Mutation::kAcceptOtherAnswer) {
+      chunk->request_id.value = "r" + std::to_string(index);
+      chunk->attempt = request.attempt;
+    }
+  }
+  const auto* broken = std::get_if<Broken>(&event);
+  if (mutation_ == Mutation::kCutOnHandOver && broken != nullptr &&
+      broken->cause == BreakCause::kHandedOver) {
+    return DeadlineReached{};
+  }
+  return event;
+}
+
+}  // namespace dogwoodlatch::fuzz
--- /dev/null
+++ b/src/libdogwoodlatch/outcomes_fuzz_targets.h
@@ -0,0 +1,298 @@
+/// The fuzz world's targets: the real agent cores, a fake of the engine, and
+/// the faults.
+#pragma once
+
+#include "outcomes_fuzz_world.h"
+
+namespace dogwoodlatch::fuzz {
+
+inline World::World(Faults faults, Mutation mutation)
+    : faults_(faults), mutation_(mutation), targets_(3), routers_(2) {
+  // A refusal for overload is no cut: planned stops are judged without any.
+  limits_.max_running = faults == Faults::kPlannedStops ? 64 : 4;
+  for (size_t i = 0; i < targets_.size(); ++i) {
+    targets_[i].id.value = "t" + std::to_string(i);
+    targets_[i].core = std::make_unique<AgentCore>(limits_);
+    Poll(targets_[i]);
+  }
+}
+
+inline Incarnation World::LifeOf(const Target& target) const {
+  return JoinIncarnation(
+      target.id.value + "a" + std::to_string(target.agent_boot),
+      "b" + std::to_string(target.boot));
+}
+
+inline std::string World::WeightsOf(const Target& target) const {
+  return "v" + std::to_string(target.weights);
+}
+
+inline std::string World::Word(const Request& request, uint32_t index) const {
+  return std::to_string(request.digest) + "." + std::to_string(index) + " ";
+}
+
+inline std::string World::Expected(const Request& request) const {
+  std::string text;
+  for (uint32_t i = 0; i < request.words; ++i) text += Word(request, i);
+  return text;
+}
+
+inline void World::Take(const Step& step) {
+  if (step.kind < 9) return DeliverToAgent(0);
+  if (step.kind < 18) return DeliverToRouter(0);
+  if (step.kind < 26) return Progress(step.choice);
+  if (step.kind < 29) return Tick(std::chrono::milliseconds(20));
+  if (step.kind < 32) return NewRequest(false, step.choice);
+  if (step.kind < 33) return Poll(targets_[step.choice % targets_.size()]);
+  Fault(step);
+}
+
+inline void World::Fault(const Step& step) {
+  const size_t index = step.choice % targets_.size();
+  const uint32_t detail = step.choice / targets_.size();
+  Target& target = targets_[index];
+  const bool all = faults_ == Faults::kAll;
+  switch (step.kind) {
+    case 33:  // a target leaves, or a left one comes back
+      if (faults_ == Faults::kCrashes) return;
+      if (target.draining) {
+        if (target.runs.empty()) RestartAgent(index);
+      } else if (std::ranges::count(targets_, true, &Target::draining) == 0) {
+        target.draining = true;
+        if (mutation_ != Mutation::kIgnoreDraining) {
+          target.core->StartDraining();
+        }
+      }
+      return;
+    case 34:
+      if (target.draining) HandOver(index);
+      return;
+    case 35:  // the VM list reaches one router
+      routers_[detail % routers_.size()].leaving.clear();
+      if (target.draining) {
+        routers_[detail % routers_.size()].leaving.insert(index);
+      }
+      return;
+    case 36:
+      if (faults_ == Faults::kPlannedStops) return;
+      if (target.up && detail % 2 == 0) {
+        NoteAccident(target);
+        CrashEngine(index);
+      }
+      target.up = true;  // crashed and back, unless the crash lasts
+      if (detail % 3 == 0) return;
+      return Poll(target);
+    case 37:
+      if (faults_ == Faults::kCrashes) return NewRequest(true, step.choice);
+      if (!all) return;
+      if (detail % 4 == 0) return RestartAgent(index);
+      target.agent_paused = detail % 4 == 1;
+      if (detail % 4 == 2) ++target.weights;
+      if (detail % 4 == 3) RestartRouter(detail / 4 % routers_.size());
+      return;
+    case 38:  // a message is lost, or comes twice
+      if (!all) return;
+      if (detail % 2 == 0 && !to_routers_.empty()) to_routers_.pop_front();
+      if (detail % 2 == 1 && !to_routers_.empty()) {
+        to_routers_.push_back(to_routers_.front());
+      }
+      return;
+    default:  // messages are crossed
+      if (!all) return;
+      if (!to_agents_.empty()) DeliverToAgent(detail % to_agents_.size());
+      if (!to_routers_.empty()) DeliverToRouter(detail % to_routers_.size());
+  }
+}
+
+// A request without an open attempt is either over or acts again shortly.
+
+// The probe is answered at once or, now and then, by an answer from earlier.
+
+inline void World::DeliverToAgent(size_t index) {
+  if (index >= to_agents_.size()) return;
+  const ToAgent mail = to_agents_[index];
+  Target& target = targets_[mail.target];
+  const bool is_lost = mail.connection != target.connection;
+  if (target.agent_paused && !is_lost) return;
+  to_agents_.erase(to_agents_.begin() + static_cast<std::ptrdiff_t>(index));
+  if (is_lost) return;
+  if (const auto* cancel = std::get_if<Cancel>(&mail.message)) {
+    for (size_t i = 0; i < target.runs.size(); ++i) {
+      const Submit& order = target.runs[i].order;
+      if (order.request_id == cancel->request_id &&
+          order.attempt == cancel->attempt) {
+        return EndRun(target, mail.target, i,
+                      Broken{order.request_id,
+                             order.attempt,
+                             target.runs[i].next_sequence,
+                             BreakCause::kCancelled,
+                             {}});
+      }
+    }
+    return;
+  }
+  StartRun(target, mail.target, mail);
+}
+
+inline void World::StartRun(Target& target, size_t index, const ToAgent& mail) {
+  Submit order = std::get<Submit>(mail.message);
+  if (target.core->IsRepeat(order)) return;
+  if (mutation_ == Mutation::kIgnoreIdentity) {
+    order.incarnation = target.core->target().incarnation;
+    order.weights_version = target.core->target().weights_version;
+  }
+  const size_t router = requests_[mail.request].router;
+  std::optional<Refused> refused = target.core->Admit(order, now_);
+  order = std::get<Submit>(mail.message);
+  // The engine refuses the connection: nothing ran.
+  if (!refused && !target.up) {
+    target.core->OnEnded(order);
+    refused = Refused{order.request_id, order.attempt,
+                      RefusalReason::kTargetDown, Duration(0), ""};
+  }
+  if (refused) {
+    to_routers_.push_back({index, target.connection, mail.request, *refused});
+    return;
+  }
+  ran_.push_back({mail.request, order.digest, target.draining});
+  const auto words =
+      static_cast<uint32_t>(std::ranges::count(order.delivered_text, ' '));
+  target.runs.push_back({order, mail.request, router, words, 0});
+  if (requests_[mail.request].poison) {
+    ++crashes_[order.digest];
+    CrashEngine(index);
+  }
+}
+
+inline void World::Progress(uint32_t choice) {
+  const size_t index = choice % targets_.size();
+  Target& target = targets_[index];
+  if (target.agent_paused || target.runs.empty()) return;
+  const size_t run_index = (choice / targets_.size()) % target.runs.size();
+  Run& run = target.runs[run_index];
+  const Submit& order = run.order;
+  const std::string boot = "b" + std::to_string(target.boot);
+  // The agent compares what the engine says of itself with the order.
+  if (mutation_ != Mutation::kIgnoreIdentity &&
+      !IsAnswerOf(order, boot, WeightsOf(target))) {
+    return EndRun(target, index, run_index,
+                  Broken{order.request_id,
+                         order.attempt,
+                         run.next_sequence,
+                         BreakCause::kTargetError,
+                         {}});
+  }
+  const Request& request = requests_[run.request];
+  if (run.next_word >= request.words) {
+    Finished finished;
+    finished.request_id = order.request_id;
+    finished.attempt = order.attempt;
+    finished.sequence = run.next_sequence;
+    return EndRun(target, index, run_index, finished);
+  }
+  parts_.push_back({LifeOf(target), WeightsOf(target), order.incarnation,
+                    order.weights_version});
+  to_routers_.push_back(
+      {index, target.connection, run.request,
+       Chunk{order.request_id, order.attempt, run.next_sequence++,
+             Word(request, run.next_word++)}});
+}
+
+inline void World::EndRun(Target& target, size_t index, size_t run_index,
+                          RequestEvent event) {
+  const Run run = target.runs[run_index];
+  target.runs.erase(target.runs.begin() +
+                    static_cast<std::ptrdiff_t>(run_index));
+  target.core->OnEnded(run.order);
+  to_routers_.push_back(
+      {index, target.connection, run.request, std::move(event)});
+}
+
+inline void World::NoteAccident(const Target& target) {
+  for (const Run& run : target.runs) {
+    if (run.order.run_alone) accidents_.insert(run.order.digest);
+  }
+}
+
+// The agent sees the engine's connections break.
+
+inline void World::CrashEngine(size_t index) {
+  Target& target = targets_[index];
+  target.up = false;
+  ++target.boot;
+  ReportRuns(index, BreakCause::kTargetCrashed);
+}
+
+inline void World::ReportRuns(size_t index, BreakCause cause) {
+  Target& target = targets_[index];
+  while (!target.runs.empty()) {
+    const Run& run = target.runs.front();
+    Broken broken{
+        run.order.request_id, run.order.attempt, run.next_sequence, cause, {}};
+    if (cause == BreakCause::kTargetCrashed) {
+      broken.crash_suspects = target.core->OnCrash(run.order.incarnation);
+    }
+    EndRun(target, index, 0, std::move(broken));
+  }
+}
+
+inline void World::HandOver(size_t index) {
+  ReportRuns(index, BreakCause::kHandedOver);
+}
+
+// All connections are lost, and the routers learn of it.
+
+inline void World::RestartAgent(size_t index) {
+  Target& target = targets_[index];
+  ++target.connection;
+  ++target.agent_boot;
+  target.draining = false;
+  target.agent_paused = false;
+  target.runs.clear();
+  target.core = std::make_unique<AgentCore>(limits_);
+  Poll(target);
+  for (size_t i = 0; i < requests_.size(); ++i) {
+    if (requests_[i].target == index) {
+      to_routers_.push_back(
+          {index, target.connection, i, ConnectionLost{requests_[i].attempt}});
+    }
+  }
+}
+
+// The router forgets everything; agents see its connections break and cancel,
+
+// and callers send again through the other router.
+
+inline void World::Poll(Target& target) {
+  if (target.agent_paused) return;
+  target.core->SetTarget(
+      target.up ? TargetState{LifeOf(target), WeightsOf(target), true, 1000}
+                : TargetState{});
+}
+
+// Routers tell each other at once.
+
+inline void World::Settle() {
+  for (size_t i = 0; i < targets_.size(); ++i) {
+    targets_[i].agent_paused = false;
+    targets_[i].up = true;
+    Poll(targets_[i]);
+    if (targets_[i].draining && targets_[i].runs.empty()) RestartAgent(i);
+  }
+  for (Router& router : routers_) router.leaving.clear();
+  constexpr int kTicks = 400;  // of 20 ms: past every deadline
+  for (int tick = 0; tick < kTicks; ++tick) {
+    while (!to_agents_.empty()) DeliverToAgent(0);
+    for (uint32_t i = 0; i < targets_.size(); ++i) {
+      targets_[i].up = true;
+      Poll(targets_[i]);
+      for (uint32_t n = 0; n < 12; ++n) {
+        Progress(i + static_cast<uint32_t>(targets_.size()) * n);
+      }
+    }
+    while (!to_routers_.empty()) DeliverToRouter(0);
+    Tick(std::chrono::milliseconds(20));
+  }
+}
+
+}  // namespace dogwoodlatch::fuzz
--- a/src/libdogwoodlatch/outcomes_fuzz_test.cc
+++ b/src/libdogwoodlatch/outcomes_fuzz_test.cc
@@ -7,6 +7,8 @@
 #include <random>
 
 #include "outcomes_fuzz_oracle.h"
+#include "outcomes_fuzz_routers.h"
+#include "outcomes_fuzz_targets.h"
 #include "outcomes_fuzz_world.h"
 
 namespace dogwoodlatch::fuzz {
