--- a/src/dogwoodlatch-router/crash_guard.cc
+++ b/src/dogwoodlatch-router/crash_guard.cc
@@ -67,12 +67,16 @@
   follow_thread_ = std::thread([this] { FollowPlatform(); });
 }
 
-void CrashGuard::Stop() {
+void CrashGuard::BeginStop() {
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
   }
   changed_.notify_all();
+}
+
+void CrashGuard::Stop() {
+  BeginStop();
   for (std::thread* thread : {&peer_thread_, &write_thread_, &follow_thread_}) {
     if (thread->joinable()) thread->join();
   }
--- a/src/dogwoodlatch-router/crash_guard.h
+++ b/src/dogwoodlatch-router/crash_guard.h
@@ -48,6 +48,8 @@
   CrashGuard& operator=(const CrashGuard&) = delete;
 
   void Start();
+  // Ends the threads once their calls return; Stop waits for them.
+  void BeginStop();
   void Stop();
 
   Suspicion Find(uint64_t digest) const;
--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds kDrainPoll{10};
 // How soon a caller that has gone is noticed while no part arrives.
 constexpr std::chrono::milliseconds kCallerPoll{100};
+constexpr Refusal kUnknownKey{401, "unknown_workspace_key",
+                              "no workspace has this key"};
 
 // The text whose prefixes engines cache; empty when the body has no messages.
 std::string PromptOf(const Json& body) {
@@ -32,6 +34,25 @@
   return prompt;
 }
 
+const WorkspaceSettings* FindWorkspace(const SettingsSnapshot& settings,
+                                       const Request& request) {
+  const std::string header = request.get_header_value("Authorization");
+  if (!header.starts_with(kBearer)) return nullptr;
+  return settings.FindWorkspaceByKey(Sha256Hex(header.substr(kBearer.size())));
+}
+
+// The next step. A caller that goes meanwhile ends an idempotent request; any
+// other runs on, since its key may be sent again for the answer.
+DriverStep NextWhileConnected(RequestDriver& driver) {
+  if (!driver.is_idempotent()) return driver.Next();
+  while (true) {
+    std::optional<DriverStep> step =
+        driver.NextBefore(SteadyNow() + kCallerPoll);
+    if (step) return std::move(*step);
+    if (!DoorServer::IsCallerConnected()) return driver.Abandon();
+  }
+}
+
 }  // namespace
 
 // Counts one request from its arrival to the end of its answer.
@@ -46,23 +67,23 @@
   std::atomic<int>& count_;
 };
 
+// What is known of one request before its outcome.
+struct HttpFront::Tally {
+  std::string serves;
+  WorkspaceId workspace;
+  TimePoint arrival;
+  std::optional<Duration> first_token;
+};
+
 HttpFront::HttpFront(const RouterSettings& settings, const PlatformSync& sync,
                      AgentLinks& links, CrashGuard& crash_guard)
     : settings_(settings),
       sync_(sync),
       links_(links),
       crash_guard_(crash_guard),
-      retry_budget_(settings.retry_budget) {
-  server_.new_task_queue = [this] {
-    return new httplib::ThreadPool(settings_.threads);
-  };
-  server_.set_payload_max_length(settings_.max_body_bytes);
-  server_.set_read_timeout(settings_.read_timeout);
-  server_.set_keep_alive_timeout(
-      std::chrono::duration_cast<std::chrono::seconds>(settings_.idle_timeout)
-          .count());
-  server_.set_keep_alive_max_count(std::numeric_limits<size_t>::max());
-  server_.set_tcp_nodelay(true);
+      retry_budget_(settings.retry_budget),
+      server_(settings.door,
+              [this](const Request& request) { return CheckAtDoor(request); }) {
   server_.set_error_handler(
       [](const Request&, Response& response) { DescribeBareError(response); });
   server_.Post("/v1/chat/completions",
@@ -104,10 +125,7 @@
 std::string HttpFront::Metrics() const {
   std::ostringstream out;
   out << "dogwoodlatch_requests_in_flight " << in_flight_.load() << "\n";
-  const std::lock_guard lock(counts_mutex_);
-  for (const auto& [labels, count] : outcome_counts_) {
-    out << "dogwoodlatch_requests_total{" << labels << "} " << count << "\n";
-  }
+  out << stats_.Metrics(SteadyNow());
   return out.str();
 }
 
@@ -189,23 +207,29 @@
   }
   auto in_flight = std::make_shared<InFlight>(in_flight_);
   const RequestKind kind = context.order.kind;
+  Tally tally{context.serves, context.order.workspace, SteadyNow(),
+              std::nullopt};
   response.set_header("X-Request-Id", context.order.request_id.value);
   auto driver = std::make_shared<RequestDriver>(
       std::move(context), links_, crash_guard_, retry_budget_, settings_);
-  DriverStep first = driver->Next();
+  DriverStep first = NextWhileConnected(*driver);
+  if (std::holds_alternative<std::string>(first)) {
+    tally.first_token = SteadyNow() - tally.arrival;
+  }
   if (stream && std::holds_alternative<std::string>(first)) {
-    return AnswerStreamed(driver, in_flight,
+    return AnswerStreamed(driver, in_flight, tally,
                           std::get<std::string>(std::move(first)), response);
   }
-  AnswerWhole(*driver, std::move(first), kind, response);
+  AnswerWhole(*driver, std::move(first), kind, tally, response);
 }
 
 void HttpFront::AnswerStreamed(const std::shared_ptr<RequestDriver>& driver,
                                const std::shared_ptr<InFlight>& in_flight,
-                               std::string first, Response& response) {
+                               const Tally& tally, std::string first,
+                               Response& response) {
   response.set_chunked_content_provider(
       "text/event-stream",
-      [this, driver, in_flight, pending = std::move(first)](
+      [this, driver, in_flight, tally, pending = std::move(first)](
           size_t, httplib::DataSink& sink) mutable {
         std::optional<DriverStep> step;
         if (pending.empty()) {
@@ -213,50 +237,55 @@
         } else {
           step = std::exchange(pending, "");
         }
-        const bool written = step ? WriteStep(*step, sink) : sink.is_writable();
-        if (!written) driver->Abandon();
+        const bool written =
+            step ? WriteStep(*driver, tally, *step, sink) : sink.is_writable();
+        const bool is_over = step && std::holds_alternative<Outcome>(*step);
+        if (!written && !is_over) Count(*driver, tally, driver->Abandon());
         return written;
       });
 }
 
-bool HttpFront::WriteStep(const DriverStep& step, httplib::DataSink& sink) {
+bool HttpFront::WriteStep(const RequestDriver& driver, const Tally& tally,
+                          const DriverStep& step, httplib::DataSink& sink) {
   const std::string event =
       std::visit([](const auto& s) { return StreamEvent(s); }, step);
   const bool written = sink.write(event.data(), event.size());
   if (const auto* outcome = std::get_if<Outcome>(&step)) {
-    Count(*outcome);
+    Count(driver, tally, *outcome);
     sink.done();
   }
   return written;
 }
 
 void HttpFront::AnswerWhole(RequestDriver& driver, DriverStep first,
-                            RequestKind kind, Response& response) {
+                            RequestKind kind, const Tally& tally,
+                            Response& response) {
   std::string answer;
   DriverStep step = std::move(first);
   while (const auto* data = std::get_if<std::string>(&step)) {
     answer += *data;
-    step = driver.Next();
+    step = NextWhileConnected(driver);
   }
   const Outcome& outcome = std::get<Outcome>(step);
-  Count(outcome);
+  Count(driver, tally, outcome);
   if (outcome.kind != OutcomeKind::kComplete) {
     return GiveError(response, outcome);
   }
   GiveWhole(response, outcome, kind, answer);
 }
 
+// A caller without a workspace's key has no body read.
+std::optional<Refusal> HttpFront::CheckAtDoor(const Request& request) const {
+  if (FindWorkspace(*sync_.settings(), request) != nullptr) return std::nullopt;
+  return kUnknownKey;
+}
+
 const WorkspaceSettings* HttpFront::Authenticate(
     const SettingsSnapshot& settings, const Request& request,
     Response& response) const {
-  const std::string header = request.get_header_value("Authorization");
-  const WorkspaceSettings* workspace = nullptr;
-  if (header.starts_with(kBearer)) {
-    workspace =
-        settings.FindWorkspaceByKey(Sha256Hex(header.substr(kBearer.size())));
-  }
+  const WorkspaceSettings* workspace = FindWorkspace(settings, request);
   if (workspace == nullptr) {
-    Reject(response, 401, "unknown_workspace_key", "no workspace has this key");
+    Reject(response, kUnknownKey.status, kUnknownKey.code, kUnknownKey.message);
   }
   return workspace;
 }
@@ -287,12 +316,11 @@
   return {MakeRandomHex(random_)};
 }
 
-void HttpFront::Count(const Outcome& outcome) {
-  const std::string labels =
-      "outcome=\"" + std::string(ToString(outcome.kind)) + "\",reason=\"" +
-      std::string(ToString(outcome.reason)) + "\"";
-  const std::lock_guard lock(counts_mutex_);
-  ++outcome_counts_[labels];
+void HttpFront::Count(const RequestDriver& driver, const Tally& tally,
+                      const Outcome& outcome) {
+  const SloSample sample{tally.serves, tally.workspace, driver.target(),
+                         outcome.kind, outcome.reason,  tally.first_token};
+  stats_.Record(*sync_.settings(), sample, outcome, SteadyNow());
 }
 
 }  // namespace dogwoodlatch::router
--- a/src/dogwoodlatch-router/main.cc
+++ b/src/dogwoodlatch-router/main.cc
@@ -12,7 +12,8 @@
 namespace dogwoodlatch::router {
 namespace {
 
-OpsHandlers MakeOpsHandlers(const PlatformSync& sync, const HttpFront& front,
+OpsHandlers MakeOpsHandlers(const RouterSettings& settings,
+                            const PlatformSync& sync, const HttpFront& front,
                             CrashGuard& crash_guard) {
   OpsHandlers handlers;
   handlers.is_ready = [&] { return sync.is_ready() && !front.is_draining(); };
@@ -20,15 +21,19 @@
   handlers.commands["/quarantine"] = [&](const nlohmann::json& body) {
     return crash_guard.OnPeerMessage(body);
   };
-  handlers.status = [&] {
+  handlers.status = [&settings, &sync, &front, &crash_guard] {
     nlohmann::json teams = nlohmann::json::object();
     for (const auto& [name, team] : sync.settings()->teams) {
       teams[name] = team.version;
     }
-    return nlohmann::json{{"ready", sync.is_ready()},
-                          {"settings", teams},
-                          {"vm_list", sync.vms()->revision},
-                          {"quarantine", crash_guard.Status()}};
+    nlohmann::json status = front.Status();
+    status["id"] = settings.id;
+    status["role"] = "router";
+    status["ready"] = sync.is_ready();
+    status["settings"] = teams;
+    status["vm_list"] = sync.vms()->revision;
+    status["quarantine"] = crash_guard.Status();
+    return status;
   };
   return handlers;
 }
@@ -40,7 +45,7 @@
   CrashGuard crash_guard(settings);
   HttpFront front(settings, sync, links, crash_guard);
   OpsServer ops(settings.ops_address,
-                MakeOpsHandlers(sync, front, crash_guard));
+                MakeOpsHandlers(settings, sync, front, crash_guard));
   if (!front.Start() || !ops.Start()) {
     LogEvent(EventId::kListenFailed, {{"caller", settings.caller_address},
                                       {"ops", settings.ops_address}});
@@ -52,6 +57,8 @@
   WaitForStopSignal();
   LogEvent(EventId::kStopping, {});
   front.DrainAndStop();
+  // Both wait for their watches to end; the waits overlap.
+  crash_guard.BeginStop();
   sync.Stop();
   crash_guard.Stop();
   links.Stop();
--- a/src/dogwoodlatch-router/request_driver.cc
+++ b/src/dogwoodlatch-router/request_driver.cc
@@ -78,14 +78,19 @@
   }
 }
 
-void RequestDriver::Abandon() {
+Outcome RequestDriver::Abandon() {
+  life_->Advance(SteadyNow());
   Push(life_->Handle(CallerGone{}));
+  Outcome outcome;
   for (const RequestCommand& command : commands_) {
     if (const auto* cancel = std::get_if<CancelAttempt>(&command)) {
       Execute(*cancel);
+    } else if (const auto* give = std::get_if<GiveOutcome>(&command)) {
+      outcome = give->outcome;
     }
   }
   commands_.clear();
+  return outcome;
 }
 
 void RequestDriver::Push(std::vector<RequestCommand> commands) {
@@ -122,6 +127,7 @@
   submit.delivered_text = command.delivered_text;
   submit.run_alone = command.run_alone;
   submit.time_left = context_.deadline - SteadyNow();
+  current_target_ = command.target;
   current_address_ = AddressOf(command.target);
   current_attempt_ = command.attempt;
   current_alone_ = command.run_alone;
--- a/src/dogwoodlatch-router/request_driver.h
+++ b/src/dogwoodlatch-router/request_driver.h
@@ -53,8 +53,13 @@
   // The same, or none when there is nothing yet at `until`.
   std::optional<DriverStep> NextBefore(TimePoint until);
 
-  // The caller has gone: the running attempt is cancelled.
-  void Abandon();
+  bool is_idempotent() const { return context_.order.idempotent; }
+
+  // The caller has gone: the running attempt is cancelled. Returns the outcome.
+  Outcome Abandon();
+
+  // Where the last attempt went; empty before the first.
+  const TargetId& target() const { return current_target_; }
 
  private:
   void Push(std::vector<RequestCommand> commands);
@@ -76,6 +81,7 @@
   std::shared_ptr<Mailbox> mailbox_ = std::make_shared<Mailbox>();
   std::unique_ptr<RequestLife> life_;
   std::deque<RequestCommand> commands_;
+  TargetId current_target_;
   std::string current_address_;
   uint32_t current_attempt_ = 0;
   bool current_alone_ = false;
