--- a/src/dogwoodlatch-agent/agent.h
+++ b/src/dogwoodlatch-agent/agent.h
@@ -30,8 +30,12 @@
   // False when the address cannot be bound.
   bool Start();
 
-  // Refuses new work, finishes what runs for at most the drain time-out, then
-  // closes connections.
+  // Refuses new work from now on, and goes on with what runs.
+  void StartDraining();
+
+  // Refuses new work and finishes what runs. What still runs after a bound is
+  // handed over to another target, if it is idempotent. Returns after the drain
+  // time-out at the latest; connections close later, with the agent itself.
   void DrainAndStop();
 
   bool is_ready() const { return target_up_; }
@@ -43,7 +47,8 @@
   struct Run {
     Submit order;
     ConnectionId connection = 0;
-    std::atomic<bool> cancelled{false};
+    TimePoint deadline;
+    Cancellation cancellation;
     uint64_t next_sequence = 0;
   };
 
@@ -64,6 +69,11 @@
   void Execute(const std::shared_ptr<Run>& run);
   void ExecuteOnce(const StartRun& start);
   void Report(const Run& run, const CallResult& result);
+  void ReportCrash(const Run& run);
+  bool HasTargetRestarted(const Run& run) const;
+  bool WaitUntilIdle(TimePoint until) const;
+  void HandOverRuns();
+  void CancelLateRuns();
   void MonitorTarget();
   void SetTargetHealth(const std::optional<TargetHealth>& health);
   void Send(ConnectionId connection, const Message& message) {
--- a/src/dogwoodlatch-agent/agent_settings.cc
+++ b/src/dogwoodlatch-agent/agent_settings.cc
@@ -44,6 +44,9 @@
             "Prompt tokens handed to the engine ahead of their prefill."},
     KeySpec{"drain_timeout_ms", ValueType::kInteger, "ms", 0, 600000, "30000",
             "Longest graceful shutdown."},
+    KeySpec{"handover_after_ms", ValueType::kInteger, "ms", 0, 600000, "20000",
+            "Time into a shutdown after which idempotent runs are handed over "
+            "to other targets."},
 };
 
 milliseconds Millis(const nlohmann::json& value) {
@@ -74,6 +77,7 @@
   settings.admission.max_engine_tokens =
       document["limits"]["max_engine_tokens"];
   settings.drain_timeout = Millis(document["drain_timeout_ms"]);
+  settings.handover_after = Millis(document["handover_after_ms"]);
   return settings;
 }
 
--- a/src/dogwoodlatch-agent/agent_settings.h
+++ b/src/dogwoodlatch-agent/agent_settings.h
@@ -27,6 +27,7 @@
   AgentLimits limits;
   AdmissionLimits admission;
   std::chrono::milliseconds drain_timeout{0};
+  std::chrono::milliseconds handover_after{0};
 };
 
 std::span<const KeySpec> AgentSchema();
--- a/src/dogwoodlatch-agent/at_most_once_runner.cc
+++ b/src/dogwoodlatch-agent/at_most_once_runner.cc
@@ -103,7 +103,7 @@
       admission_(admission),
       core_(
           OptionsOf(options),
-          [this](const Submit& submit) { return admission_.Admit(submit); },
+          [this](const Submit& submit) { return admission_.Admit(submit, SteadyNow()); },
           MakeSeededRandom()),
       pool_(kPlatformThreads),
       ticker_([this] { TickUntilStopped(); }) {}
@@ -159,7 +159,7 @@
 
 void AtMostOnceRunner::Execute(const EndAdmission& command) {
   const std::lock_guard lock(mutex_);
-  admission_.OnEnded(command.prompt_tokens);
+  admission_.OnEnded(command.order);
 }
 
 // Without a platform nothing can be claimed, and so nothing runs.
--- a/src/dogwoodlatch-router/door_server.cc
+++ b/src/dogwoodlatch-router/door_server.cc
@@ -75,8 +75,24 @@
   return false;
 }
 
+// The connection that this thread serves. The library shows a handler no sign
+// of its caller otherwise.
+thread_local const DoorStream* served_stream = nullptr;
+
+class ServedStream {
+ public:
+  explicit ServedStream(const DoorStream& stream) { served_stream = &stream; }
+  ~ServedStream() { served_stream = nullptr; }
+  ServedStream(const ServedStream&) = delete;
+  ServedStream& operator=(const ServedStream&) = delete;
+};
+
 }  // namespace
 
+bool DoorServer::IsCallerConnected() {
+  return served_stream == nullptr || served_stream->is_writable();
+}
+
 DoorServer::DoorServer(const DoorLimits& limits, DoorCheck check)
     : limits_(limits), check_(std::move(check)) {
   new_task_queue = [this] {
@@ -109,6 +125,7 @@
 
 void DoorServer::Serve(socket_t sock) {
   DoorStream stream(sock, limits_);
+  const ServedStream served(stream);
   const ConnectionCount count(connections_);
   if (count.place() > limits_.max_connections) {
     stream.WriteAll(RawAnswer(kTooManyConnections));
--- a/src/dogwoodlatch-router/door_server.h
+++ b/src/dogwoodlatch-router/door_server.h
@@ -37,6 +37,9 @@
  public:
   DoorServer(const DoorLimits& limits, DoorCheck check);
 
+  // Whether the caller whose request this thread handles is still connected.
+  static bool IsCallerConnected();
+
  private:
   bool process_and_close_socket(socket_t sock) override;
 
--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -19,6 +19,8 @@
 
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::chrono::milliseconds kDrainPoll{10};
+// How soon a caller that has gone is noticed while no part arrives.
+constexpr std::chrono::milliseconds kCallerPoll{100};
 constexpr Refusal kUnknownKey{401, "unknown_workspace_key",
                               "no workspace has this key"};
 
@@ -49,6 +51,18 @@
   context.prompt.piece_keys = {DigestOf({service.name, std::to_string(log)})};
 }
 
+// The next step. A caller that goes meanwhile ends an idempotent request; any
+// other runs on, since its key may be sent again for the answer.
+DriverStep NextWhileConnected(RequestDriver& driver) {
+  if (!driver.is_idempotent()) return driver.Next();
+  while (true) {
+    std::optional<DriverStep> step =
+        driver.NextBefore(SteadyNow() + kCallerPoll);
+    if (step) return std::move(*step);
+    if (!DoorServer::IsCallerConnected()) return driver.Abandon();
+  }
+}
+
 }  // namespace
 
 // Counts one request from its arrival to the end of its answer.
@@ -72,10 +86,12 @@
 };
 
 HttpFront::HttpFront(const RouterSettings& settings, const PlatformSync& sync,
-                     AgentLinks& links)
+                     AgentLinks& links, CrashGuard& crash_guard)
     : settings_(settings),
       sync_(sync),
       links_(links),
+      crash_guard_(crash_guard),
+      retry_budget_(settings.retry_budget),
       server_(settings.door,
               [this](const Request& request) { return CheckAtDoor(request); }) {
   server_.set_error_handler(
@@ -208,9 +224,9 @@
   Tally tally{context.serves, context.order.workspace, SteadyNow(),
               std::nullopt};
   response.set_header("X-Request-Id", context.order.request_id.value);
-  auto driver =
-      std::make_shared<RequestDriver>(std::move(context), links_, settings_);
-  DriverStep first = driver->Next();
+  auto driver = std::make_shared<RequestDriver>(
+      std::move(context), links_, crash_guard_, retry_budget_, settings_);
+  DriverStep first = NextWhileConnected(*driver);
   if (std::holds_alternative<std::string>(first)) {
     tally.first_token = SteadyNow() - tally.arrival;
   }
@@ -229,22 +245,32 @@
       "text/event-stream",
       [this, driver, in_flight, tally, pending = std::move(first)](
           size_t, httplib::DataSink& sink) mutable {
-        DriverStep step = pending.empty()
-                              ? driver->Next()
-                              : DriverStep(std::exchange(pending, ""));
-        const std::string event =
-            std::visit([](const auto& s) { return StreamEvent(s); }, step);
-        const bool written = sink.write(event.data(), event.size());
-        if (const auto* outcome = std::get_if<Outcome>(&step)) {
-          Count(*driver, tally, *outcome);
-          sink.done();
-        } else if (!written) {
-          driver->Abandon();
+        std::optional<DriverStep> step;
+        if (pending.empty()) {
+          step = driver->NextBefore(SteadyNow() + kCallerPoll);
+        } else {
+          step = std::exchange(pending, "");
         }
+        const bool written =
+            step ? WriteStep(*driver, tally, *step, sink) : sink.is_writable();
+        const bool is_over = step && std::holds_alternative<Outcome>(*step);
+        if (!written && !is_over) Count(*driver, tally, driver->Abandon());
         return written;
       });
 }
 
+bool HttpFront::WriteStep(const RequestDriver& driver, const Tally& tally,
+                          const DriverStep& step, httplib::DataSink& sink) {
+  const std::string event =
+      std::visit([](const auto& s) { return StreamEvent(s); }, step);
+  const bool written = sink.write(event.data(), event.size());
+  if (const auto* outcome = std::get_if<Outcome>(&step)) {
+    Count(driver, tally, *outcome);
+    sink.done();
+  }
+  return written;
+}
+
 void HttpFront::AnswerWhole(RequestDriver& driver, DriverStep first,
                             RequestKind kind, const Tally& tally,
                             Response& response) {
@@ -252,7 +278,7 @@
   DriverStep step = std::move(first);
   while (const auto* data = std::get_if<std::string>(&step)) {
     answer += *data;
-    step = driver.Next();
+    step = NextWhileConnected(driver);
   }
   const Outcome& outcome = std::get<Outcome>(step);
   Count(driver, tally, outcome);
@@ -283,6 +309,7 @@
                                       const Request& request) {
   RequestContext context;
   context.vms = sync_.vms();
+  context.latest_vms = [this] { return sync_.vms(); };
   context.policy.max_candidates = settings_.max_candidates;
   context.policy.failure_domain = settings_.failure_domain;
   Submit& order = context.order;
--- a/src/dogwoodlatch-router/http_front.h
+++ b/src/dogwoodlatch-router/http_front.h
@@ -21,7 +21,7 @@
 class HttpFront {
  public:
   HttpFront(const RouterSettings& settings, const PlatformSync& sync,
-            AgentLinks& links);
+            AgentLinks& links, CrashGuard& crash_guard);
   ~HttpFront();
   HttpFront(const HttpFront&) = delete;
   HttpFront& operator=(const HttpFront&) = delete;
@@ -33,6 +33,8 @@
   // time-out, then closes the listener.
   void DrainAndStop();
 
+  bool is_draining() const { return draining_; }
+
   // Text lines of figures.
   std::string Metrics() const;
 
@@ -51,6 +53,8 @@
                       const std::shared_ptr<InFlight>& in_flight,
                       const Tally& tally, std::string first,
                       httplib::Response& response);
+  bool WriteStep(const RequestDriver& driver, const Tally& tally,
+                 const DriverStep& step, httplib::DataSink& sink);
   void AnswerWhole(RequestDriver& driver, DriverStep first, RequestKind kind,
                    const Tally& tally, httplib::Response& response);
   std::optional<Refusal> CheckAtDoor(const httplib::Request& request) const;
@@ -67,6 +71,8 @@
   const RouterSettings& settings_;
   const PlatformSync& sync_;
   AgentLinks& links_;
+  CrashGuard& crash_guard_;
+  SharedRetryBudget retry_budget_;
   DoorServer server_;
   std::thread thread_;
   std::atomic<bool> draining_{false};
--- a/src/dogwoodlatch-router/main.cc
+++ b/src/dogwoodlatch-router/main.cc
@@ -13,11 +13,15 @@
 namespace {
 
 OpsHandlers MakeOpsHandlers(const RouterSettings& settings,
-                            const PlatformSync& sync, const HttpFront& front) {
+                            const PlatformSync& sync, const HttpFront& front,
+                            CrashGuard& crash_guard) {
   OpsHandlers handlers;
-  handlers.is_ready = [&sync] { return sync.is_ready(); };
+  handlers.is_ready = [&] { return sync.is_ready() && !front.is_draining(); };
   handlers.metrics = [&front] { return front.Metrics(); };
-  handlers.status = [&settings, &sync, &front] {
+  handlers.commands["/quarantine"] = [&](const nlohmann::json& body) {
+    return crash_guard.OnPeerMessage(body);
+  };
+  handlers.status = [&settings, &sync, &front, &crash_guard] {
     nlohmann::json teams = nlohmann::json::object();
     for (const auto& [name, team] : sync.settings()->teams) {
       teams[name] = team.version;
@@ -28,6 +32,7 @@
     status["ready"] = sync.is_ready();
     status["settings"] = teams;
     status["vm_list"] = sync.vms()->revision;
+    status["quarantine"] = crash_guard.Status();
     return status;
   };
   return handlers;
@@ -37,19 +42,25 @@
   InitLogging(settings.id, Severity::kInfo);
   PlatformSync sync(settings.platform);
   AgentLinks links(settings.id, settings.connect_timeout);
-  HttpFront front(settings, sync, links);
-  OpsServer ops(settings.ops_address, MakeOpsHandlers(settings, sync, front));
+  CrashGuard crash_guard(settings);
+  HttpFront front(settings, sync, links, crash_guard);
+  OpsServer ops(settings.ops_address,
+                MakeOpsHandlers(settings, sync, front, crash_guard));
   if (!front.Start() || !ops.Start()) {
     LogEvent(EventId::kListenFailed, {{"caller", settings.caller_address},
                                       {"ops", settings.ops_address}});
     return ExitCode::kFailed;
   }
   sync.Start();
+  crash_guard.Start();
   LogEvent(EventId::kStarted, {{"address", settings.caller_address}});
   WaitForStopSignal();
   LogEvent(EventId::kStopping, {});
   front.DrainAndStop();
+  // Both wait for their watches to end; the waits overlap.
+  crash_guard.BeginStop();
   sync.Stop();
+  crash_guard.Stop();
   links.Stop();
   LogEvent(EventId::kStopped, {});
   return ExitCode::kOk;
--- a/src/include/dogwoodlatch/at_most_once_core.h
+++ b/src/include/dogwoodlatch/at_most_once_core.h
@@ -52,7 +52,7 @@
 };
 /// An admitted call no longer counts as running.
 struct EndAdmission {
-  uint32_t prompt_tokens = 0;
+  Submit order;
 };
 using AtMostOnceCommand =
     std::variant<SendBack, StartRun, EnsureLayout, AccessLog, EndAdmission>;
--- a/src/libdogwoodlatch/at_most_once_core.cc
+++ b/src/libdogwoodlatch/at_most_once_core.cc
@@ -227,7 +227,7 @@
   } else {
     RefuseAll(waiters, ReasonOf(decision.verdict), decision.owner, out);
   }
-  out.push_back(EndAdmission{call->second.order.prompt_tokens});
+  out.push_back(EndAdmission{call->second.order});
   calls_.erase(call);
 }
 
@@ -251,7 +251,7 @@
       RefuseAll(ledger_.Remove(key), RefusalReason::kSealed, {}, out);
       break;
   }
-  out.push_back(EndAdmission{call.order.prompt_tokens});
+  out.push_back(EndAdmission{call.order});
   return out;
 }
 
--- a/src/libdogwoodlatch/at_most_once_life.cc
+++ b/src/libdogwoodlatch/at_most_once_life.cc
@@ -33,7 +33,7 @@
 
 AtMostOnceLife::AtMostOnceLife(RequestPlan plan) : plan_(std::move(plan)) {}
 
-Commands AtMostOnceLife::Start() { return {ChooseTargetCommand{{}, {}}}; }
+Commands AtMostOnceLife::Start() { return {ChooseTargetCommand{}}; }
 
 Commands AtMostOnceLife::Handle(const RequestEvent& event) {
   if (over_) return {};
@@ -51,7 +51,7 @@
   parts_.clear();
   open_.push_back({current_.target, current_.incarnation});
   return {SendAttempt{current_.target, attempt_, current_.incarnation,
-                      current_.weights_version, "", take_over_from_}};
+                      current_.weights_version, "", take_over_from_, false}};
 }
 
 Commands AtMostOnceLife::On(const NoTargetFound& event) {
@@ -110,7 +110,7 @@
 Commands AtMostOnceLife::ChooseAgain(OutcomeReason reason,
                                      Duration retry_after) {
   if (++choices_ >= kMaxChoices) return EndNotRun(reason, retry_after);
-  return {ChooseTargetCommand{avoid_, preferred_}};
+  return {ChooseTargetCommand{avoid_, preferred_, false}};
 }
 
 Commands AtMostOnceLife::On(const Chunk& event) {
