Refuse an address that another process listens on, and end then

Cause: the HTTP library binds with SO_REUSEPORT, so a second router on the same address started without a word and the kernel gave it part of the callers' connections. When the operations address could not be bound, the router hung: its server was stopped before its thread had marked it as running, and the library drops such a stop. E110 was in the catalogue and never logged. Ruled out for the hang: the drain and the platform threads, which start later. Change: TakeAddressAlone sets the listening sockets' options; Start returns once the server runs; a refused settings file logs E110.

--- a/src/dogwoodlatch-router/door_server.cc
+++ b/src/dogwoodlatch-router/door_server.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "dogwoodlatch/util/program.h"
 #include "door_stream.h"
 #include "http_answers.h"
 
@@ -84,6 +85,7 @@
   };
   set_payload_max_length(limits_.max_body_bytes);
   set_tcp_nodelay(true);
+  set_socket_options(TakeAddressAlone);
   set_pre_routing_handler(
       [this](const httplib::Request& request, httplib::Response& response) {
         const std::optional<Refusal> refusal = Check(request);
--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -18,6 +18,7 @@
 
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::chrono::milliseconds kDrainPoll{10};
+constexpr std::chrono::milliseconds kStartPoll{1};
 constexpr Refusal kUnknownKey{401, "unknown_workspace_key",
                               "no workspace has this key"};
 
@@ -94,6 +95,8 @@
   const Address address = ParseAddress(settings_.caller_address);
   if (!server_.bind_to_port(address.host, address.port)) return false;
   thread_ = std::thread([this] { server_.listen_after_bind(); });
+  // A stop before the server runs would be lost.
+  while (!server_.is_running()) std::this_thread::sleep_for(kStartPoll);
   return true;
 }
 
--- a/src/include/dogwoodlatch/util/program.h
+++ b/src/include/dogwoodlatch/util/program.h
@@ -33,6 +33,10 @@
     std::string_view summary, std::span<const KeySpec> schema,
     ExitCode& exit_code);
 
+/// Options of a listening socket: an address that another process listens on
+/// cannot be bound, which the HTTP library's default allows.
+void TakeAddressAlone(int sock);
+
 /// Blocks SIGTERM and SIGINT in this thread and all that it starts; call it
 /// first.
 void BlockStopSignals();
--- a/src/libdogwoodlatch/burn_test.cc
+++ b/src/libdogwoodlatch/burn_test.cc
@@ -73,10 +73,10 @@
       daemons.at(event.daemon).Record(kObjectives, event.sample, now);
       single.Record(kObjectives, event.sample, now);
     }
-    std::vector<BurnReport> reports;
-    for (const SloRecorder& daemon : daemons) {
-      reports.push_back(Round(daemon.Report(now)));
-    }
+    std::vector<BurnReport> reports(daemons.size());
+    std::ranges::transform(
+        daemons, reports.begin(),
+        [now](const SloRecorder& daemon) { return Round(daemon.Report(now)); });
     const BurnReport one = single.Report(now);
     RC_ASSERT(ToJson(MergeBurn(reports)) == ToJson(one));
     RC_ASSERT(ToJson(Round(one)) == ToJson(one));
--- a/src/libutil/program.cc
+++ b/src/libutil/program.cc
@@ -70,7 +70,9 @@
     Result<nlohmann::json> settings =
         LoadSettings(parsed["config"].as<std::string>(), schema);
     if (!settings) {
-      std::cerr << "settings refused: " << ToString(settings.error()) << "\n";
+      InitLogging(program, Severity::kInfo);
+      LogEvent(EventId::kSettingsFileRefused,
+               {{"fault", ToString(settings.error())}});
       exit_code = ExitCode::kBadSettings;
       return std::nullopt;
     }
@@ -86,6 +88,11 @@
   }
 }
 
+void TakeAddressAlone(int sock) {
+  const int on = 1;
+  setsockopt(sock, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+}
+
 void BlockStopSignals() {
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
@@ -103,6 +110,7 @@
   Impl(std::string_view address, OpsHandlers handlers)
       : address_(ParseAddress(address)), handlers_(std::move(handlers)) {
     server_.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+    server_.set_socket_options(TakeAddressAlone);
     server_.Get("/healthz",
                 [](const httplib::Request&, httplib::Response& response) {
                   response.set_content("ok\n", "text/plain");
@@ -135,11 +143,14 @@
   bool Start() {
     if (!server_.bind_to_port(address_.host, address_.port)) return false;
     thread_ = std::thread([this] { server_.listen_after_bind(); });
+    // A stop before the server runs would be lost.
+    while (!server_.is_running()) std::this_thread::sleep_for(kStartPoll);
     return true;
   }
 
  private:
   static constexpr size_t kThreads = 2;
+  static constexpr std::chrono::milliseconds kStartPoll{1};
 
   Address address_;
   OpsHandlers handlers_;
--- a/testsuite/command_lines/run.py
+++ b/testsuite/command_lines/run.py
@@ -81,6 +81,7 @@
             kinds.add(code)
             if exit_code != 3 or f"{file}: {named}: {code}" not in errors:
                 wrong.append((named, code, exit_code))
+    print(program, "event", "E110 settings_file_refused" in errors)
     print(program, "refused by name", sorted(kinds), "not refused", wrong, "walked the table", len(keys) >= LEAST_KEYS)
 
 
@@ -102,6 +103,13 @@
         cluster.wait_ready()
         for name, port in (("router", router.ops_port), ("agent", cluster.targets[0].ops_port)):
             print(name, [request(port, "GET", path)[0] for path in ("/healthz", "/readyz", "/metrics", "/status")])
+        for name, address in (("caller", router.port), ("operations", router.ops_port)):
+            settings = {"id": "second", "caller_address": f"{HOST}:{free_port()}",
+                        "ops_address": f"{HOST}:{free_port()}", "platform": {"address": f"{HOST}:{free_port()}"}}
+            settings["caller_address" if name == "caller" else "ops_address"] = f"{HOST}:{address}"
+            second = cluster.daemon("dogwoodlatch-router", "second-" + name, settings)
+            wait_until(lambda p=second: p.child.poll() is not None, name + " address to be refused")
+            print(name, "address in use", second.child.returncode, "E111 listen_failed" in second.log())
         ops_port = free_port()
         lonely = cluster.daemon("dogwoodlatch-router", "lonely", {
             "id": "lonely", "caller_address": f"{HOST}:{free_port()}", "ops_address": f"{HOST}:{ops_port}",
