Show refused settings objects and quarantines in status

Cause: an object that daemons refuse was visible in their logs alone, and the client looked for quarantines under a key that no daemon uses. Change: `status` lists "refused_settings" and "quarantine" of daemons' /status. Measured: client_settings passes.

--- a/src/dogwoodlatch/status_command.cc
+++ b/src/dogwoodlatch/status_command.cc
@@ -58,6 +58,7 @@
                 "in_force_everywhere"});
   PrintSection("daemons", status["daemons"],
                {"id", "address", "answers", "ready", "vm_list", "error"});
+  PrintEntries("refused settings", status["refused_settings"]);
   PrintEntries("quarantines", status["quarantines"]);
   PrintEntries("ownership", status["ownership"]);
 }
--- a/src/dogwoodlatch/status_model.cc
+++ b/src/dogwoodlatch/status_model.cc
@@ -153,6 +153,23 @@
   return list;
 }
 
+// The objects that daemons refuse, with the version that they keep in force.
+Json RefusedJson(const std::vector<DaemonStatus>& daemons) {
+  Json list = Json::array();
+  for (const DaemonStatus& daemon : daemons) {
+    if (!daemon.status) continue;
+    const Json refused =
+        daemon.status.value().value("refused_settings", Json::object());
+    for (const auto& [team, entry] : refused.items()) {
+      Json json = entry;
+      json["team"] = team;
+      json["daemon"] = daemon.Name();
+      list.push_back(std::move(json));
+    }
+  }
+  return list;
+}
+
 // The entries that daemons list under `key`, each once.
 Json CollectLists(const std::vector<DaemonStatus>& daemons, const char* key) {
   std::set<Json> entries;
@@ -191,7 +208,8 @@
       {"targets", TargetsJson(platform.vms, daemons)},
       {"versions", std::move(versions)},
       {"daemons", DaemonsJson(daemons)},
-      {"quarantines", CollectLists(daemons, "quarantines")},
+      {"refused_settings", RefusedJson(daemons)},
+      {"quarantines", CollectLists(daemons, "quarantine")},
       {"ownership", CollectLists(daemons, "ownership")}};
 }
 
--- a/src/dogwoodlatch/status_model.h
+++ b/src/dogwoodlatch/status_model.h
@@ -18,8 +18,8 @@
 
 PlatformView ReadPlatform(const ClientOptions& options);
 
-// Objects "platform", "targets", "versions", "daemons", "quarantines" and
-// "ownership".
+// Objects "platform", "targets", "versions", "daemons", "refused_settings",
+// "quarantines" and "ownership".
 nlohmann::json MakeStatus(const PlatformView& platform,
                           const std::vector<DaemonStatus>& daemons);
 
