--- a/src/dogwoodlatch-agent/agent_settings.h
+++ b/src/dogwoodlatch-agent/agent_settings.h
@@ -6,14 +6,18 @@
 #include <span>
 #include <string>
 
+#include "dogwoodlatch/admission_queue.h"
 #include "dogwoodlatch/agent_core.h"
 #include "dogwoodlatch/messages.h"
 #include "dogwoodlatch/schema.h"
+#include "dogwoodlatch/util/platform_client.h"
 
 namespace dogwoodlatch::agent {
 
 struct AgentSettings {
   std::string id;
+  TargetId target_id;
+  PlatformClientOptions platform;
   std::string router_address;
   std::string ops_address;
   RequestKind target_kind = RequestKind::kChat;
@@ -21,6 +25,7 @@
   std::chrono::milliseconds health_interval{0};
   std::chrono::milliseconds target_timeout{0};
   AgentLimits limits;
+  AdmissionLimits admission;
   std::chrono::milliseconds drain_timeout{0};
 };
 
--- a/src/dogwoodlatch-agent/target_client.h
+++ b/src/dogwoodlatch-agent/target_client.h
@@ -18,7 +18,13 @@
   uint64_t prefill_tokens_per_second = 0;
 };
 
-enum class CallEnd { kWhole, kCrashed, kError, kCancelled };
+enum class CallEnd {
+  kWhole,
+  kCrashed,
+  kError,
+  kCancelled,
+  kNotSent,  // the connection was refused
+};
 
 struct CallResult {
   CallEnd end = CallEnd::kError;
@@ -29,6 +35,9 @@
   uint32_t output_tokens = 0;
 };
 
+// The name of an attempt at the target.
+RequestId RunIdOf(const Submit& order);
+
 // Gets each part of an answer; blocks the call while it runs.
 using PartHandler = std::function<void(std::string)>;
 
--- a/src/dogwoodlatch-bench/bench.h
+++ b/src/dogwoodlatch-bench/bench.h
@@ -14,5 +14,10 @@
 };
 
 int RunKeying(std::span<const std::string> arguments);
+int RunLoadBench(std::span<const std::string> arguments);
+int RunSlopes(std::span<const std::string> arguments);
+int RunTransportSlopes(std::span<const std::string> arguments);
+int RunRouting(std::span<const std::string> arguments);
+int RunPolicy(std::span<const std::string> arguments);
 
 }  // namespace dogwoodlatch::bench
--- a/src/dogwoodlatch-bench/main.cc
+++ b/src/dogwoodlatch-bench/main.cc
@@ -13,6 +13,12 @@
 
 constexpr std::array kSubcommands = {
     Subcommand{"keying", "rate of keying a long prompt", RunKeying},
+    Subcommand{"load", "requests against running daemons", RunLoadBench},
+    Subcommand{"slopes", "growth of time, bytes and memory", RunSlopes},
+    Subcommand{"transport", "connections between our processes",
+               RunTransportSlopes},
+    Subcommand{"routing", "time of one routing decision", RunRouting},
+    Subcommand{"policy", "routing policies in virtual time; --json", RunPolicy},
 };
 
 int Run(const std::vector<std::string>& arguments) {
--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -4,6 +4,7 @@
 #include <sstream>
 #include <utility>
 
+#include "dogwoodlatch/claim_object.h"
 #include "dogwoodlatch/prefix_key.h"
 #include "dogwoodlatch/util/address.h"
 #include "dogwoodlatch/util/log.h"
@@ -40,6 +41,15 @@
   return settings.FindWorkspaceByKey(Sha256Hex(header.substr(kBearer.size())));
 }
 
+// All calls of one claim log are routed alike, whichever router takes them.
+void AddClaim(const ServiceSettings& service, RequestContext& context) {
+  Submit& order = context.order;
+  order.claim = {
+      service.name, service.claim_logs, service.claim_retention, {}, WallNow()};
+  const uint32_t log = ClaimLogOf(ClaimKeyOf(order), service.claim_logs);
+  context.prompt.piece_keys = {DigestOf({service.name, std::to_string(log)})};
+}
+
 }  // namespace
 
 // Counts one request from its arrival to the end of its answer.
@@ -147,6 +157,8 @@
     context.prompt.piece_tokens = model->piece_bytes / kBytesPerToken;
     context.order.piece_keys = context.prompt.piece_keys;
     context.order.prompt_tokens = context.prompt.prompt_tokens;
+    context.order.piece_tokens =
+        static_cast<uint32_t>(context.prompt.piece_tokens);
     context.policy.recompute_weight = model->recompute_weight;
     context.deadline = SteadyNow() + model->deadline;
     Answer(std::move(context), body.value("stream", false), response);
@@ -176,10 +188,12 @@
     return Reject(response, 400, "missing_idempotency_key",
                   "a non-idempotent call needs an Idempotency-Key header");
   }
-  const std::string spread = context.order.idempotent
-                                 ? context.order.request_id.value
-                                 : context.order.idempotency_key;
-  context.prompt.piece_keys = {DigestOf({workspace->id.value, spread})};
+  if (context.order.idempotent) {
+    context.prompt.piece_keys = {
+        DigestOf({workspace->id.value, context.order.request_id.value})};
+  } else {
+    AddClaim(*service, context);
+  }
   context.deadline = SteadyNow() + service->deadline;
   Answer(std::move(context), false, response);
 }
@@ -279,6 +293,7 @@
   order.kind = kind;
   order.workspace = workspace.id;
   order.priority = workspace.priority;
+  order.share = workspace.share;
   order.method = request.method;
   order.path = request.path;
   order.content_type = request.get_header_value("Content-Type");
--- a/src/dogwoodlatch-router/request_driver.h
+++ b/src/dogwoodlatch-router/request_driver.h
@@ -56,9 +56,13 @@
   void Execute(const ChooseTargetCommand& command);
   void Execute(const SendAttempt& command);
   void Execute(const CancelAttempt& command);
+  void NoteOwner(const Outcome& outcome);
   void WaitForEvent();
   std::optional<RequestEvent> ToEvent(MailItem item) const;
   std::vector<TargetId> CandidatesFor(const std::vector<TargetId>& avoid) const;
+  void ChooseClaimOwner(const ChooseTargetCommand& command);
+  std::vector<TargetId> OwnerCandidates(
+      const ChooseTargetCommand& command) const;
   std::vector<ProbedTarget> ProbeAll(const std::vector<TargetId>& candidates);
   std::string AddressOf(const TargetId& target) const;
 
