--- a/src/dogwoodlatch-agent/at_most_once_runner.cc
+++ b/src/dogwoodlatch-agent/at_most_once_runner.cc
@@ -145,7 +145,7 @@
     commands = decide();
   }
   for (const AtMostOnceCommand& command : commands) {
-    std::visit([this](const auto& c) { Execute(c); }, command);
+    std::visit([this](const auto& c) { this->Execute(c); }, command);
   }
 }
 
