Make the fuzz test clean under clang-tidy

Cause: clang-tidy named narrowing conversions and copied parameters; a remainder by zero was possible when no key was fresh.

Change: const references, explicit conversions, a span of at least one.

Conclusion: no change of behaviour of the code under test.

--- a/src/libdogwoodlatch/at_most_once_fuzz_test.cc
+++ b/src/libdogwoodlatch/at_most_once_fuzz_test.cc
@@ -36,7 +36,7 @@
   now_ = end;
 }
 
-void World::AtAgent(size_t i, int life, Duration delay, Action action) {
+void World::AtAgent(size_t i, int life, Duration delay, const Action& action) {
   At(delay, [=, this] {
     const Agent& agent = agents_[i];
     if (!agent.alive || agent.life != life) return;
@@ -47,7 +47,7 @@
   });
 }
 
-void World::AtRouter(size_t i, Duration delay, Action action) {
+void World::AtRouter(size_t i, Duration delay, const Action& action) {
   At(delay, [=, this] {
     const TimePoint paused_until = routers_[i].paused_until;
     if (now_ < paused_until) return AtRouter(i, paused_until - now_, action);
@@ -101,7 +101,10 @@
 void World::NewCall() {
   const bool is_fresh = next_key_ == first_fresh_key_ || OneIn(2);
   const int oldest = std::max(first_fresh_key_, next_key_ - kRecentKeys);
-  const int key = is_fresh ? next_key_++ : oldest + Random(next_key_ - oldest);
+  const int span = std::max(1, next_key_ - oldest);
+  const int recent =
+      oldest + static_cast<int>(Random(static_cast<uint32_t>(span)));
+  const int key = is_fresh ? next_key_++ : recent;
   auto call = std::make_shared<Call>();
   call->router = Random(kRouters);
   Submit& order = call->order;
--- a/src/libdogwoodlatch/at_most_once_world.h
+++ b/src/libdogwoodlatch/at_most_once_world.h
@@ -167,8 +167,8 @@
   void Advance(Duration span);
 
   // Runs the action in this life of the agent, after any pause.
-  void AtAgent(size_t i, int life, Duration delay, Action action);
-  void AtRouter(size_t i, Duration delay, Action action);
+  void AtAgent(size_t i, int life, Duration delay, const Action& action);
+  void AtRouter(size_t i, Duration delay, const Action& action);
 
   void StartAgent(size_t i);
   void KillAgent(size_t i);
