--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -16,6 +16,7 @@
 using httplib::Request;
 using httplib::Response;
 
+constexpr std::chrono::seconds kStartRetryAfter{1};
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::chrono::milliseconds kDrainPoll{10};
 
@@ -236,6 +237,14 @@
 const WorkspaceSettings* HttpFront::Authenticate(
     const SettingsSnapshot& settings, const Request& request,
     Response& response) const {
+  if (!sync_.is_ready()) {
+    Outcome outcome;
+    outcome.kind = OutcomeKind::kNotRun;
+    outcome.reason = OutcomeReason::kNoSettings;
+    outcome.retry_after = kStartRetryAfter;
+    GiveError(response, outcome);
+    return nullptr;
+  }
   const std::string header = request.get_header_value("Authorization");
   const WorkspaceSettings* workspace = nullptr;
   if (header.starts_with(kBearer)) {
--- a/src/dogwoodlatch-router/main.cc
+++ b/src/dogwoodlatch-router/main.cc
@@ -16,15 +16,8 @@
   OpsHandlers handlers;
   handlers.is_ready = [&sync] { return sync.is_ready(); };
   handlers.metrics = [&front] { return front.Metrics(); };
-  handlers.status = [&sync] {
-    nlohmann::json teams = nlohmann::json::object();
-    for (const auto& [name, team] : sync.settings()->teams) {
-      teams[name] = team.version;
-    }
-    return nlohmann::json{{"ready", sync.is_ready()},
-                          {"settings", teams},
-                          {"vm_list", sync.vms()->revision}};
-  };
+  handlers.status = [&sync] { return sync.Status(); };
+  handlers.snapshot = [&sync] { return sync.Snapshot(); };
   return handlers;
 }
 
--- a/src/dogwoodlatch-router/router_settings.cc
+++ b/src/dogwoodlatch-router/router_settings.cc
@@ -25,7 +25,19 @@
     KeySpec{"platform.watch_wait_ms", ValueType::kInteger, "ms", 100, 60000,
             "5000", "Longest time one watch waits."},
     KeySpec{"platform.retry_pause_ms", ValueType::kInteger, "ms", 10, 60000,
-            "500", "Pause after a failed call."},
+            "200", "Pause after a first failed call; it doubles."},
+    KeySpec{"platform.longest_pause_ms", ValueType::kInteger, "ms", 10, 60000,
+            "3000", "Longest pause after failed calls."},
+    KeySpec{"platform.start_spread_ms", ValueType::kInteger, "ms", 0, 60000,
+            "500", "Time over which a herd's first calls are spread."},
+    KeySpec{"platform.calls_per_second", ValueType::kNumber, "calls/s", 0.1,
+            1000, "2.0", "Rate limit of each of two watches' calls."},
+    KeySpec{"peers", ValueType::kArray, "elements", 0, 16, "[]",
+            "Operations addresses of other routers, asked for their snapshot "
+            "at the start."},
+    KeySpec{"peers[]", ValueType::kString, "characters", 3, 64, "", "ip:port."},
+    KeySpec{"peer_timeout_ms", ValueType::kInteger, "ms", 10, 10000, "300",
+            "Longest wait for one peer's snapshot."},
     KeySpec{"limits", ValueType::kObject, "", 0, 0, "{}",
             "Limits at the door."},
     KeySpec{"limits.threads", ValueType::kInteger, "threads", 4, 4096, "256",
@@ -65,8 +77,14 @@
   const auto& platform = document["platform"];
   settings.platform.platform = {platform["address"],
                                 Millis(platform["timeout_ms"])};
-  settings.platform.watch_wait = Millis(platform["watch_wait_ms"]);
-  settings.platform.retry_pause = Millis(platform["retry_pause_ms"]);
+  WatchLoopOptions& loop = settings.platform.loop;
+  loop.watch_wait = Millis(platform["watch_wait_ms"]);
+  loop.first_retry = Millis(platform["retry_pause_ms"]);
+  loop.longest_retry = Millis(platform["longest_pause_ms"]);
+  loop.start_spread = Millis(platform["start_spread_ms"]);
+  loop.calls_per_second = platform["calls_per_second"];
+  settings.platform.peers = document["peers"];
+  settings.platform.peer_timeout = Millis(document["peer_timeout_ms"]);
   const auto& limits = document["limits"];
   settings.threads = limits["threads"];
   settings.max_body_bytes = limits["max_body_bytes"];
--- a/src/dogwoodlatch-standin/platform.cc
+++ b/src/dogwoodlatch-standin/platform.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -30,6 +31,40 @@
           {"value", object.value}};
 }
 
+Json ToJson(const std::vector<StoredChange>& changes) {
+  Json list = Json::array();
+  for (const StoredChange& change : changes) {
+    Json item = ToJson(change.object);
+    item["deleted"] = change.deleted;
+    list.push_back(std::move(item));
+  }
+  return list;
+}
+
+// A list or watch may name several prefixes.
+std::vector<std::string> PrefixesOf(const Request& request) {
+  std::vector<std::string> prefixes;
+  const size_t count = request.get_param_value_count("prefix");
+  for (size_t i = 0; i < count; ++i) {
+    prefixes.push_back(request.get_param_value("prefix", i));
+  }
+  return prefixes;
+}
+
+// What changed below any of the prefixes; none when the position has expired.
+std::optional<std::vector<StoredChange>> ChangesAfter(
+    const ObjectStore& store, const std::vector<std::string>& prefixes,
+    uint64_t revision) {
+  std::vector<StoredChange> all;
+  for (const std::string& prefix : prefixes) {
+    const auto changes = store.ChangesAfter(prefix, revision);
+    if (!changes) return std::nullopt;
+    all.insert(all.end(), changes->begin(), changes->end());
+  }
+  std::ranges::sort(all, {}, &StoredChange::revision);
+  return all;
+}
+
 uint64_t ParamOr(const Request& request, const char* name, uint64_t fallback) {
   return request.has_param(name) ? std::stoull(request.get_param_value(name))
                                  : fallback;
@@ -53,6 +88,10 @@
                [this](const Request& request, Response& response) {
                  Get(request, response);
                });
+    server.Get("/history/(.+)",
+               [this](const Request& request, Response& response) {
+                 History(request, response);
+               });
     server.Put("/objects/(.+)",
                [this](const Request& request, Response& response) {
                  Put(request, response);
@@ -73,8 +112,10 @@
     server.Post("/control", [this](const Request& request, Response& response) {
       Control(request, response);
     });
-    server.Get("/control",
-               [this](const Request&, Response& response) { Stats(response); });
+    server.Get("/control", [this](const Request&, Response& response) {
+      const std::lock_guard lock(mutex_);
+      Stats(response);
+    });
   }
 
  private:
@@ -104,21 +145,24 @@
 
   void List(const Request& request, Response& response) {
     const std::lock_guard lock(mutex_);
+    const ObjectStore& store = StoreToRead();
     Json objects = Json::array();
-    for (const StoredObject& object :
-         store_.List(request.get_param_value("prefix"))) {
-      objects.push_back(ToJson(object));
+    for (const std::string& prefix : PrefixesOf(request)) {
+      for (const StoredObject& object : store.List(prefix)) {
+        objects.push_back(ToJson(object));
+      }
     }
-    Answer(response, {{"revision", store_.revision()}, {"objects", objects}});
+    Answer(response, {{"revision", store.revision()}, {"objects", objects}});
   }
 
   void Get(const Request& request, Response& response) {
     const std::lock_guard lock(mutex_);
+    const ObjectStore& store = StoreToRead();
     const std::string path = request.matches[1];
     const auto object =
         request.has_param("version")
-            ? store_.GetVersion(path, ParamOr(request, "version", 0))
-            : store_.Get(path);
+            ? store.GetVersion(path, ParamOr(request, "version", 0))
+            : store.Get(path);
     if (!object) {
       response.status = kNotFound;
       return;
@@ -126,6 +170,20 @@
     Answer(response, ToJson(*object));
   }
 
+  void History(const Request& request, Response& response) {
+    const std::lock_guard lock(mutex_);
+    Answer(
+        response,
+        {{"changes", ToJson(StoreToRead().History(request.matches[1].str()))}});
+  }
+
+  // An old replica answers as many reads as the control path asked for.
+  const ObjectStore& StoreToRead() {
+    if (stale_reads_ == 0) return store_;
+    --stale_reads_;
+    return stale_store_;
+  }
+
   void Put(const Request& request, Response& response) {
     Json value = Json::parse(request.body, nullptr, false);
     if (value.is_discarded()) {
@@ -160,13 +218,13 @@
   }
 
   void Watch(const Request& request, Response& response) {
-    const std::string prefix = request.get_param_value("prefix");
+    const std::vector<std::string> prefixes = PrefixesOf(request);
     const uint64_t revision = ParamOr(request, "revision", 0);
     std::unique_lock lock(mutex_);
     std::optional<std::vector<StoredChange>> changes;
     changed_.wait_for(
         lock, std::chrono::milliseconds(ParamOr(request, "wait_ms", 0)), [&] {
-          changes = store_.ChangesAfter(prefix, revision);
+          changes = ChangesAfter(store_, prefixes, revision);
           return down_ || !changes || !changes->empty();
         });
     if (!changes) {
@@ -177,13 +235,8 @@
       response.status = kDown;
       return;
     }
-    Json list = Json::array();
-    for (const StoredChange& change : *changes) {
-      Json item = ToJson(change.object);
-      item["deleted"] = change.deleted;
-      list.push_back(std::move(item));
-    }
-    Answer(response, {{"revision", store_.revision()}, {"changes", list}});
+    Answer(response,
+           {{"revision", store_.revision()}, {"changes", ToJson(*changes)}});
   }
 
   void Vms(const Request& request, Response& response) {
@@ -203,6 +256,7 @@
     const std::lock_guard lock(mutex_);
     vms_ = Json::parse(request.body, nullptr, false);
     ++vms_revision_;
+    vms_history_[vms_revision_] = vms_;
     changed_.notify_all();
     Answer(response, {{"revision", vms_revision_}});
   }
@@ -212,6 +266,18 @@
     down_ = order.value("down", down_.load());
     delay_ms_ = order.value("delay_ms", delay_ms_.load());
     lose_answers_ = order.value("lose_answers", lose_answers_.load());
+    const std::lock_guard lock(mutex_);
+    if (order.contains("stale_reads")) {
+      stale_reads_ = order["stale_reads"].get<int>();
+      stale_store_ = store_.AsOf(order.value("stale_revision", uint64_t{0}));
+    }
+    if (order.contains("restore_to")) {
+      store_ = store_.AsOf(order["restore_to"].get<uint64_t>());
+    }
+    if (order.contains("restore_vms_to")) {
+      vms_revision_ = order["restore_vms_to"].get<uint64_t>();
+      vms_ = vms_history_[vms_revision_];
+    }
     changed_.notify_all();
     Stats(response);
   }
@@ -219,6 +285,7 @@
   void Stats(Response& response) {
     Answer(response, {{"reads", reads_.load()},
                       {"writes", writes_.load()},
+                      {"revision", store_.revision()},
                       {"down", down_.load()}});
   }
 
@@ -230,6 +297,9 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   ObjectStore store_;
+  ObjectStore stale_store_;
+  int stale_reads_ = 0;
+  std::map<uint64_t, Json> vms_history_;
   Json vms_ = Json::array();
   uint64_t vms_revision_ = 1;
   std::atomic<bool> down_{false};
--- /dev/null
+++ b/src/include/dogwoodlatch/lease.h
@@ -0,0 +1,144 @@
+/// Leases and permits kept as platform objects. Every acquisition has a higher
+/// fencing number than all before it.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "dogwoodlatch/error.h"
+#include "dogwoodlatch/platform_objects.h"
+#include "dogwoodlatch/time.h"
+
+namespace dogwoodlatch {
+
+/// What the object of a lease says.
+struct LeaseRecord {
+  std::string holder;           ///< empty: free
+  uint64_t fencing_number = 0;  ///< of the present or last holder
+  uint64_t renewal = 0;         ///< counts the writes of one holder
+  Duration duration{0};         ///< how long one write holds
+
+  bool operator==(const LeaseRecord&) const = default;
+};
+
+nlohmann::json ToJson(const LeaseRecord& record);
+Result<LeaseRecord> ParseLeaseRecord(const nlohmann::json& json);
+
+struct LeaseOptions {
+  std::string path;
+  std::string holder;  ///< unique to this life of the process
+  Duration duration = std::chrono::seconds(10);
+  /// A holder stops acting this long before others may take over; it covers
+  /// the difference between two clocks' rates.
+  Duration margin = std::chrono::seconds(1);
+  Duration retry_pause = std::chrono::milliseconds(500);
+};
+
+struct LeaseRead {};
+struct LeaseWrite {
+  LeaseRecord record;
+  uint64_t expected_version = 0;
+};
+using LeaseCommand = std::variant<LeaseRead, LeaseWrite>;
+
+/// Seeks, renews and releases one lease. One call is out at a time: TakeCommand
+/// gives it, and OnRead or OnWrite ends it. Clocks are compared by no one: a
+/// contender takes over once it has seen the same version for the lease's
+/// whole duration on its own clock.
+class LeaseKeeper {
+ public:
+  explicit LeaseKeeper(LeaseOptions options) : options_(std::move(options)) {}
+
+  /// Whether the lease is wanted; without it the keeper releases and rests.
+  void Want(bool wanted) { wanted_ = wanted; }
+
+  std::optional<LeaseCommand> TakeCommand(TimePoint now);
+
+  /// The object as read; a record without holder and version 0 when absent.
+  void OnRead(const Result<PlatformObject>& answer, TimePoint now);
+  void OnWrite(const Result<uint64_t>& answer, TimePoint now);
+
+  /// The fencing number to act under; none unless the lease is held now.
+  std::optional<uint64_t> FencingNumber(TimePoint now) const;
+
+  /// Whether another holder is known to have the lease.
+  bool IsTaken(TimePoint now) const;
+
+  const std::string& path() const { return options_.path; }
+
+ private:
+  enum class CallState { kNone, kReading, kWriting };
+
+  std::optional<LeaseRecord> NextRecord(TimePoint now) const;
+  LeaseRecord Acquisition() const;
+  bool OwnsRecord() const { return record_.holder == options_.holder; }
+  bool IsRenewalDue(TimePoint now) const;
+  LeaseCommand StartRead(TimePoint now);
+  LeaseCommand StartWrite(LeaseRecord record, TimePoint now);
+  void Learn(uint64_t version, const LeaseRecord& record, TimePoint now);
+  void ConfirmPending();
+
+  LeaseOptions options_;
+  bool wanted_ = true;
+  bool known_ = false;
+  CallState call_ = CallState::kNone;
+  TimePoint call_sent_at_{};
+  TimePoint next_call_at_{};
+  uint64_t version_ = 0;
+  LeaseRecord record_;
+  TimePoint seen_since_{};  ///< when this version was first seen
+  std::optional<LeaseRecord> pending_;
+  TimePoint pending_sent_at_{};
+  std::optional<TimePoint> held_until_;
+};
+
+struct PermitOptions {
+  std::string prefix;  ///< the permits are objects "<prefix><index>"
+  size_t permits = 2;
+  LeaseOptions lease;  ///< its path is not used
+};
+
+/// A call for one of the permits' objects.
+struct PermitCommand {
+  std::string path;
+  LeaseCommand command;
+};
+
+/// Seeks one of a fixed number of permits, each of which is a lease. Commands
+/// and events are those of LeaseKeeper.
+class PermitKeeper {
+ public:
+  PermitKeeper(const PermitOptions& options, size_t first_permit);
+
+  void Want(bool wanted);
+  std::optional<PermitCommand> TakeCommand(TimePoint now);
+  void OnRead(const Result<PlatformObject>& answer, TimePoint now);
+  void OnWrite(const Result<uint64_t>& answer, TimePoint now);
+
+  /// The fencing number of the permit that is held; none when none is.
+  std::optional<uint64_t> FencingNumber(TimePoint now) const;
+  bool IsHeld(TimePoint now) const { return FencingNumber(now).has_value(); }
+
+ private:
+  std::vector<LeaseKeeper> keepers_;
+  size_t current_;
+};
+
+/// Checks fencing numbers at the place that is protected: a number lower than
+/// one seen before is refused, and one number serves one holder.
+class FencingGate {
+ public:
+  bool Admit(uint64_t fencing_number, const std::string& holder);
+
+ private:
+  uint64_t highest_ = 0;
+  std::string holder_;
+};
+
+}  // namespace dogwoodlatch
--- a/src/include/dogwoodlatch/membership.h
+++ b/src/include/dogwoodlatch/membership.h
@@ -42,4 +42,7 @@
 /// Reads the platform's JSON; fails with kWrongType on malformed entries.
 Result<VmList> ParseVmList(const nlohmann::json& document);
 
+/// The JSON form that ParseVmList reads.
+nlohmann::json ToJson(const VmList& list);
+
 }  // namespace dogwoodlatch
--- a/src/include/dogwoodlatch/request_life.h
+++ b/src/include/dogwoodlatch/request_life.h
@@ -33,6 +33,7 @@
   kClaimFailed,
   kCallerGone,
   kRetryBudget,
+  kNoSettings,
 };
 
 std::string_view ToString(OutcomeKind kind);
--- /dev/null
+++ b/src/include/dogwoodlatch/settings_sync.h
@@ -0,0 +1,84 @@
+/// How a daemon keeps its settings and other objects in step with the platform
+/// and takes them from peers: calls out, answers in, changes out.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dogwoodlatch/object_replica.h"
+#include "dogwoodlatch/platform_objects.h"
+#include "dogwoodlatch/settings_replica.h"
+#include "dogwoodlatch/time.h"
+#include "dogwoodlatch/watch_loop.h"
+
+namespace dogwoodlatch {
+
+/// What an answer changed.
+struct SyncNews {
+  std::vector<std::string> teams;     ///< whose settings in force changed
+  std::vector<ObjectChange> objects;  ///< newer objects of other prefixes
+};
+
+/// Not thread-safe.
+class SettingsSync {
+ public:
+  /// Follows settings/ and the other prefixes. With peers nothing is ready
+  /// before OnPeersAsked.
+  SettingsSync(WatchLoopOptions options,
+               std::vector<std::string> other_prefixes, bool has_peers,
+               std::mt19937_64 random, TimePoint now);
+
+  TimePoint next_call_at() const { return loop_.next_call_at(); }
+
+  /// The call to make now; one of the On functions but OnPeer must follow.
+  std::optional<WatchCall> TakeCall(TimePoint now) {
+    return loop_.TakeCall(now);
+  }
+
+  SyncNews OnList(const ObjectList& list, TimePoint now);
+  SyncNews OnWatch(const ChangeList& list, TimePoint now);
+  SyncNews OnHistory(const std::string& path, const ObjectHistory& history,
+                     TimePoint now);
+  SyncNews OnFailure(ErrorCode code, TimePoint now);
+
+  /// Takes a peer's ExportSnapshot, object by object upwards.
+  SyncNews OnPeer(const nlohmann::json& snapshot, TimePoint now);
+
+  /// Every peer was asked once, whether or not it answered.
+  SyncNews OnPeersAsked(TimePoint now);
+
+  /// What a peer that starts needs.
+  nlohmann::json ExportSnapshot() const;
+
+  const SettingsReplica& settings() const { return settings_; }
+
+  /// Whether the settings in force are the newest that the platform tells of,
+  /// or, while it does not answer, a peer; it stays so once reached.
+  bool is_ready() const { return is_ready_; }
+
+  /// Consecutive failed calls to the platform.
+  int failures() const { return loop_.failures(); }
+
+ private:
+  void TakeListed(const ObjectChange& change, SyncNews& news);
+  void TakeMissing(const std::string& path, uint64_t revision, TimePoint now,
+                   SyncNews& news);
+  SyncNews Finish(SyncNews news, TimePoint not_before);
+  bool HasNewest() const;
+
+  WatchLoopOptions options_;
+  std::vector<std::string> prefixes_;
+  WatchLoop loop_;
+  ObjectReplica objects_;
+  SettingsReplica settings_;
+  bool peers_asked_ = false;
+  bool has_peer_snapshot_ = false;
+  bool has_watched_ = false;
+  bool is_ready_ = false;
+};
+
+}  // namespace dogwoodlatch
--- a/src/include/dogwoodlatch/standin/object_store.h
+++ b/src/include/dogwoodlatch/standin/object_store.h
@@ -36,6 +36,12 @@
                                          uint64_t version) const;
   std::vector<StoredObject> List(std::string_view prefix) const;
 
+  /// Every version and deletion of a path, oldest first.
+  std::vector<StoredChange> History(std::string_view path) const;
+
+  /// The store as it was at an earlier revision, its change log included.
+  ObjectStore AsOf(uint64_t revision) const;
+
   /// Writes when the object's version is `expected` (0: absent); fails with
   /// kConflict.
   Result<uint64_t> Put(std::string_view path, nlohmann::json value,
@@ -57,7 +63,7 @@
 
   uint64_t revision_ = 0;
   std::map<std::string, StoredObject, std::less<>> objects_;
-  std::map<std::string, std::vector<StoredObject>, std::less<>> history_;
+  std::map<std::string, std::vector<StoredChange>, std::less<>> history_;
   std::deque<StoredChange> log_;
 };
 
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -23,6 +23,7 @@
   kSettingsAdopted = 210,
   kSettingsRefused = 211,
   kVmListAdopted = 220,
+  kPeerSnapshotTaken = 230,
   kTargetUp = 300,
   kTargetDown = 301,
   kAgentUnreachable = 310,
--- a/src/include/dogwoodlatch/util/platform_client.h
+++ b/src/include/dogwoodlatch/util/platform_client.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -11,33 +12,10 @@
 
 #include "dogwoodlatch/error.h"
 #include "dogwoodlatch/membership.h"
+#include "dogwoodlatch/platform_objects.h"
 
 namespace dogwoodlatch {
 
-/// One object with its version; versions of one path only grow.
-struct PlatformObject {
-  std::string path;
-  uint64_t version = 0;
-  nlohmann::json value;
-};
-
-/// A list of objects at one revision of the whole store.
-struct ObjectList {
-  uint64_t revision = 0;
-  std::vector<PlatformObject> objects;
-};
-
-/// One change that a watch reports.
-struct ObjectChange {
-  PlatformObject object;
-  bool deleted = false;
-};
-
-struct ChangeList {
-  uint64_t revision = 0;
-  std::vector<ObjectChange> changes;
-};
-
 struct PlatformClientOptions {
   std::string address;  ///< "ip:port"
   std::chrono::milliseconds timeout{0};
@@ -50,6 +28,12 @@
 class PlatformClient {
  public:
   explicit PlatformClient(PlatformClientOptions options);
+  ~PlatformClient();
+  PlatformClient(const PlatformClient&) = delete;
+  PlatformClient& operator=(const PlatformClient&) = delete;
+
+  /// Ends the calls that wait for an answer now.
+  void Interrupt();
 
   Result<PlatformObject> Get(std::string_view path) const;
 
@@ -64,8 +48,16 @@
   Result<void> Delete(std::string_view path, uint64_t expected_version) const;
   Result<ObjectList> List(std::string_view prefix) const;
 
-  /// Waits for changes below `prefix` after `revision`, for at most `wait`.
-  Result<ChangeList> Watch(std::string_view prefix, uint64_t revision,
+  /// The objects below any of the prefixes, at one revision.
+  Result<ObjectList> List(const std::vector<std::string>& prefixes) const;
+
+  /// Every version and deletion of an object that the platform holds.
+  Result<ObjectHistory> History(std::string_view path) const;
+
+  /// Waits for changes below any of the prefixes after `revision`, for at most
+  /// `wait`.
+  Result<ChangeList> Watch(const std::vector<std::string>& prefixes,
+                           uint64_t revision,
                            std::chrono::milliseconds wait) const;
 
   /// The VM list, once its revision differs from `known_revision` or `wait` has
@@ -74,7 +66,10 @@
                      std::chrono::milliseconds wait) const;
 
  private:
+  class Calls;
+
   PlatformClientOptions options_;
+  std::unique_ptr<Calls> calls_;
 };
 
 }  // namespace dogwoodlatch
--- a/src/include/dogwoodlatch/util/platform_sync.h
+++ b/src/include/dogwoodlatch/util/platform_sync.h
@@ -1,16 +1,22 @@
-/// Keeps a daemon's settings and VM list in step with the platform and
-/// publishes them by read-copy-update.
+/// Keeps a daemon's settings and VM list in step with the platform, and with
+/// its peers while it starts, and publishes them by read-copy-update.
 #pragma once
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "dogwoodlatch/membership.h"
 #include "dogwoodlatch/settings.h"
+#include "dogwoodlatch/settings_sync.h"
 #include "dogwoodlatch/util/platform_client.h"
 #include "dogwoodlatch/util/rcu_cell.h"
 
@@ -18,18 +24,26 @@
 
 struct PlatformSyncOptions {
   PlatformClientOptions platform;
-  std::chrono::milliseconds watch_wait{0};   ///< longest time one watch waits
-  std::chrono::milliseconds retry_pause{0};  ///< pause after a failed call
+  WatchLoopOptions loop;
+  std::vector<std::string> peers;  ///< ops addresses of other daemons
+  std::chrono::milliseconds peer_timeout{0};
 };
 
 /// Follows the platform on threads of its own, from Start to Stop.
 class PlatformSync {
  public:
+  using Follower = std::function<void(const ObjectChange&)>;
+
   explicit PlatformSync(PlatformSyncOptions options);
   ~PlatformSync();
   PlatformSync(const PlatformSync&) = delete;
   PlatformSync& operator=(const PlatformSync&) = delete;
 
+  /// Follows the objects below another prefix too, under the same watch: each
+  /// newer version and deletion is reported once, on a thread of the sync. Call
+  /// it before Start.
+  void Follow(const std::string& prefix, Follower follower);
+
   void Start();
   void Stop();
 
@@ -38,25 +52,47 @@
   }
   std::shared_ptr<const VmList> vms() const { return vms_.Read(); }
 
-  /// Whether both settings and VM list were seen at least once.
+  /// Whether both settings and VM list came from the platform or from a peer.
   bool is_ready() const { return have_settings_ && have_vms_; }
 
+  /// What operators see: versions in force, faults, and the platform's state.
+  nlohmann::json Status() const;
+
+  /// What a peer that starts needs.
+  nlohmann::json Snapshot() const;
+
  private:
-  void FollowSettings();
+  void FollowObjects();
   void FollowVms();
-  Result<uint64_t> LoadSettings();
-  void Adopt(const PlatformObject& object);
-  void Pause();
+  void AskPeers();
+  void CallPlatform(const WatchCall& call);
+  void CallVms(const WatchCall& call, WatchLoop& loop);
+  void AskPeer(const std::string& peer);
+  void AdoptVms(VmList list);
+  void Publish(const SyncNews& news);
+  void ReportAvailability(int failures);
+  bool WaitUntil(TimePoint time);
 
   PlatformSyncOptions options_;
   PlatformClient platform_;
+  std::vector<std::string> prefixes_;
+  std::map<std::string, Follower> followers_;
+
+  mutable std::mutex mutex_;  // guards sync_, publication and vm_list_json_
+  std::unique_ptr<SettingsSync> sync_;
+  nlohmann::json vm_list_json_;
+  bool platform_down_ = false;
+
   RcuCell<SettingsSnapshot> settings_;
   RcuCell<VmList> vms_;
   std::atomic<bool> have_settings_{false};
   std::atomic<bool> have_vms_{false};
-  std::atomic<bool> stopping_{false};
-  std::thread settings_thread_;
-  std::thread vms_thread_;
+
+  std::mutex stop_mutex_;
+  std::condition_variable stopped_;
+  bool stopping_ = false;
+  std::atomic<int> running_{0};
+  std::vector<std::thread> threads_;
 };
 
 }  // namespace dogwoodlatch
--- /dev/null
+++ b/src/libdogwoodlatch/lease.cc
@@ -0,0 +1,194 @@
+#include "dogwoodlatch/lease.h"
+
+#include <algorithm>
+
+namespace dogwoodlatch {
+namespace {
+
+using Json = nlohmann::json;
+
+// A holder renews this many times within the duration of its lease.
+constexpr int kRenewalsPerDuration = 3;
+
+}  // namespace
+
+Json ToJson(const LeaseRecord& record) {
+  return {{"holder", record.holder},
+          {"fencing_number", record.fencing_number},
+          {"renewal", record.renewal},
+          {"duration_us", record.duration.count()}};
+}
+
+Result<LeaseRecord> ParseLeaseRecord(const Json& json) {
+  // The library reports wrong field types by exception only.
+  try {
+    return LeaseRecord{json.at("holder").get<std::string>(),
+                       json.at("fencing_number").get<uint64_t>(),
+                       json.at("renewal").get<uint64_t>(),
+                       Duration(json.at("duration_us").get<int64_t>())};
+  } catch (const Json::exception& e) {
+    return Error{ErrorCode::kWrongType, "lease", e.what()};
+  }
+}
+
+std::optional<LeaseCommand> LeaseKeeper::TakeCommand(TimePoint now) {
+  if (call_ != CallState::kNone || now < next_call_at_) return std::nullopt;
+  if (!known_) {
+    if (!wanted_ && !pending_) return std::nullopt;
+    return StartRead(now);
+  }
+  const std::optional<LeaseRecord> next = NextRecord(now);
+  if (next) return StartWrite(*next, now);
+  if (OwnsRecord() || !wanted_) return std::nullopt;
+  return StartRead(now);
+}
+
+void LeaseKeeper::OnRead(const Result<PlatformObject>& answer, TimePoint now) {
+  call_ = CallState::kNone;
+  next_call_at_ = now + options_.retry_pause;
+  if (!answer) {
+    if (answer.error().code != ErrorCode::kNotFound) return;
+    Learn(0, {}, now);
+    if (known_) next_call_at_ = now;
+    return;
+  }
+  const Result<LeaseRecord> record = ParseLeaseRecord(answer.value().value);
+  // An object that is no lease is overwritten by none; it stays not held.
+  if (!record) return;
+  Learn(answer.value().version, record.value(), now);
+  if (known_ && record_ == pending_) ConfirmPending();
+  if (!IsTaken(now)) next_call_at_ = now;
+}
+
+void LeaseKeeper::OnWrite(const Result<uint64_t>& answer, TimePoint now) {
+  call_ = CallState::kNone;
+  next_call_at_ = now;
+  if (!answer) {
+    // The object is read back before anything else is written.
+    known_ = false;
+    const bool may_be_written =
+        answer.error().code == ErrorCode::kUnknownOutcome ||
+        answer.error().code == ErrorCode::kConflict;
+    if (!may_be_written) next_call_at_ = now + options_.retry_pause;
+    return;
+  }
+  version_ = answer.value();
+  record_ = *pending_;
+  seen_since_ = now;
+  ConfirmPending();
+}
+
+std::optional<uint64_t> LeaseKeeper::FencingNumber(TimePoint now) const {
+  if (!held_until_ || now >= *held_until_) return std::nullopt;
+  return record_.fencing_number;
+}
+
+bool LeaseKeeper::IsTaken(TimePoint now) const {
+  return known_ && !record_.holder.empty() && !OwnsRecord() &&
+         now < seen_since_ + record_.duration;
+}
+
+std::optional<LeaseRecord> LeaseKeeper::NextRecord(TimePoint now) const {
+  if (OwnsRecord()) {
+    LeaseRecord next = record_;
+    ++next.renewal;
+    if (!wanted_) next.holder.clear();
+    if (wanted_ && !IsRenewalDue(now)) return std::nullopt;
+    return next;
+  }
+  if (!wanted_ || IsTaken(now)) return std::nullopt;
+  return Acquisition();
+}
+
+LeaseRecord LeaseKeeper::Acquisition() const {
+  return {options_.holder, record_.fencing_number + 1, 0, options_.duration};
+}
+
+bool LeaseKeeper::IsRenewalDue(TimePoint now) const {
+  return !held_until_ ||
+         now >= seen_since_ + options_.duration / kRenewalsPerDuration;
+}
+
+LeaseCommand LeaseKeeper::StartRead(TimePoint now) {
+  call_ = CallState::kReading;
+  call_sent_at_ = now;
+  return LeaseRead{};
+}
+
+LeaseCommand LeaseKeeper::StartWrite(LeaseRecord record, TimePoint now) {
+  call_ = CallState::kWriting;
+  call_sent_at_ = now;
+  // A repeated write may find that its first copy took effect long ago, so the
+  // lease counts from the first.
+  if (pending_ != record) {
+    pending_ = record;
+    pending_sent_at_ = now;
+  }
+  if (record.holder.empty()) held_until_.reset();
+  return LeaseWrite{std::move(record), version_};
+}
+
+// An answer from an old replica of the platform teaches nothing.
+void LeaseKeeper::Learn(uint64_t version, const LeaseRecord& record,
+                        TimePoint now) {
+  if (version < version_) return;
+  known_ = true;
+  if (version == version_ && seen_since_ != TimePoint{}) return;
+  version_ = version;
+  record_ = record;
+  seen_since_ = now;
+  if (!OwnsRecord()) held_until_.reset();
+}
+
+void LeaseKeeper::ConfirmPending() {
+  if (pending_->holder == options_.holder) {
+    held_until_ = pending_sent_at_ + options_.duration - options_.margin;
+  }
+  pending_.reset();
+}
+
+PermitKeeper::PermitKeeper(const PermitOptions& options, size_t first_permit)
+    : current_(first_permit % options.permits) {
+  for (size_t i = 0; i < options.permits; ++i) {
+    LeaseOptions lease = options.lease;
+    lease.path = options.prefix + std::to_string(i);
+    keepers_.emplace_back(std::move(lease));
+  }
+}
+
+void PermitKeeper::Want(bool wanted) {
+  for (LeaseKeeper& keeper : keepers_) keeper.Want(wanted);
+}
+
+std::optional<PermitCommand> PermitKeeper::TakeCommand(TimePoint now) {
+  LeaseKeeper& keeper = keepers_[current_];
+  const std::optional<LeaseCommand> command = keeper.TakeCommand(now);
+  if (!command) return std::nullopt;
+  return PermitCommand{keeper.path(), *command};
+}
+
+void PermitKeeper::OnRead(const Result<PlatformObject>& answer, TimePoint now) {
+  keepers_[current_].OnRead(answer, now);
+  // A permit of another holder is left for the next one.
+  if (keepers_[current_].IsTaken(now)) {
+    current_ = (current_ + 1) % keepers_.size();
+  }
+}
+
+void PermitKeeper::OnWrite(const Result<uint64_t>& answer, TimePoint now) {
+  keepers_[current_].OnWrite(answer, now);
+}
+
+std::optional<uint64_t> PermitKeeper::FencingNumber(TimePoint now) const {
+  return keepers_[current_].FencingNumber(now);
+}
+
+bool FencingGate::Admit(uint64_t fencing_number, const std::string& holder) {
+  if (fencing_number < highest_) return false;
+  if (fencing_number == highest_ && holder != holder_) return false;
+  highest_ = fencing_number;
+  holder_ = holder;
+  return true;
+}
+
+}  // namespace dogwoodlatch
--- a/src/libdogwoodlatch/membership.cc
+++ b/src/libdogwoodlatch/membership.cc
@@ -45,4 +45,20 @@
   }
 }
 
+nlohmann::json ToJson(const VmList& list) {
+  nlohmann::json vms = nlohmann::json::array();
+  for (const TargetEntry& target : list.targets) {
+    vms.push_back(
+        {{"id", target.id.value},
+         {"vm_id", target.vm_id},
+         {"kind", target.kind == RequestKind::kChat ? "engine" : "service"},
+         {"serves", target.serves},
+         {"agent", target.agent_address},
+         {"failure_domain", target.failure_domain},
+         {"region", target.region},
+         {"state", target.leaving ? "leaving" : "live"}});
+  }
+  return {{"revision", list.revision}, {"vms", vms}};
+}
+
 }  // namespace dogwoodlatch
--- a/src/libdogwoodlatch/request_life.cc
+++ b/src/libdogwoodlatch/request_life.cc
@@ -18,10 +18,10 @@
 }
 
 std::string_view ToString(OutcomeReason reason) {
-  static constexpr std::array<std::string_view, 11> kNames = {
-      "none",         "no_target",     "overloaded",  "deadline",
-      "target_lost",  "stream_broken", "quarantined", "key_reused",
-      "claim_failed", "caller_gone",   "retry_budget"};
+  static constexpr std::array<std::string_view, 12> kNames = {
+      "none",         "no_target",     "overloaded",   "deadline",
+      "target_lost",  "stream_broken", "quarantined",  "key_reused",
+      "claim_failed", "caller_gone",   "retry_budget", "no_settings"};
   return kNames.at(static_cast<size_t>(reason));
 }
 
--- /dev/null
+++ b/src/libdogwoodlatch/settings_fuzz_test.cc
@@ -0,0 +1,550 @@
+// Daemons, operators and a small fake platform on one virtual clock. Scripts of
+// faults and writes drive the real decision code; each property is also shown
+// to fail on a broken variant.
+
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <set>
+
+#include "dogwoodlatch/settings_rules.h"
+#include "dogwoodlatch/settings_sync.h"
+#include "dogwoodlatch/settings_write.h"
+
+namespace dogwoodlatch {
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kTick = milliseconds(50);
+constexpr Duration kTimeout = seconds(1);
+constexpr Duration kInForceWithin = seconds(7);
+constexpr std::array<const char*, 3> kTeams = {"a", "b", "c"};
+
+// Faults that the tests put into the code under test.
+enum class Mutation {
+  kNone,
+  kAdoptAnyVersion,   // a daemon forgets what it knows before each list
+  kNoPeers,           // a daemon starts without asking its peers
+  kNoBackOffBound,    // pauses grow without bound
+  kNoOlderVersions,   // a conflict is settled without the older versions
+  kUnconditionalPut,  // an operator writes over whatever is there
+};
+
+std::string PathOf(const char* team) { return std::string("settings/") + team; }
+
+class FakePlatform {
+ public:
+  bool down = false;
+  int lose_answers = 0;
+  int stale_reads = 0;
+  uint64_t stale_revision = 0;
+
+  ObjectList List() {
+    const uint64_t at = ReadRevision();
+    std::map<std::string, ObjectChange> newest;
+    for (const ObjectChange& change : log_) {
+      if (change.object.version <= at) newest[change.object.path] = change;
+    }
+    ObjectList list{at, {}};
+    for (const auto& [path, change] : newest) {
+      if (!change.deleted) list.objects.push_back(change.object);
+    }
+    return list;
+  }
+
+  Result<ChangeList> Watch(uint64_t after) const {
+    if (after > revision_ || after < compacted_) {
+      return Error{ErrorCode::kExpired, "", ""};
+    }
+    ChangeList list{revision_, {}};
+    std::ranges::copy_if(log_, std::back_inserter(list.changes),
+                         [&](const ObjectChange& change) {
+                           return change.object.version > after;
+                         });
+    return list;
+  }
+
+  ObjectHistory History(const std::string& path) {
+    const uint64_t at = ReadRevision();
+    ObjectHistory history;
+    std::ranges::copy_if(
+        log_, std::back_inserter(history), [&](const ObjectChange& change) {
+          return change.object.path == path && change.object.version <= at;
+        });
+    return history;
+  }
+
+  Result<uint64_t> Put(const std::string& path, Json value, uint64_t expected) {
+    if (down) return Error{ErrorCode::kUnavailable, path, ""};
+    if (VersionOf(path) != expected) {
+      return Error{ErrorCode::kConflict, path, ""};
+    }
+    Append(path, std::move(value), false);
+    if (lose_answers == 0) return revision_;
+    --lose_answers;
+    return Error{ErrorCode::kUnknownOutcome, path, ""};
+  }
+
+  void Append(const std::string& path, Json value, bool deleted) {
+    log_.push_back({{path, ++revision_, std::move(value)}, deleted});
+  }
+
+  uint64_t VersionOf(const std::string& path) const {
+    uint64_t version = 0;
+    for (const ObjectChange& change : log_) {
+      if (change.object.path != path) continue;
+      version = change.deleted ? 0 : change.object.version;
+    }
+    return version;
+  }
+
+  Json ValueOf(const std::string& path) const {
+    Json value;
+    for (const ObjectChange& change : log_) {
+      if (change.object.path == path) value = change.object.value;
+    }
+    return value;
+  }
+
+  void Restore(uint64_t revision) {
+    revision_ = std::min(revision, revision_);
+    std::erase_if(log_, [this](const ObjectChange& change) {
+      return change.object.version > revision_;
+    });
+    compacted_ = std::min(compacted_, revision_);
+    replica_ = {};
+    replayed_ = 0;
+  }
+
+  void Compact() { compacted_ = revision_; }
+  uint64_t revision() const { return revision_; }
+
+  // What a daemon that saw every version has in force.
+  const SettingsReplica& WholeReplica() {
+    for (; replayed_ < log_.size(); ++replayed_) {
+      replica_.OnChange(log_[replayed_]);
+      replica_.Settle();
+    }
+    return replica_;
+  }
+
+ private:
+  uint64_t ReadRevision() {
+    if (stale_reads == 0) return revision_;
+    --stale_reads;
+    return std::min(stale_revision, revision_);
+  }
+
+  std::vector<ObjectChange> log_;
+  uint64_t revision_ = 0;
+  uint64_t compacted_ = 0;
+  SettingsReplica replica_;
+  size_t replayed_ = 0;
+};
+
+// What is in force of one team.
+struct InForce {
+  uint64_t version = 0;
+  bool deleted = false;
+
+  // A daemon that never heard of a deleted object has nothing in force either.
+  bool IsBelow(const InForce& other) const {
+    return version < other.version && !(version == 0 && other.deleted);
+  }
+};
+using InForceMap = std::map<std::string, InForce>;
+
+void RaiseTo(const SettingsReplica& replica, InForceMap& in_force) {
+  for (const ObjectChange& change : replica.InForce()) {
+    InForce& entry = in_force[TeamOfPath(change.object.path)];
+    if (change.object.version < entry.version) continue;
+    entry = {change.object.version, change.deleted};
+  }
+}
+
+struct Daemon {
+  std::unique_ptr<SettingsSync> sync;
+  std::optional<WatchCall> call;
+  TimePoint call_sent_at;
+  bool paused = false;
+  TimePoint calm_since;
+  InForceMap in_force;
+  InForceMap floor;  // no version may go below
+};
+
+struct Operator {
+  std::string team;
+  std::optional<SettingsWrite> write;
+  std::string key;
+};
+
+struct Accepted {
+  std::string team;
+  uint64_t version = 0;
+  std::string key;
+  TimePoint at;
+};
+
+// What a run does besides operators' writes.
+struct Faults {
+  bool outages = false;
+  bool restores = false;
+  bool restarts = false;
+  bool foreign_writes = false;  // invalid objects written past the client
+};
+
+class World {
+ public:
+  World(Mutation mutation, Faults faults)
+      : mutation_(mutation), faults_(faults) {
+    for (Daemon& daemon : daemons_) Start(daemon, true);
+    operators_ = {{{"a", {}, ""}, {"a", {}, ""}, {"b", {}, ""}}};
+  }
+
+  void Run(const std::vector<int>& script) {
+    for (const int code : script) {
+      Step(code % 16, code / 16 % 8, code / 128);
+      Advance(milliseconds(50 * (code / 1024 % 40)));
+    }
+    platform_.down = false;
+    platform_.stale_reads = 0;
+    for (Daemon& daemon : daemons_) daemon.paused = false;
+    Disturb();
+    Advance(seconds(10));
+    CheckNothingLost();
+  }
+
+  bool decreased = false;    // a version in force went down
+  bool late = false;         // an accepted change was not in force in time
+  bool lost_change = false;  // an accepted change is gone
+  bool diverged = false;     // two daemons have other versions in force
+  uint64_t accepted_count() const { return accepted_.size(); }
+
+ private:
+  void Step(int kind, int which, int detail) {
+    Daemon& daemon = daemons_[which % daemons_.size()];
+    const std::string path = PathOf(kTeams[which % kTeams.size()]);
+    if (kind < 7) return Operate(operators_[which % operators_.size()], detail);
+    if (kind == 7) platform_.lose_answers = 1;
+    if (kind == 8) {
+      platform_.stale_reads = 1;
+      platform_.stale_revision = platform_.revision() / 2;
+    }
+    if (kind == 9) platform_.Compact();
+    if (kind == 10 && faults_.outages) SetDown(!platform_.down);
+    if (kind == 11 && faults_.restarts) Start(daemon, false);
+    if (kind == 12 && faults_.restores && !platform_.down) {
+      platform_.Restore(platform_.revision() - platform_.revision() / 3);
+    }
+    if (kind == 13 && faults_.foreign_writes) WritePastClient(path, detail);
+    if (kind == 14 && faults_.restarts) {
+      daemon.paused = !daemon.paused;
+      daemon.calm_since = now_;
+    }
+    if (kind == 15 && faults_.foreign_writes && detail % 4 == 0) {
+      Delete(kTeams[which % kTeams.size()]);
+    }
+  }
+
+  // A deletion takes the changes before it out of force.
+  void Delete(const char* team) {
+    if (platform_.VersionOf(PathOf(team)) == 0) return;
+    platform_.Append(PathOf(team), {}, true);
+    std::erase_if(accepted_, [team](const Accepted& change) {
+      return change.team == team;
+    });
+  }
+
+  void SetDown(bool down) {
+    platform_.down = down;
+    Disturb();
+  }
+
+  void Disturb() {
+    for (Daemon& daemon : daemons_) daemon.calm_since = now_;
+  }
+
+  // A process that starts: it asks its peers, and lists.
+  void Start(Daemon& daemon, bool first) {
+    WatchLoopOptions options;
+    if (mutation_ == Mutation::kNoBackOffBound) {
+      options.longest_retry = seconds(1000);
+    }
+    InForceMap reachable;
+    if (!platform_.down) RaiseTo(platform_.WholeReplica(), reachable);
+    const bool asks = !first && mutation_ != Mutation::kNoPeers;
+    daemon.sync =
+        std::make_unique<SettingsSync>(options, std::vector<std::string>{},
+                                       asks, std::mt19937_64(++seed_), now_);
+    daemon.call.reset();
+    daemon.paused = false;
+    daemon.calm_since = now_;
+    for (const Daemon& peer : daemons_) {
+      if (&peer == &daemon || !peer.sync || !peer.sync->is_ready()) continue;
+      RaiseTo(peer.sync->settings(), reachable);
+      if (asks) daemon.sync->OnPeer(peer.sync->ExportSnapshot(), now_);
+    }
+    if (asks) daemon.sync->OnPeersAsked(now_);
+    for (auto& [team, floor] : daemon.floor) {
+      if (reachable[team].version < floor.version) floor = reachable[team];
+    }
+  }
+
+  // One call of an operator's write, or the start of the next write.
+  void Operate(Operator& op, int detail) {
+    if (!op.write) return StartWrite(op, detail);
+    const std::string path = PathOf(op.team.c_str());
+    if (const auto* put = std::get_if<PutCommand>(&pending_of(op))) {
+      const bool blind = mutation_ == Mutation::kUnconditionalPut;
+      const uint64_t expected =
+          blind ? platform_.VersionOf(path) : put->expected_version;
+      op.write->OnPut(platform_.Put(path, ours_[op.key], expected));
+    } else if (platform_.down) {
+      op.write->OnHistory(Error{ErrorCode::kUnavailable, path, ""});
+    } else {
+      op.write->OnHistory(platform_.History(path));
+    }
+    if (op.write->result()) Finish(op);
+  }
+
+  WriteCommand& pending_of(Operator& op) {
+    command_ = op.write->command();
+    return command_;
+  }
+
+  void StartWrite(Operator& op, int detail) {
+    if (platform_.down) return;
+    const std::string path = PathOf(op.team.c_str());
+    PlatformObject base{path, platform_.VersionOf(path), Json::object()};
+    if (base.version != 0) base.value = platform_.ValueOf(path);
+    Json ours = base.value;
+    op.key = "key" + std::to_string(++keys_);
+    ours["models"][op.key] = Json::object();
+    // Now and then two teams want the same name.
+    if (detail % 8 == 0) ours["services"]["shared"] = Json::object();
+    if (detail % 8 == 1) ours.erase("services");
+    const SettingsSnapshot in_force = platform_.WholeReplica().Snapshot();
+    if (!FindSettingsFaults(op.team, ours, in_force).empty()) return;
+    ours_[op.key] = ours;
+    op.write.emplace(base, platform_.revision(), ours);
+  }
+
+  // Accepted: written, and in force by the rules between teams.
+  void Finish(Operator& op) {
+    const auto* accepted = std::get_if<WriteAccepted>(&*op.write->result());
+    if (accepted != nullptr) {
+      const auto status = platform_.WholeReplica().Status();
+      const auto team = status.find(op.team);
+      const bool in_force =
+          team != status.end() && team->second.in_force >= accepted->version;
+      // What was deleted before its answer was read back is not in force.
+      if (in_force && platform_.VersionOf(PathOf(op.team.c_str())) != 0) {
+        accepted_.push_back({op.team, accepted->version, op.key, now_});
+      }
+    }
+    op.write.reset();
+  }
+
+  // Keeps what is there, adds a fault or takes a name.
+  void WritePastClient(const std::string& path, int detail) {
+    if (platform_.down) return;
+    const bool exists = platform_.VersionOf(path) != 0;
+    Json value = exists ? platform_.ValueOf(path) : Json::object();
+    if (detail % 3 == 0) value["no_such_key"] = 1;
+    if (detail % 3 == 1) value["services"]["shared"] = Json::object();
+    if (detail % 3 == 2) value.erase("no_such_key");
+    platform_.Append(path, value, false);
+  }
+
+  void Advance(Duration span) {
+    for (const TimePoint end = now_ + span; now_ < end;) {
+      now_ += kTick;
+      for (Daemon& daemon : daemons_) {
+        if (!daemon.paused) Drive(daemon);
+      }
+      std::ranges::for_each(daemons_, [this](Daemon& d) { CheckInForce(d); });
+    }
+  }
+
+  void Drive(Daemon& daemon) {
+    if (daemon.call) Answer(daemon);
+    if (daemon.call) return;
+    Check(daemon);
+    daemon.call = daemon.sync->TakeCall(now_);
+    daemon.call_sent_at = now_;
+  }
+
+  void Answer(Daemon& daemon) {
+    const WatchCall call = *daemon.call;
+    SettingsSync& sync = *daemon.sync;
+    const Duration waited = now_ - daemon.call_sent_at;
+    if (platform_.down) {
+      if (waited < kTimeout) return;
+      daemon.call.reset();
+      sync.OnFailure(ErrorCode::kUnavailable, now_);
+      return;
+    }
+    if (call.kind == WatchCall::Kind::kWatch) {
+      const Result<ChangeList> changes = platform_.Watch(call.revision);
+      if (changes && changes.value().changes.empty() && waited < call.wait) {
+        return;
+      }
+      daemon.call.reset();
+      if (changes) {
+        sync.OnWatch(changes.value(), now_);
+      } else {
+        sync.OnFailure(changes.error().code, now_);
+      }
+      return;
+    }
+    daemon.call.reset();
+    if (call.kind == WatchCall::Kind::kHistory) {
+      ObjectHistory history = platform_.History(call.path);
+      if (mutation_ == Mutation::kNoOlderVersions && !history.empty()) {
+        history.erase(history.begin(), history.end() - 1);
+      }
+      sync.OnHistory(call.path, history, now_);
+      return;
+    }
+    if (mutation_ == Mutation::kAdoptAnyVersion) {
+      daemon.sync = std::make_unique<SettingsSync>(
+          WatchLoopOptions{}, std::vector<std::string>{}, false,
+          std::mt19937_64(++seed_), now_);
+      (void)daemon.sync->TakeCall(now_ + seconds(1));
+      daemon.sync->OnList(platform_.List(), now_);
+      return;
+    }
+    sync.OnList(platform_.List(), now_);
+  }
+
+  void Check(Daemon& daemon) {
+    if (!daemon.sync->is_ready()) return;
+    daemon.in_force.clear();
+    RaiseTo(daemon.sync->settings(), daemon.in_force);
+    InForceMap platform;
+    RaiseTo(platform_.WholeReplica(), platform);
+    for (auto& [team, floor] : daemon.floor) {
+      // A daemon that starts after a deletion sees an absent object.
+      const InForce& there = platform[team];
+      floor.deleted |= there.deleted && there.version > floor.version;
+      decreased |= daemon.in_force[team].IsBelow(floor);
+    }
+    daemon.floor = daemon.in_force;
+  }
+
+  void CheckInForce(Daemon& daemon) {
+    if (platform_.down || daemon.paused) return;
+    for (const Accepted& change : accepted_) {
+      const TimePoint due =
+          std::max(change.at, daemon.calm_since) + kInForceWithin;
+      if (now_ < due) continue;
+      late |= !daemon.sync->is_ready() ||
+              daemon.in_force[change.team].version < change.version;
+    }
+  }
+
+  void CheckNothingLost() {
+    for (const Accepted& change : accepted_) {
+      const Json value = platform_.ValueOf(PathOf(change.team.c_str()));
+      lost_change |= !value.is_object() || !value.contains("models") ||
+                     !value["models"].contains(change.key);
+    }
+    for (const Daemon& daemon : daemons_) {
+      late |= !daemon.sync->is_ready();
+      const SettingsSnapshot mine = daemon.sync->settings().Snapshot();
+      const SettingsSnapshot all = platform_.WholeReplica().Snapshot();
+      diverged |= !std::ranges::equal(
+          mine.teams, all.teams, {},
+          [](const auto& entry) { return entry.second.version; },
+          [](const auto& entry) { return entry.second.version; });
+    }
+  }
+
+  Mutation mutation_;
+  Faults faults_;
+  FakePlatform platform_;
+  TimePoint now_{seconds(1)};
+  uint64_t seed_ = 0;
+  int keys_ = 0;
+  std::array<Daemon, 3> daemons_;
+  std::array<Operator, 3> operators_;
+  std::map<std::string, Json> ours_;
+  WriteCommand command_;
+  std::vector<Accepted> accepted_;
+};
+
+using Script = std::vector<int>;
+
+rc::Gen<Script> AnyScript() {
+  return rc::gen::container<Script>(40, rc::gen::inRange(0, 1 << 20));
+}
+
+World Play(const Script& script, Mutation mutation, Faults faults) {
+  World world(mutation, faults);
+  world.Run(script);
+  return world;
+}
+
+// Whether some script shows the broken variant.
+template <typename Violated>
+bool IsCaught(Mutation mutation, Faults faults, Violated violated) {
+  constexpr uint64_t kScripts = 60;
+  for (uint64_t seed = 1; seed <= kScripts; ++seed) {
+    const Script script = AnyScript()(rc::Random(seed), 100).value();
+    if (violated(Play(script, mutation, faults))) return true;
+  }
+  return false;
+}
+
+constexpr Faults kEverything{true, true, true, true};
+constexpr Faults kNoRestore{true, false, true, true};
+constexpr Faults kOnlyOutages{true, false, true, false};
+
+}  // namespace
+
+TEST_CASE("no version in force decreases while a reachable part knows it") {
+  rc::prop("through outages, restores, old replicas, restarts and pauses", [] {
+    const Script script = *AnyScript();
+    RC_ASSERT(!Play(script, Mutation::kNone, kEverything).decreased);
+  });
+  const auto violated = [](const World& world) { return world.decreased; };
+  CHECK(IsCaught(Mutation::kAdoptAnyVersion, kEverything, violated));
+  CHECK(IsCaught(Mutation::kNoPeers, kEverything, violated));
+}
+
+TEST_CASE("an accepted change is in force everywhere within 7 s") {
+  rc::prop("outside of outages and after their end", [] {
+    const Script script = *AnyScript();
+    const World world = Play(script, Mutation::kNone, kNoRestore);
+    RC_CLASSIFY(world.accepted_count() > 0, "some change accepted");
+    RC_ASSERT(!world.late);
+  });
+  const auto violated = [](const World& world) { return world.late; };
+  CHECK(IsCaught(Mutation::kNoBackOffBound, kNoRestore, violated));
+}
+
+TEST_CASE("every daemon ends with the same versions in force") {
+  rc::prop("whichever changes it saw and when it started", [] {
+    const Script script = *AnyScript();
+    RC_ASSERT(!Play(script, Mutation::kNone, kNoRestore).diverged);
+  });
+  const auto violated = [](const World& world) { return world.diverged; };
+  CHECK(IsCaught(Mutation::kNoOlderVersions, kNoRestore, violated));
+}
+
+TEST_CASE("racing operators lose no accepted change") {
+  rc::prop("also when answers are lost", [] {
+    const Script script = *AnyScript();
+    RC_ASSERT(!Play(script, Mutation::kNone, kOnlyOutages).lost_change);
+  });
+  const auto violated = [](const World& world) { return world.lost_change; };
+  CHECK(IsCaught(Mutation::kUnconditionalPut, kOnlyOutages, violated));
+}
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/src/libdogwoodlatch/settings_sync.cc
@@ -0,0 +1,147 @@
+#include "dogwoodlatch/settings_sync.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace dogwoodlatch {
+namespace {
+
+using Json = nlohmann::json;
+
+bool IsSettings(std::string_view path) {
+  return path.starts_with(kSettingsPrefix);
+}
+
+}  // namespace
+
+SettingsSync::SettingsSync(WatchLoopOptions options,
+                           std::vector<std::string> other_prefixes,
+                           bool has_peers, std::mt19937_64 random,
+                           TimePoint now)
+    : options_(options),
+      prefixes_(std::move(other_prefixes)),
+      loop_(options, random, now),
+      peers_asked_(!has_peers) {
+  prefixes_.emplace_back(kSettingsPrefix);
+}
+
+SyncNews SettingsSync::OnList(const ObjectList& list, TimePoint now) {
+  SyncNews news;
+  for (const std::string& prefix : prefixes_) {
+    ObjectList below{list.revision, {}};
+    std::ranges::copy_if(list.objects, std::back_inserter(below.objects),
+                         [&](const PlatformObject& object) {
+                           return object.path.starts_with(prefix);
+                         });
+    const ListOutcome outcome = objects_.OnList(prefix, below);
+    for (const ObjectChange& change : outcome.news) TakeListed(change, news);
+    for (const std::string& path : outcome.missing) {
+      TakeMissing(path, list.revision, now, news);
+    }
+  }
+  loop_.OnList(list.revision, now);
+  return Finish(std::move(news), now);
+}
+
+SyncNews SettingsSync::OnWatch(const ChangeList& list, TimePoint now) {
+  SyncNews news;
+  for (const ObjectChange& change : list.changes) {
+    if (!objects_.OnChange(change)) continue;
+    if (IsSettings(change.object.path)) {
+      settings_.OnChange(change);
+    } else {
+      news.objects.push_back(change);
+    }
+  }
+  has_watched_ = true;
+  loop_.OnWatch(list.revision, now);
+  return Finish(std::move(news), now);
+}
+
+SyncNews SettingsSync::OnHistory(const std::string& path,
+                                 const ObjectHistory& history, TimePoint now) {
+  std::ranges::for_each(history, [this](const ObjectChange& change) {
+    objects_.OnChange(change);
+  });
+  settings_.OnHistory(path, history);
+  loop_.OnHistory(now);
+  // An old replica may have answered; the next reading comes later.
+  return Finish({}, now + options_.longest_retry);
+}
+
+SyncNews SettingsSync::OnFailure(ErrorCode code, TimePoint now) {
+  loop_.OnFailure(code, now);
+  return Finish({}, now);
+}
+
+SyncNews SettingsSync::OnPeer(const Json& snapshot, TimePoint now) {
+  SyncNews news;
+  if (!snapshot.is_object()) return news;
+  for (const auto& change : ParseChanges(snapshot.value("in_force", Json()))) {
+    if (!IsSettings(change.object.path)) continue;
+    objects_.OnChange(change);
+    settings_.OnPeerVersion(change);
+  }
+  for (const auto& change : ParseChanges(snapshot.value("objects", Json()))) {
+    if (objects_.OnChange(change)) TakeListed(change, news);
+  }
+  has_peer_snapshot_ = has_peer_snapshot_ || snapshot.value("ready", false);
+  return Finish(std::move(news), now);
+}
+
+SyncNews SettingsSync::OnPeersAsked(TimePoint now) {
+  peers_asked_ = true;
+  return Finish({}, now);
+}
+
+Json SettingsSync::ExportSnapshot() const {
+  std::vector<ObjectChange> objects;
+  for (const std::string& prefix : prefixes_) {
+    std::ranges::copy(objects_.Known(prefix), std::back_inserter(objects));
+  }
+  return {{"ready", is_ready_},
+          {"in_force", ToJson(settings_.InForce())},
+          {"objects", ToJson(objects)}};
+}
+
+void SettingsSync::TakeListed(const ObjectChange& change, SyncNews& news) {
+  if (IsSettings(change.object.path)) {
+    settings_.OnListed(change);
+  } else {
+    news.objects.push_back(change);
+  }
+}
+
+// Settings that a list lacks stay in force until their history shows the
+// deletion: a platform that lost its latest writes lacks them too. Other
+// objects are taken as deleted.
+void SettingsSync::TakeMissing(const std::string& path, uint64_t revision,
+                               TimePoint now, SyncNews& news) {
+  if (IsSettings(path)) {
+    loop_.RequestHistory(path, now);
+    return;
+  }
+  const ObjectChange change{{path, revision, nullptr}, true};
+  if (objects_.OnChange(change)) news.objects.push_back(change);
+}
+
+SyncNews SettingsSync::Finish(SyncNews news, TimePoint not_before) {
+  news.teams = settings_.Settle();
+  for (const std::string& path : settings_.HistoryNeeded()) {
+    loop_.RequestHistory(path, not_before);
+  }
+  is_ready_ = is_ready_ || HasNewest();
+  return news;
+}
+
+// A list may come from an old replica of the platform; the watch that follows
+// it brings what the list lacked. A peer may lag, so its word counts only while
+// the platform does not answer.
+bool SettingsSync::HasNewest() const {
+  if (!peers_asked_) return false;
+  if (has_peer_snapshot_ && loop_.failures() > 0) return true;
+  return has_watched_ && settings_.HistoryNeeded().empty();
+}
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/src/libdogwoodlatch/target_directory_test.cc
@@ -0,0 +1,97 @@
+#include "dogwoodlatch/target_directory.h"
+
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+namespace dogwoodlatch {
+namespace {
+
+VmList ListOf(uint64_t revision, const std::string& vm_id, bool leaving) {
+  TargetEntry entry;
+  entry.id = {"t"};
+  entry.vm_id = vm_id;
+  entry.serves = "assistant";
+  entry.agent_address = "127.0.0.1:1";
+  entry.leaving = leaving;
+  return {revision, {entry}};
+}
+
+ProbeReply ReplyOf(const std::string& incarnation, bool draining) {
+  ProbeReply reply;
+  reply.incarnation = {incarnation};
+  reply.draining = draining;
+  return reply;
+}
+
+bool Serves(const TargetDirectory& directory) {
+  return !directory.Serving(RequestKind::kChat, "assistant").empty();
+}
+
+}  // namespace
+
+TEST_CASE("an agent that drains gets no new work although its VM is listed") {
+  TargetDirectory directory;
+  REQUIRE(directory.OnVmList(ListOf(1, "vm-1", false)));
+  directory.OnAgentReport({"t"}, "vm-1", ReplyOf("i1", true));
+  CHECK_FALSE(Serves(directory));
+  SECTION("a crossed older answer does not bring it back") {
+    directory.OnAgentReport({"t"}, "vm-1", ReplyOf("i1", false));
+    CHECK_FALSE(Serves(directory));
+  }
+  SECTION("a new incarnation serves") {
+    directory.OnAgentReport({"t"}, "vm-1", ReplyOf("i2", false));
+    CHECK(Serves(directory));
+  }
+  SECTION("another VM under the same name and address is new") {
+    directory.OnVmList(ListOf(2, "vm-2", false));
+    CHECK(Serves(directory));
+    CHECK(directory.LastIncarnation({"t"}).empty());
+    directory.OnAgentReport({"t"}, "vm-1", ReplyOf("i1", true));
+    CHECK(Serves(directory));
+  }
+}
+
+TEST_CASE("the directory agrees with an oracle that replays every event") {
+  rc::prop("lists upwards only, draining final within an incarnation",
+           [](const std::vector<uint8_t>& events) {
+             TargetDirectory directory;
+             uint64_t revision = 0;
+             std::string vm;
+             bool leaving = false;
+             std::string last;
+             std::set<std::string> drained;
+             for (const uint8_t event : events) {
+               const std::string name = std::to_string(event / 4 % 3);
+               const bool flag = event / 16 % 2 == 1;
+               if (event % 4 == 0) {
+                 const uint64_t next = event / 32;
+                 directory.OnVmList(ListOf(next, "vm-" + name, flag));
+                 if (next <= revision) continue;
+                 if (vm != name) {
+                   drained.clear();
+                   last.clear();
+                 }
+                 revision = next;
+                 vm = name;
+                 leaving = flag;
+               } else {
+                 directory.OnAgentReport({"t"}, "vm-" + vm,
+                                         ReplyOf(name, flag));
+                 if (revision == 0) continue;
+                 if (last != name) drained.clear();
+                 last = name;
+                 if (flag) drained.insert(name);
+               }
+               RC_ASSERT(directory.vms().revision == revision);
+               const bool expected =
+                   revision > 0 && !leaving && drained.count(last) == 0;
+               RC_ASSERT(Serves(directory) == expected);
+             }
+           });
+}
+
+}  // namespace dogwoodlatch
--- /dev/null
+++ b/src/libdogwoodlatch/watch_loop.cc
@@ -0,0 +1,124 @@
+#include "dogwoodlatch/watch_loop.h"
+
+#include <algorithm>
+
+namespace dogwoodlatch {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr int kMaxDoublings = 16;
+
+Duration Uniform(Duration low, Duration high, std::mt19937_64& random) {
+  std::uniform_int_distribution<int64_t> pick(low.count(), high.count());
+  return Duration(pick(random));
+}
+
+}  // namespace
+
+CallBudget::CallBudget(double calls_per_second, double burst, TimePoint now)
+    : calls_per_second_(calls_per_second),
+      burst_(burst),
+      tokens_(burst),
+      updated_(now) {}
+
+TimePoint CallBudget::NextAllowed(TimePoint now) const {
+  const double lacking = 1 - TokensAt(now);
+  if (lacking <= 0) return now;
+  return now +
+         std::chrono::ceil<Duration>(Seconds(lacking / calls_per_second_));
+}
+
+void CallBudget::Spend(TimePoint now) {
+  tokens_ = TokensAt(now) - 1;
+  updated_ = now;
+}
+
+double CallBudget::TokensAt(TimePoint now) const {
+  const double earned = Seconds(now - updated_).count() * calls_per_second_;
+  return std::min(burst_, tokens_ + earned);
+}
+
+WatchLoop::WatchLoop(WatchLoopOptions options, std::mt19937_64 random,
+                     TimePoint now)
+    : options_(options),
+      random_(random),
+      budget_(options.calls_per_second, options.call_burst, now),
+      next_call_at_(now + Uniform(Duration(0), options.start_spread, random_)) {
+}
+
+std::optional<WatchCall> WatchLoop::TakeCall(TimePoint now) {
+  if (call_out_ || now < next_call_at_) return std::nullopt;
+  call_out_ = true;
+  budget_.Spend(now);
+  return NextCall(now);
+}
+
+WatchCall WatchLoop::NextCall(TimePoint now) {
+  if (!position_) return {WatchCall::Kind::kList, 0, Duration(0), ""};
+  WatchCall watch{WatchCall::Kind::kWatch, *position_, options_.watch_wait, ""};
+  if (confirms_list_) watch.wait = Duration(0);
+  const auto first = std::ranges::min_element(
+      histories_, {}, [](const auto& entry) { return entry.second; });
+  if (first == histories_.end()) return watch;
+  if (first->second > now) {
+    watch.wait = std::min(watch.wait, first->second - now);
+    return watch;
+  }
+  WatchCall history{WatchCall::Kind::kHistory, 0, Duration(0), first->first};
+  histories_.erase(first);
+  return history;
+}
+
+// The position follows the list downwards too: after a restore the platform
+// counts from its older revision, and a later position would expire for ever.
+// The versions of objects are guarded by ObjectReplica.
+void WatchLoop::OnList(uint64_t revision, TimePoint now) {
+  position_ = revision;
+  confirms_list_ = options_.confirm_lists;
+  failures_ = 0;
+  Schedule(Duration(0), now);
+}
+
+void WatchLoop::OnWatch(uint64_t revision, TimePoint now) {
+  position_ = std::max(position_.value_or(0), revision);
+  confirms_list_ = false;
+  failures_ = 0;
+  Schedule(Duration(0), now);
+}
+
+void WatchLoop::OnHistory(TimePoint now) {
+  failures_ = 0;
+  Schedule(Duration(0), now);
+}
+
+void WatchLoop::RequestHistory(const std::string& path, TimePoint not_before) {
+  histories_.emplace(path, not_before);
+}
+
+void WatchLoop::OnFailure(ErrorCode code, TimePoint now) {
+  // What happened while the platform was away may be gone from its change log,
+  // so every failure leads to a list.
+  position_.reset();
+  // A platform that says that a position has expired does answer.
+  if (code == ErrorCode::kExpired) {
+    failures_ = 0;
+    return Schedule(Duration(0), now);
+  }
+  ++failures_;
+  Schedule(NextPause(), now);
+}
+
+void WatchLoop::Schedule(Duration pause, TimePoint now) {
+  call_out_ = false;
+  next_call_at_ = std::max(now + pause, budget_.NextAllowed(now));
+}
+
+Duration WatchLoop::NextPause() {
+  const int doublings = std::min(failures_ - 1, kMaxDoublings);
+  const Duration pause = std::min(
+      options_.first_retry * (int64_t{1} << doublings), options_.longest_retry);
+  return Uniform(pause / 2, pause, random_);
+}
+
+}  // namespace dogwoodlatch
--- a/src/libstandin/object_store.cc
+++ b/src/libstandin/object_store.cc
@@ -17,9 +17,31 @@
   const auto versions = history_.find(path);
   if (versions == history_.end()) return std::nullopt;
   const auto found =
-      std::ranges::find(versions->second, version, &StoredObject::version);
-  if (found == versions->second.end()) return std::nullopt;
-  return *found;
+      std::ranges::find(versions->second, version, &StoredChange::revision);
+  if (found == versions->second.end() || found->deleted) return std::nullopt;
+  return found->object;
+}
+
+std::vector<StoredChange> ObjectStore::History(std::string_view path) const {
+  const auto versions = history_.find(path);
+  if (versions == history_.end()) return {};
+  return versions->second;
+}
+
+ObjectStore ObjectStore::AsOf(uint64_t revision) const {
+  const auto is_later = [revision](const StoredChange& change) {
+    return change.revision > revision;
+  };
+  ObjectStore older = *this;
+  older.revision_ = std::min(revision, revision_);
+  std::erase_if(older.log_, is_later);
+  older.objects_.clear();
+  for (auto& [path, versions] : older.history_) {
+    std::erase_if(versions, is_later);
+    if (versions.empty() || versions.back().deleted) continue;
+    older.objects_[path] = versions.back().object;
+  }
+  return older;
 }
 
 std::vector<StoredObject> ObjectStore::List(std::string_view prefix) const {
@@ -39,7 +61,6 @@
   ++revision_;
   const StoredObject object{std::string(path), revision_, std::move(value)};
   objects_[object.path] = object;
-  history_[object.path].push_back(object);
   Record(object, false);
   return revision_;
 }
@@ -56,7 +77,6 @@
   StoredObject object = std::move(found->second);
   object.version = revision_;
   objects_.erase(found);
-  history_.erase(object.path);
   Record(std::move(object), true);
   return revision_;
 }
@@ -81,6 +101,7 @@
 }
 
 void ObjectStore::Record(StoredObject object, bool deleted) {
+  history_[object.path].push_back({revision_, object, deleted});
   log_.push_back({revision_, std::move(object), deleted});
   if (log_.size() > kMaxLog) log_.pop_front();
 }
--- a/src/libutil/platform_client.cc
+++ b/src/libutil/platform_client.cc
@@ -2,6 +2,8 @@
 
 #include <httplib.h>
 
+#include <mutex>
+#include <set>
 #include <utility>
 
 #include "dogwoodlatch/util/address.h"
@@ -37,16 +39,6 @@
   }
 }
 
-httplib::Client Open(const PlatformClientOptions& options, milliseconds extra) {
-  const Address address = ParseAddress(options.address);
-  httplib::Client client(address.host, address.port);
-  client.set_connection_timeout(options.timeout);
-  client.set_read_timeout(options.timeout + extra);
-  client.set_write_timeout(options.timeout);
-  client.set_tcp_nodelay(true);
-  return client;
-}
-
 Result<Json> ParseAnswer(const httplib::Result& result, std::string_view path) {
   if (!result) return UnavailableAt(path, httplib::to_string(result.error()));
   if (result->status != kHttpOk) {
@@ -73,41 +65,102 @@
           json.value("value", Json())};
 }
 
+std::vector<ObjectChange> ParseChangesOf(const Json& json) {
+  std::vector<ObjectChange> changes;
+  for (const Json& item : json.value("changes", Json::array())) {
+    changes.push_back({ParseObject(item), item.value("deleted", false)});
+  }
+  return changes;
+}
+
 std::string Query(std::string_view name, std::string_view value) {
   return std::string(name) + "=" +
          httplib::detail::encode_query_param(std::string(value));
 }
 
+std::string PrefixQuery(const std::vector<std::string>& prefixes) {
+  std::string query;
+  for (const std::string& prefix : prefixes) {
+    query += Query("prefix", prefix) + "&";
+  }
+  return query;
+}
+
 }  // namespace
 
+// The calls that are out, so that another thread can end them.
+class PlatformClient::Calls {
+ public:
+  // A client that Interrupt can reach while the call runs.
+  class Call {
+   public:
+    Call(Calls& calls, const PlatformClientOptions& options, milliseconds extra)
+        : calls_(calls),
+          address_(ParseAddress(options.address)),
+          client_(address_.host, address_.port) {
+      client_.set_connection_timeout(options.timeout);
+      client_.set_read_timeout(options.timeout + extra);
+      client_.set_write_timeout(options.timeout);
+      client_.set_tcp_nodelay(true);
+      const std::lock_guard lock(calls_.mutex_);
+      calls_.open_.insert(&client_);
+    }
+    ~Call() {
+      const std::lock_guard lock(calls_.mutex_);
+      calls_.open_.erase(&client_);
+    }
+    Call(const Call&) = delete;
+    Call& operator=(const Call&) = delete;
+
+    httplib::Client* operator->() { return &client_; }
+
+   private:
+    Calls& calls_;
+    Address address_;
+    httplib::Client client_;
+  };
+
+  void Interrupt() {
+    const std::lock_guard lock(mutex_);
+    for (httplib::Client* client : open_) client->stop();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::set<httplib::Client*> open_;
+};
+
 PlatformClient::PlatformClient(PlatformClientOptions options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)), calls_(std::make_unique<Calls>()) {}
+PlatformClient::~PlatformClient() = default;
+
+void PlatformClient::Interrupt() { calls_->Interrupt(); }
 
 Result<PlatformObject> PlatformClient::Get(std::string_view path) const {
-  httplib::Client client = Open(options_, milliseconds(0));
+  Calls::Call client(*calls_, options_, milliseconds(0));
   const Result<Json> json =
-      ParseAnswer(client.Get("/objects/" + std::string(path)), path);
+      ParseAnswer(client->Get("/objects/" + std::string(path)), path);
   if (!json) return json.error();
   return ParseObject(json.value());
 }
 
 Result<PlatformObject> PlatformClient::GetVersion(std::string_view path,
                                                   uint64_t version) const {
-  httplib::Client client = Open(options_, milliseconds(0));
+  Calls::Call client(*calls_, options_, milliseconds(0));
   const std::string url =
       "/objects/" + std::string(path) + "?version=" + std::to_string(version);
-  const Result<Json> json = ParseAnswer(client.Get(url), path);
+  const Result<Json> json = ParseAnswer(client->Get(url), path);
   if (!json) return json.error();
   return ParseObject(json.value());
 }
 
 Result<uint64_t> PlatformClient::Put(std::string_view path, const Json& value,
                                      uint64_t expected_version) const {
-  httplib::Client client = Open(options_, milliseconds(0));
+  Calls::Call client(*calls_, options_, milliseconds(0));
   const httplib::Headers condition = {
       {"If-Match", std::to_string(expected_version)}};
-  const auto result = client.Put("/objects/" + std::string(path), condition,
-                                 value.dump(), "application/json");
+  const auto result = client->Put("/objects/" + std::string(path), condition,
+                                  value.dump(), "application/json");
   const Result<Json> json = ParseWriteAnswer(result, path);
   if (!json) return json.error();
   return json.value().value("version", uint64_t{0});
@@ -115,19 +168,24 @@
 
 Result<void> PlatformClient::Delete(std::string_view path,
                                     uint64_t expected_version) const {
-  httplib::Client client = Open(options_, milliseconds(0));
+  Calls::Call client(*calls_, options_, milliseconds(0));
   const httplib::Headers condition = {
       {"If-Match", std::to_string(expected_version)}};
   const Result<Json> json = ParseWriteAnswer(
-      client.Delete("/objects/" + std::string(path), condition), path);
+      client->Delete("/objects/" + std::string(path), condition), path);
   if (!json) return json.error();
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 Result<ObjectList> PlatformClient::List(std::string_view prefix) const {
-  httplib::Client client = Open(options_, milliseconds(0));
+  return List(std::vector<std::string>{std::string(prefix)});
+}
+
+Result<ObjectList> PlatformClient::List(
+    const std::vector<std::string>& prefixes) const {
+  Calls::Call client(*calls_, options_, milliseconds(0));
   const Result<Json> json =
-      ParseAnswer(client.Get("/objects?" + Query("prefix", prefix)), prefix);
+      ParseAnswer(client->Get("/objects?" + PrefixQuery(prefixes)), "objects");
   if (!json) return json.error();
   ObjectList list{json.value().value("revision", uint64_t{0}), {}};
   for (const Json& item : json.value().value("objects", Json::array())) {
@@ -136,28 +194,33 @@
   return list;
 }
 
-Result<ChangeList> PlatformClient::Watch(std::string_view prefix,
-                                         uint64_t revision,
-                                         milliseconds wait) const {
-  httplib::Client client = Open(options_, wait);
-  const std::string url = "/watch?" + Query("prefix", prefix) +
-                          "&revision=" + std::to_string(revision) +
+Result<ObjectHistory> PlatformClient::History(std::string_view path) const {
+  Calls::Call client(*calls_, options_, milliseconds(0));
+  const Result<Json> json =
+      ParseAnswer(client->Get("/history/" + std::string(path)), path);
+  if (!json) return json.error();
+  return ParseChangesOf(json.value());
+}
+
+Result<ChangeList> PlatformClient::Watch(
+    const std::vector<std::string>& prefixes, uint64_t revision,
+    milliseconds wait) const {
+  Calls::Call client(*calls_, options_, wait);
+  const std::string url = "/watch?" + PrefixQuery(prefixes) +
+                          "revision=" + std::to_string(revision) +
                           "&wait_ms=" + std::to_string(wait.count());
-  const Result<Json> json = ParseAnswer(client.Get(url), prefix);
+  const Result<Json> json = ParseAnswer(client->Get(url), "watch");
   if (!json) return json.error();
-  ChangeList list{json.value().value("revision", revision), {}};
-  for (const Json& item : json.value().value("changes", Json::array())) {
-    list.changes.push_back({ParseObject(item), item.value("deleted", false)});
-  }
-  return list;
+  return ChangeList{json.value().value("revision", revision),
+                    ParseChangesOf(json.value())};
 }
 
 Result<VmList> PlatformClient::Vms(uint64_t known_revision,
                                    milliseconds wait) const {
-  httplib::Client client = Open(options_, wait);
+  Calls::Call client(*calls_, options_, wait);
   const std::string url = "/vms?revision=" + std::to_string(known_revision) +
                           "&wait_ms=" + std::to_string(wait.count());
-  const Result<Json> json = ParseAnswer(client.Get(url), "vms");
+  const Result<Json> json = ParseAnswer(client->Get(url), "vms");
   if (!json) return json.error();
   return ParseVmList(json.value());
 }
--- a/src/libutil/platform_sync.cc
+++ b/src/libutil/platform_sync.cc
@@ -1,92 +1,243 @@
 #include "dogwoodlatch/util/platform_sync.h"
 
+#include <httplib.h>
+
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "dogwoodlatch/util/address.h"
 #include "dogwoodlatch/util/log.h"
 
 namespace dogwoodlatch {
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPeerPause{200};
+constexpr milliseconds kInterruptPause{5};
+constexpr int kHttpOk = 200;
+
+milliseconds ToMillis(Duration duration) {
+  return std::chrono::ceil<milliseconds>(duration);
+}
+
+Json FaultsJson(const std::vector<Error>& faults) {
+  Json list = Json::array();
+  for (const Error& fault : faults) {
+    list.push_back({{"where", fault.where},
+                    {"code", ToString(fault.code)},
+                    {"detail", fault.detail}});
+  }
+  return list;
+}
+
+}  // namespace
 
 PlatformSync::PlatformSync(PlatformSyncOptions options)
     : options_(std::move(options)), platform_(options_.platform) {}
 
 PlatformSync::~PlatformSync() { Stop(); }
 
+void PlatformSync::Follow(const std::string& prefix, Follower follower) {
+  prefixes_.push_back(prefix);
+  followers_[prefix] = std::move(follower);
+}
+
 void PlatformSync::Start() {
-  settings_thread_ = std::thread([this] { FollowSettings(); });
-  vms_thread_ = std::thread([this] { FollowVms(); });
+  sync_ = std::make_unique<SettingsSync>(options_.loop, prefixes_,
+                                         !options_.peers.empty(),
+                                         MakeSeededRandom(), SteadyNow());
+  prefixes_.emplace_back(kSettingsPrefix);
+  const auto run = [this](void (PlatformSync::*work)()) {
+    ++running_;
+    threads_.emplace_back([this, work] {
+      (this->*work)();
+      --running_;
+    });
+  };
+  run(&PlatformSync::FollowObjects);
+  run(&PlatformSync::FollowVms);
+  if (!options_.peers.empty()) run(&PlatformSync::AskPeers);
 }
 
 void PlatformSync::Stop() {
-  stopping_ = true;
-  if (settings_thread_.joinable()) settings_thread_.join();
-  if (vms_thread_.joinable()) vms_thread_.join();
-}
-
-void PlatformSync::FollowSettings() {
-  while (!stopping_) {
-    Result<uint64_t> revision = LoadSettings();
-    while (revision && !stopping_) {
-      const Result<ChangeList> changes = platform_.Watch(
-          kSettingsPrefix, revision.value(), options_.watch_wait);
-      if (!changes) {
-        LogEvent(EventId::kPlatformUnavailable,
-                 {{"detail", ToString(changes.error())}});
-        break;
-      }
-      for (const ObjectChange& change : changes.value().changes) {
-        if (!change.deleted) Adopt(change.object);
-      }
-      revision = changes.value().revision;
+  {
+    const std::lock_guard lock(stop_mutex_);
+    stopping_ = true;
+  }
+  stopped_.notify_all();
+  // A call may begin just after an interrupt, so it is repeated.
+  while (running_ > 0) {
+    platform_.Interrupt();
+    std::this_thread::sleep_for(kInterruptPause);
+  }
+  for (std::thread& thread : threads_) thread.join();
+  threads_.clear();
+}
+
+Json PlatformSync::Status() const {
+  const std::lock_guard lock(mutex_);
+  Json teams = Json::object();
+  Json faults = Json::object();
+  if (sync_) {
+    for (const auto& [team, status] : sync_->settings().Status()) {
+      teams[team] = status.in_force;
+      if (status.faults.empty()) continue;
+      faults[team] = {{"in_force", status.in_force},
+                      {"refused", status.newest},
+                      {"faults", FaultsJson(status.faults)}};
     }
-    if (!stopping_) Pause();
   }
+  return {{"ready", is_ready()},
+          {"settings", teams},
+          {"refused_settings", faults},
+          {"vm_list", vms()->revision},
+          {"platform", platform_down_ ? "unavailable" : "available"}};
 }
 
-void PlatformSync::FollowVms() {
-  while (!stopping_) {
-    Result<VmList> list =
-        platform_.Vms(vms_.Read()->revision, options_.watch_wait);
-    if (!list) {
-      Pause();
-      continue;
+Json PlatformSync::Snapshot() const {
+  const std::lock_guard lock(mutex_);
+  Json snapshot = sync_ ? sync_->ExportSnapshot() : Json::object();
+  if (have_vms_) snapshot["vm_list"] = vm_list_json_;
+  return snapshot;
+}
+
+void PlatformSync::FollowObjects() {
+  for (;;) {
+    std::optional<WatchCall> call;
+    TimePoint next_call_at;
+    {
+      const std::lock_guard lock(mutex_);
+      call = sync_->TakeCall(SteadyNow());
+      next_call_at = sync_->next_call_at();
     }
-    if (list.value().revision <= vms_.Read()->revision) continue;
-    LogEvent(EventId::kVmListAdopted,
-             {{"revision", std::to_string(list.value().revision)}});
-    vms_.Publish(std::move(list).value());
-    have_vms_ = true;
+    if (call) {
+      CallPlatform(*call);
+    } else if (!WaitUntil(next_call_at)) {
+      return;
+    }
+  }
+}
+
+void PlatformSync::CallPlatform(const WatchCall& call) {
+  const auto take = [this](const auto& answer, auto&& on_answer) {
+    const std::lock_guard lock(mutex_);
+    if (answer) {
+      Publish(on_answer(answer.value()));
+    } else {
+      Publish(sync_->OnFailure(answer.error().code, SteadyNow()));
+    }
+    ReportAvailability(sync_->failures());
+  };
+  switch (call.kind) {
+    case WatchCall::Kind::kList:
+      return take(platform_.List(prefixes_), [this](const ObjectList& list) {
+        return sync_->OnList(list, SteadyNow());
+      });
+    case WatchCall::Kind::kWatch:
+      return take(
+          platform_.Watch(prefixes_, call.revision, ToMillis(call.wait)),
+          [this](const ChangeList& list) {
+            return sync_->OnWatch(list, SteadyNow());
+          });
+    case WatchCall::Kind::kHistory:
+      return take(platform_.History(call.path),
+                  [&](const ObjectHistory& history) {
+                    return sync_->OnHistory(call.path, history, SteadyNow());
+                  });
+  }
+}
+
+void PlatformSync::FollowVms() {
+  WatchLoopOptions options = options_.loop;
+  options.confirm_lists = false;
+  WatchLoop loop(options, MakeSeededRandom(), SteadyNow());
+  do {
+    const std::optional<WatchCall> call = loop.TakeCall(SteadyNow());
+    if (call) CallVms(*call, loop);
+  } while (WaitUntil(loop.next_call_at()));
+}
+
+// The position follows what the platform answers, so that a restored platform
+// with an older list is waited for and not asked without end.
+void PlatformSync::CallVms(const WatchCall& call, WatchLoop& loop) {
+  const bool is_list = call.kind == WatchCall::Kind::kList;
+  Result<VmList> list = platform_.Vms(call.revision, ToMillis(call.wait));
+  if (!list) return loop.OnFailure(list.error().code, SteadyNow());
+  const uint64_t revision = list.value().revision;
+  const std::lock_guard lock(mutex_);
+  AdoptVms(std::move(list).value());
+  if (is_list || revision < call.revision) {
+    loop.OnList(revision, SteadyNow());
+  } else {
+    loop.OnWatch(revision, SteadyNow());
   }
 }
 
-Result<uint64_t> PlatformSync::LoadSettings() {
-  const Result<ObjectList> list = platform_.List(kSettingsPrefix);
-  if (!list) return list.error();
-  for (const PlatformObject& object : list.value().objects) Adopt(object);
-  have_settings_ = true;
-  return list.value().revision;
+void PlatformSync::AskPeers() {
+  do {
+    for (const std::string& peer : options_.peers) AskPeer(peer);
+    const std::lock_guard lock(mutex_);
+    Publish(sync_->OnPeersAsked(SteadyNow()));
+  } while (!is_ready() && WaitUntil(SteadyNow() + kPeerPause));
 }
 
-void PlatformSync::Adopt(const PlatformObject& object) {
-  SettingsSnapshot next = *settings_.Read();
-  const std::string team = object.path.substr(kSettingsPrefix.size());
-  const auto current = next.teams.find(team);
-  if (current != next.teams.end() &&
-      current->second.version >= object.version) {
-    return;
+void PlatformSync::AskPeer(const std::string& peer) {
+  const Address address = ParseAddress(peer);
+  httplib::Client client(address.host, address.port);
+  client.set_connection_timeout(options_.peer_timeout);
+  client.set_read_timeout(options_.peer_timeout);
+  const auto result = client.Get("/snapshot");
+  if (!result || result->status != kHttpOk) return;
+  const Json snapshot = Json::parse(result->body, nullptr, false);
+  if (!snapshot.is_object()) return;
+  const std::lock_guard lock(mutex_);
+  if (sync_->is_ready() && have_vms_) return;
+  Publish(sync_->OnPeer(snapshot, SteadyNow()));
+  LogEvent(EventId::kPeerSnapshotTaken, {{"peer", peer}});
+  if (!snapshot.contains("vm_list")) return;
+  Result<VmList> list = ParseVmList(snapshot["vm_list"]);
+  if (list) AdoptVms(std::move(list).value());
+}
+
+void PlatformSync::AdoptVms(VmList list) {
+  if (list.revision <= vms_.Read()->revision) return;
+  LogEvent(EventId::kVmListAdopted,
+           {{"revision", std::to_string(list.revision)}});
+  vm_list_json_ = ToJson(list);
+  vms_.Publish(std::move(list));
+  have_vms_ = true;
+}
+
+void PlatformSync::Publish(const SyncNews& news) {
+  if (!news.teams.empty()) settings_.Publish(sync_->settings().Snapshot());
+  if (sync_->is_ready()) have_settings_ = true;
+  const auto status = sync_->settings().Status();
+  for (const std::string& team : news.teams) {
+    LogEvent(EventId::kSettingsAdopted,
+             {{"team", team},
+              {"version", std::to_string(status.at(team).in_force)}});
   }
-  const std::vector<Error> faults = FindTeamFaults(object.value, object.path);
-  if (!faults.empty()) {
-    LogEvent(EventId::kSettingsRefused, {{"fault", ToString(faults.front())}});
-    return;
+  for (const ObjectChange& change : news.objects) {
+    for (const auto& [prefix, follower] : followers_) {
+      if (change.object.path.starts_with(prefix)) follower(change);
+    }
   }
-  next.teams[team] = ParseTeam(team, object.version, object.value);
-  settings_.Publish(std::move(next));
-  LogEvent(EventId::kSettingsAdopted,
-           {{"team", team}, {"version", std::to_string(object.version)}});
 }
 
-void PlatformSync::Pause() {
-  std::this_thread::sleep_for(options_.retry_pause);
+void PlatformSync::ReportAvailability(int failures) {
+  const bool is_down = failures > 0;
+  if (is_down == platform_down_) return;
+  platform_down_ = is_down;
+  LogEvent(is_down ? EventId::kPlatformUnavailable : EventId::kPlatformBack,
+           {{"address", options_.platform.address}});
+}
+
+bool PlatformSync::WaitUntil(TimePoint time) {
+  std::unique_lock lock(stop_mutex_);
+  return !stopped_.wait_until(lock, time, [this] { return stopping_; });
 }
 
 }  // namespace dogwoodlatch
--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -197,6 +197,16 @@
         self.routers.append(router)
         return router
 
+    def connect_peers(self):
+        """Makes every router a peer of all others, from its next start on."""
+        for router in self.routers:
+            file = self.path(router.process.name + ".json")
+            with open(file, encoding="utf-8") as source:
+                settings = json.load(source)
+            settings["peers"] = [f"{HOST}:{other.ops_port}" for other in self.routers if other is not router]
+            with open(file, "w", encoding="utf-8") as out:
+                json.dump(settings, out, indent=2)
+
     def wait_ready(self):
         for target in self.targets:
             wait_until(lambda t=target: request(t.ops_port, "GET", "/readyz")[0] == 200, target.id)
@@ -212,6 +222,10 @@
         wait_until(has_all, router.process.name)
 
 
+def router_status(router):
+    return json.loads(request(router.ops_port, "GET", "/status")[2])
+
+
 def team(workspaces=("tengri",), models=("assistant",), services=None, model_settings=None):
     """A team's settings object; the bearer key of workspace W is "key-W"."""
     return {
--- /dev/null
+++ b/testsuite/settings_in_force/run.py
@@ -0,0 +1,52 @@
+"""A change is in force at every router within 7 s; an invalid object leaves the last valid one in force, also in a
+router that starts later, and status names the fault."""
+
+import time
+
+from cluster import Cluster, request, router_status, team, wait_until
+
+IN_FORCE_SECONDS = 7.0
+
+
+def in_force(router, name):
+    return router_status(router)["settings"].get(name, 0)
+
+
+def run(bin_dir):
+    with Cluster(bin_dir) as cluster:
+        first = cluster.put_object("settings/tengri", team())
+        routers = [cluster.add_router("router-1"), cluster.add_router("router-2")]
+        cluster.wait_ready()
+
+        second = cluster.put_object("settings/tengri", team(workspaces=("tengri", "schools")), first)
+        begin = time.monotonic()
+        wait_until(lambda: all(in_force(r, "tengri") == second for r in routers), "the change")
+        print("change in force at every router within 7 s:", time.monotonic() - begin < IN_FORCE_SECONDS)
+
+        bad = team()
+        bad["models"]["assistant"]["piece_bytes"] = "large"
+        third = cluster.put_object("settings/tengri", bad, second)
+        taken = cluster.put_object("settings/ounje", team(workspaces=("tengri",), models=("menu",)))
+        late = cluster.add_router("router-3")
+        routers.append(late)
+        wait_until(lambda: request(late.ops_port, "GET", "/readyz")[0] == 200, "the late router")
+        wait_until(lambda: all(len(router_status(r)["refused_settings"]) == 2 for r in routers), "the refusals")
+        for router in routers:
+            status = router_status(router)
+            refused = status["refused_settings"]
+            fault = refused["tengri"]["faults"][0]
+            print(router.process.name, "last valid in force:", status["settings"]["tengri"] == second,
+                  "refused the newest:", refused["tengri"]["refused"] == third)
+            print(" ", fault["where"], fault["code"], fault["detail"])
+            fault = refused["ounje"]["faults"][0]
+            print(" ", fault["where"], fault["code"], fault["detail"], status["settings"]["ounje"])
+
+        fourth = cluster.put_object("settings/tengri", team(workspaces=("schools",)), third)
+        wait_until(lambda: all(in_force(r, "tengri") == fourth and in_force(r, "ounje") == taken for r in routers),
+                   "the repaired objects")
+        print("repaired, and the released workspace is the other team's:", True)
+
+        cluster.control({"delay_ms": 0})
+        begin = time.monotonic()
+        print("exit codes", [router.process.stop() for router in routers])
+        print("stops at once:", time.monotonic() - begin < 3.0)
