--- a/src/dogwoodlatch-router/crash_guard.cc
+++ b/src/dogwoodlatch-router/crash_guard.cc
@@ -56,15 +56,22 @@
 
 }  // namespace
 
-CrashGuard::CrashGuard(const RouterSettings& settings)
+CrashGuard::CrashGuard(const RouterSettings& settings, PlatformSync& sync)
     : settings_(settings),
       platform_(settings.platform.platform),
-      table_(settings.quarantine) {}
+      table_(settings.quarantine) {
+  sync.Follow(std::string(kPrefix), [this](const ObjectChange& change) {
+    if (change.deleted) {
+      LiftPath(change.object.path);
+    } else {
+      AdoptObject(change.object);
+    }
+  });
+}
 
 void CrashGuard::Start() {
   peer_thread_ = std::thread([this] { TellPeers(); });
   write_thread_ = std::thread([this] { WriteToPlatform(); });
-  follow_thread_ = std::thread([this] { FollowPlatform(); });
 }
 
 void CrashGuard::BeginStop() {
@@ -77,7 +84,7 @@
 
 void CrashGuard::Stop() {
   BeginStop();
-  for (std::thread* thread : {&peer_thread_, &write_thread_, &follow_thread_}) {
+  for (std::thread* thread : {&peer_thread_, &write_thread_}) {
     if (thread->joinable()) thread->join();
   }
 }
@@ -204,43 +211,6 @@
   return platform_.Put(path, value, version).has_value();
 }
 
-void CrashGuard::FollowPlatform() {
-  const auto is_stopping = [this] {
-    const std::lock_guard lock(mutex_);
-    return stopping_;
-  };
-  while (!is_stopping()) {
-    Result<uint64_t> revision = LoadFromPlatform();
-    while (revision && !is_stopping()) {
-      const Result<ChangeList> changes = platform_.Watch(
-          kPrefix, revision.value(), settings_.platform.watch_wait);
-      if (!changes) break;
-      for (const ObjectChange& change : changes.value().changes) {
-        if (change.deleted) {
-          LiftPath(change.object.path);
-        } else {
-          AdoptObject(change.object);
-        }
-      }
-      revision = changes.value().revision;
-    }
-    if (!is_stopping()) Pause();
-  }
-}
-
-// What was in the platform and is no longer there was lifted meanwhile.
-Result<uint64_t> CrashGuard::LoadFromPlatform() {
-  const Result<ObjectList> list = platform_.List(kPrefix);
-  if (!list) return list.error();
-  std::map<std::string, uint64_t> gone = in_platform_;
-  for (const PlatformObject& object : list.value().objects) {
-    gone.erase(object.path);
-    AdoptObject(object);
-  }
-  for (const auto& [path, digest] : gone) LiftPath(path);
-  return list.value().revision;
-}
-
 void CrashGuard::AdoptObject(const PlatformObject& object) {
   const std::optional<uint64_t> digest = DigestOfPath(object.path);
   if (!digest || !object.value.is_object()) return;
@@ -249,7 +219,6 @@
   const WallTime expires{milliseconds(expires_at->get<int64_t>())};
   const TimePoint now = SteadyNow();
   const std::lock_guard lock(mutex_);
-  in_platform_[object.path] = *digest;
   table_.Adopt({*digest, Suspicion::kQuarantined, now + (expires - WallNow())},
                now);
 }
@@ -259,13 +228,12 @@
   if (!digest) return;
   LogEvent(EventId::kQuarantineLifted, {{"digest", DigestHex(*digest)}});
   const std::lock_guard lock(mutex_);
-  in_platform_.erase(path);
   table_.Lift(*digest);
 }
 
 void CrashGuard::Pause() {
   std::unique_lock lock(mutex_);
-  changed_.wait_for(lock, settings_.platform.retry_pause,
+  changed_.wait_for(lock, settings_.platform.loop.longest_retry,
                     [this] { return stopping_; });
 }
 
--- a/src/dogwoodlatch-router/crash_guard.h
+++ b/src/dogwoodlatch-router/crash_guard.h
@@ -5,7 +5,6 @@
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -15,6 +14,7 @@
 #include "dogwoodlatch/quarantine.h"
 #include "dogwoodlatch/retry_budget.h"
 #include "dogwoodlatch/util/platform_client.h"
+#include "dogwoodlatch/util/platform_sync.h"
 #include "router_settings.h"
 
 namespace dogwoodlatch::router {
@@ -38,11 +38,11 @@
   RetryBudget budget_;
 };
 
-// Thread-safe. Follows and writes the platform, and tells peers, on threads of
-// its own from Start to Stop; a request never waits for either.
+// Thread-safe. Writes the platform and tells peers on threads of its own from Start to Stop; a request never waits for either.
 class CrashGuard {
  public:
-  explicit CrashGuard(const RouterSettings& settings);
+  // Follows the quarantine objects by `sync`, which starts later.
+  CrashGuard(const RouterSettings& settings, PlatformSync& sync);
   ~CrashGuard() { Stop(); }
   CrashGuard(const CrashGuard&) = delete;
   CrashGuard& operator=(const CrashGuard&) = delete;
@@ -65,8 +65,6 @@
  private:
   void TellPeers();
   void WriteToPlatform();
-  void FollowPlatform();
-  Result<uint64_t> LoadFromPlatform();
   void AdoptObject(const PlatformObject& object);
   void LiftPath(const std::string& path);
   bool Write(const QuarantineEntry& entry);
@@ -80,10 +78,8 @@
   std::deque<std::string> for_peers_;
   std::deque<QuarantineEntry> for_platform_;
   bool stopping_ = false;
-  std::map<std::string, uint64_t> in_platform_;  // digest by path
   std::thread peer_thread_;
   std::thread write_thread_;
-  std::thread follow_thread_;
 };
 
 }  // namespace dogwoodlatch::router
--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -17,6 +17,7 @@
 using httplib::Request;
 using httplib::Response;
 
+constexpr std::chrono::seconds kStartRetryAfter{1};
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::chrono::milliseconds kDrainPoll{10};
 // How soon a caller that has gone is noticed while no part arrives.
@@ -291,8 +292,10 @@
   GiveWhole(response, outcome, kind, answer);
 }
 
-// A caller without a workspace's key has no body read.
+// A caller without a workspace's key has no body read. Before any settings are
+// known no key can be judged, and the handler answers not_run.
 std::optional<Refusal> HttpFront::CheckAtDoor(const Request& request) const {
+  if (!sync_.is_ready()) return std::nullopt;
   if (FindWorkspace(*sync_.settings(), request) != nullptr) return std::nullopt;
   return kUnknownKey;
 }
@@ -300,6 +303,14 @@
 const WorkspaceSettings* HttpFront::Authenticate(
     const SettingsSnapshot& settings, const Request& request,
     Response& response) const {
+  if (!sync_.is_ready()) {
+    Outcome outcome;
+    outcome.kind = OutcomeKind::kNotRun;
+    outcome.reason = OutcomeReason::kNoSettings;
+    outcome.retry_after = kStartRetryAfter;
+    GiveError(response, outcome);
+    return nullptr;
+  }
   const WorkspaceSettings* workspace = FindWorkspace(settings, request);
   if (workspace == nullptr) {
     Reject(response, kUnknownKey.status, kUnknownKey.code, kUnknownKey.message);
--- a/src/dogwoodlatch-router/main.cc
+++ b/src/dogwoodlatch-router/main.cc
@@ -21,17 +21,12 @@
   handlers.commands["/quarantine"] = [&](const nlohmann::json& body) {
     return crash_guard.OnPeerMessage(body);
   };
+  handlers.snapshot = [&sync] { return sync.Snapshot(); };
   handlers.status = [&settings, &sync, &front, &crash_guard] {
-    nlohmann::json teams = nlohmann::json::object();
-    for (const auto& [name, team] : sync.settings()->teams) {
-      teams[name] = team.version;
-    }
-    nlohmann::json status = front.Status();
+    nlohmann::json status = sync.Status();
+    status.update(front.Status());
     status["id"] = settings.id;
     status["role"] = "router";
-    status["ready"] = sync.is_ready();
-    status["settings"] = teams;
-    status["vm_list"] = sync.vms()->revision;
     status["quarantine"] = crash_guard.Status();
     return status;
   };
@@ -42,7 +37,7 @@
   InitLogging(settings.id, Severity::kInfo);
   PlatformSync sync(settings.platform);
   AgentLinks links(settings.id, settings.connect_timeout);
-  CrashGuard crash_guard(settings);
+  CrashGuard crash_guard(settings, sync);
   HttpFront front(settings, sync, links, crash_guard);
   OpsServer ops(settings.ops_address,
                 MakeOpsHandlers(settings, sync, front, crash_guard));
@@ -57,8 +52,6 @@
   WaitForStopSignal();
   LogEvent(EventId::kStopping, {});
   front.DrainAndStop();
-  // Both wait for their watches to end; the waits overlap.
-  crash_guard.BeginStop();
   sync.Stop();
   crash_guard.Stop();
   links.Stop();
--- a/src/dogwoodlatch/settings_commands.cc
+++ b/src/dogwoodlatch/settings_commands.cc
@@ -148,15 +148,15 @@
 ExitCode History(const ClientOptions& options, Arguments arguments) {
   const PlatformClient platform = options.OpenPlatform();
   const std::string path = PathOf(arguments[0]);
-  const Result<std::vector<uint64_t>> versions = platform.Versions(path);
-  if (!versions) return Fail(versions.error());
+  const Result<ObjectHistory> history = platform.History(path);
+  if (!history) return Fail(history.error());
   Json list = Json::array();
   Json before = Json::object();
-  for (const uint64_t version : versions.value()) {
-    const Result<PlatformObject> object = platform.GetVersion(path, version);
-    if (!object) return Fail(object.error());
-    const auto changes = DiffSettings(before, object.value().value);
-    before = object.value().value;
+  for (const ObjectChange& change : history.value()) {
+    const uint64_t version = change.object.version;
+    const Json value = change.deleted ? Json::object() : change.object.value;
+    const auto changes = DiffSettings(before, value);
+    before = value;
     list.push_back({{"version", version}, {"changes", ToJson(changes)}});
     if (options.output == OutputFormat::kJson) continue;
     std::cout << "version " << version << "\n";
