--- a/src/dogwoodlatch-agent/target_client.cc
+++ b/src/dogwoodlatch-agent/target_client.cc
@@ -32,8 +32,9 @@
 std::string EngineBody(const Submit& order) {
   Json body = Json::parse(order.body, nullptr, false);
   body["stream"] = true;
-  body["request_id"] =
-      order.request_id.value + "." + std::to_string(order.attempt);
+  body["request_id"] = RunIdOf(order).value;
+  // Workspaces share no cached pieces, even for the same text.
+  body["cache_salt"] = order.workspace.value;
   body["priority"] = order.priority;
   if (!order.delivered_text.empty()) {
     body["messages"].push_back(
@@ -123,6 +124,10 @@
                                 const httplib::Request& request,
                                 Cancellation& cancellation) {
   cancellation.Attach([&client] { client.stop(); });
+  if (cancellation.is_cancelled()) {
+    cancellation.Detach();
+    return httplib::Result(nullptr, httplib::Error::Canceled);
+  }
   httplib::Result answer = client.send(request);
   cancellation.Detach();
   return answer;
@@ -149,6 +154,10 @@
   if (cancelled_ && stop_) stop_();
 }
 
+RequestId RunIdOf(const Submit& order) {
+  return {order.request_id.value + "." + std::to_string(order.attempt)};
+}
+
 std::optional<TargetHealth> TargetClient::CheckHealth() const {
   httplib::Client client = Open(settings_, kConnectTimeout);
   const bool is_engine = settings_.target_kind == RequestKind::kChat;
--- a/src/dogwoodlatch-bench/bench.h
+++ b/src/dogwoodlatch-bench/bench.h
@@ -17,6 +17,7 @@
 int RunLoadBench(std::span<const std::string> arguments);
 int RunSlopes(std::span<const std::string> arguments);
 int RunTransportSlopes(std::span<const std::string> arguments);
+int RunRouting(std::span<const std::string> arguments);
 int RunPolicy(std::span<const std::string> arguments);
 
 }  // namespace dogwoodlatch::bench
--- a/src/dogwoodlatch-router/door_server.cc
+++ b/src/dogwoodlatch-router/door_server.cc
@@ -1,5 +1,6 @@
 #include "door_server.h"
 
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -30,13 +31,15 @@
 std::string RawAnswer(const Refusal& refusal) {
   httplib::Response response;
   Reject(response, refusal.status, refusal.code, refusal.message);
-  std::string text = "HTTP/1.1 " + std::to_string(refusal.status) +
-                     " Refused\r\nConnection: close\r\nContent-Length: " +
-                     std::to_string(response.body.size()) + "\r\n";
+  std::ostringstream text;
+  text << "HTTP/1.1 " << refusal.status
+       << " Refused\r\nConnection: close\r\nContent-Length: "
+       << response.body.size() << "\r\n";
   for (const auto& [name, value] : response.headers) {
-    text += name + ": " + value + "\r\n";
+    text << name << ": " << value << "\r\n";
   }
-  return text + "\r\n" + response.body;
+  text << "\r\n" << response.body;
+  return text.str();
 }
 
 bool HasBody(const httplib::Request& request) {
@@ -129,20 +132,24 @@
     return stream.Close(kLingerWhenFull);
   }
   bool is_open = true;
-  bool leaves_body = false;
+  bool leaves_rest = false;
   while (is_open && WaitForRequest(stream, limits_.idle_timeout,
                                    [this] { return is_stopping(); })) {
     stream.StartRequest(SteadyNow());
     bool wants_close = false;
     // A refused request's body is left unread, so nothing can follow it on
     // this connection.
+    bool has_headers = false;
     const auto look_at_headers = [&](httplib::Request& request) {
-      leaves_body = HasBody(request) && Check(request).has_value();
-      if (leaves_body) request.set_header("Connection", "close");
+      has_headers = true;
+      leaves_rest = HasBody(request) && Check(request).has_value();
+      if (leaves_rest) request.set_header("Connection", "close");
     };
     const bool served =
         process_request(stream, is_stopping(), wants_close, look_at_headers);
-    is_open = served && !wants_close && !leaves_body &&
+    // Where the next request would begin is unknown after a malformed one.
+    leaves_rest = leaves_rest || !has_headers;
+    is_open = served && !wants_close && !leaves_rest &&
               stream.fault() == ReadFault::kNone;
   }
   if (stream.fault() == ReadFault::kTooSlow) {
@@ -151,7 +158,7 @@
   if (stream.fault() == ReadFault::kTooLarge) {
     stream.WriteAll(RawAnswer(kTooLarge));
   }
-  const bool was_read = stream.fault() == ReadFault::kNone && !leaves_body;
+  const bool was_read = stream.fault() == ReadFault::kNone && !leaves_rest;
   stream.Close(was_read ? milliseconds(0) : kLinger);
 }
 
--- a/src/dogwoodlatch-router/request_driver.h
+++ b/src/dogwoodlatch-router/request_driver.h
@@ -68,8 +68,12 @@
   void Execute(const CancelAttempt& command);
   void WaitForEvent(TimePoint until);
   void TellCrashGuard(const RequestEvent& event);
+  void NoteOwner(const Outcome& outcome);
   std::optional<RequestEvent> ToEvent(MailItem item) const;
   std::vector<TargetId> CandidatesFor(const std::vector<TargetId>& avoid) const;
+  void ChooseClaimOwner(const ChooseTargetCommand& command);
+  std::vector<TargetId> OwnerCandidates(
+      const ChooseTargetCommand& command) const;
   std::vector<ProbedTarget> ProbeAll(const std::vector<TargetId>& candidates);
   std::string AddressOf(const TargetId& target) const;
 
--- a/src/include/dogwoodlatch/agent_core.h
+++ b/src/include/dogwoodlatch/agent_core.h
@@ -64,7 +64,7 @@
   std::vector<uint64_t> OnCrash(const Incarnation& incarnation);
 
   /// An admitted attempt ended, in whatever way.
-  void OnEnded(const Submit& submit);
+  void OnEnded(const RequestId& request_id, uint32_t attempt);
 
   ProbeReply Answer(const Probe& probe) const;
   uint32_t running() const { return static_cast<uint32_t>(running_.size()); }
--- a/src/include/dogwoodlatch/request_life.h
+++ b/src/include/dogwoodlatch/request_life.h
@@ -90,6 +90,7 @@
 // What the daemon does about it, in order.
 struct ChooseTargetCommand {
   std::vector<TargetId> avoid;
+  TargetId preferred;          ///< alone to be asked, unless empty
   bool spends_budget = false;  ///< a retry: ask the retry budget first
 };
 struct SendAttempt {
@@ -98,6 +99,7 @@
   Incarnation incarnation;
   std::string weights_version;
   std::string delivered_text;
+  TargetId take_over_from;  ///< owner of the claims that cannot be reached
   bool run_alone = false;
 };
 struct CancelAttempt {
--- a/src/libdogwoodlatch/outcomes_fuzz_targets.h
+++ b/src/libdogwoodlatch/outcomes_fuzz_targets.h
@@ -146,7 +146,7 @@
   order = std::get<Submit>(mail.message);
   // The engine refuses the connection: nothing ran.
   if (!refused && !target.up) {
-    target.core->OnEnded(order);
+    target.core->OnEnded(order.request_id, order.attempt);
     refused = Refused{order.request_id, order.attempt,
                       RefusalReason::kTargetDown, Duration(0), ""};
   }
@@ -203,7 +203,7 @@
   const Run run = target.runs[run_index];
   target.runs.erase(target.runs.begin() +
                     static_cast<std::ptrdiff_t>(run_index));
-  target.core->OnEnded(run.order);
+  target.core->OnEnded(run.order.request_id, run.order.attempt);
   to_routers_.push_back(
       {index, target.connection, run.request, std::move(event)});
 }
--- a/testsuite/caller_gone/run.py
+++ b/testsuite/caller_gone/run.py
@@ -7,7 +7,8 @@
 
 # No token follows the first within the time that the case waits, and a long prompt gets not even the first.
 ENGINE_OPTIONS = ["--token-ms", "60000", "--prefill-rate", "100"]
-LONG_PROMPT = "log line " * 4000
+# Its prefill takes longer than the case waits, and less than the deadline, which the agent would refuse.
+LONG_PROMPT = "log line " * 1000
 
 
 def total_running(cluster):
