--- a/src/libdogwoodlatch/quarantine_test.cc
+++ b/src/libdogwoodlatch/quarantine_test.cc
@@ -50,6 +50,7 @@
     QuarantineTable forward(kLimits);
     QuarantineTable backward(kLimits);
     std::vector<QuarantineEntry> entries;
+    entries.reserve(is_quarantine.size());
     for (const bool graver : is_quarantine) {
       entries.push_back(
           {7, graver ? Suspicion::kQuarantined : Suspicion::kSuspect,
