--- a/src/dogwoodlatch-agent/agent.cc
+++ b/src/dogwoodlatch-agent/agent.cc
@@ -54,8 +54,8 @@
   follower_.Stop();
   // The last messages go out before connections close.
   pool_.join();
-  node_.Stop();
   at_most_once_.Stop();
+  node_.Stop();
 }
 
 bool Agent::Start() {
@@ -257,7 +257,7 @@
 }
 
 void Agent::Forget(const std::shared_ptr<Run>& run) {
-  core_.OnEnded(run->order);
+  core_.OnEnded(run->order.request_id, run->order.attempt);
   scheduler_.OnEnded(RunIdOf(run->order));
   const auto found = runs_.find(run->order.request_id);
   if (found != runs_.end() && found->second == run) runs_.erase(found);
--- a/src/dogwoodlatch-agent/at_most_once_runner.cc
+++ b/src/dogwoodlatch-agent/at_most_once_runner.cc
@@ -103,7 +103,9 @@
       admission_(admission),
       core_(
           OptionsOf(options),
-          [this](const Submit& submit) { return admission_.Admit(submit, SteadyNow()); },
+          [this](const Submit& submit) {
+            return admission_.Admit(submit, SteadyNow());
+          },
           MakeSeededRandom()),
       pool_(kPlatformThreads),
       ticker_([this] { TickUntilStopped(); }) {}
@@ -159,7 +161,7 @@
 
 void AtMostOnceRunner::Execute(const EndAdmission& command) {
   const std::lock_guard lock(mutex_);
-  admission_.OnEnded(command.order);
+  admission_.OnEnded(command.request_id, command.attempt);
 }
 
 // Without a platform nothing can be claimed, and so nothing runs.
--- a/src/dogwoodlatch-agent/target_client.cc
+++ b/src/dogwoodlatch-agent/target_client.cc
@@ -124,6 +124,10 @@
                                 const httplib::Request& request,
                                 Cancellation& cancellation) {
   cancellation.Attach([&client] { client.stop(); });
+  if (cancellation.is_cancelled()) {
+    cancellation.Detach();
+    return httplib::Result(nullptr, httplib::Error::Canceled);
+  }
   httplib::Result answer = client.send(request);
   cancellation.Detach();
   return answer;
@@ -131,10 +135,6 @@
 
 }  // namespace
 
-RequestId RunIdOf(const Submit& order) {
-  return {order.request_id.value + "." + std::to_string(order.attempt)};
-}
-
 void Cancellation::Cancel(BreakCause cause) {
   const std::lock_guard lock(mutex_);
   if (cancelled_) return;
@@ -154,6 +154,10 @@
   if (cancelled_ && stop_) stop_();
 }
 
+RequestId RunIdOf(const Submit& order) {
+  return {order.request_id.value + "." + std::to_string(order.attempt)};
+}
+
 std::optional<TargetHealth> TargetClient::CheckHealth() const {
   httplib::Client client = Open(settings_, kConnectTimeout);
   const bool is_engine = settings_.target_kind == RequestKind::kChat;
--- a/src/dogwoodlatch-router/http_front.cc
+++ b/src/dogwoodlatch-router/http_front.cc
@@ -44,15 +44,6 @@
   return settings.FindWorkspaceByKey(Sha256Hex(header.substr(kBearer.size())));
 }
 
-// All calls of one claim log are routed alike, whichever router takes them.
-void AddClaim(const ServiceSettings& service, RequestContext& context) {
-  Submit& order = context.order;
-  order.claim = {
-      service.name, service.claim_logs, service.claim_retention, {}, WallNow()};
-  const uint32_t log = ClaimLogOf(ClaimKeyOf(order), service.claim_logs);
-  context.prompt.piece_keys = {DigestOf({service.name, std::to_string(log)})};
-}
-
 // The next step. A caller that goes meanwhile ends an idempotent request; any
 // other runs on, since its key may be sent again for the answer.
 DriverStep NextWhileConnected(RequestDriver& driver) {
@@ -65,6 +56,15 @@
   }
 }
 
+// All calls of one claim log are routed alike, whichever router takes them.
+void AddClaim(const ServiceSettings& service, RequestContext& context) {
+  Submit& order = context.order;
+  order.claim = {
+      service.name, service.claim_logs, service.claim_retention, {}, WallNow()};
+  const uint32_t log = ClaimLogOf(ClaimKeyOf(order), service.claim_logs);
+  context.prompt.piece_keys = {DigestOf({service.name, std::to_string(log)})};
+}
+
 }  // namespace
 
 // Counts one request from its arrival to the end of its answer.
--- a/src/dogwoodlatch-router/request_driver.cc
+++ b/src/dogwoodlatch-router/request_driver.cc
@@ -173,8 +173,8 @@
   submit.incarnation = command.incarnation;
   submit.weights_version = command.weights_version;
   submit.delivered_text = command.delivered_text;
-  submit.claim.take_over_from = command.take_over_from;
   submit.run_alone = command.run_alone;
+  submit.claim.take_over_from = command.take_over_from;
   submit.time_left = context_.deadline - SteadyNow();
   current_target_ = command.target;
   current_address_ = AddressOf(command.target);
--- a/src/dogwoodlatch-router/request_driver.h
+++ b/src/dogwoodlatch-router/request_driver.h
@@ -66,9 +66,9 @@
   void Execute(const ChooseTargetCommand& command);
   void Execute(const SendAttempt& command);
   void Execute(const CancelAttempt& command);
-  void NoteOwner(const Outcome& outcome);
   void WaitForEvent(TimePoint until);
   void TellCrashGuard(const RequestEvent& event);
+  void NoteOwner(const Outcome& outcome);
   std::optional<RequestEvent> ToEvent(MailItem item) const;
   std::vector<TargetId> CandidatesFor(const std::vector<TargetId>& avoid) const;
   void ChooseClaimOwner(const ChooseTargetCommand& command);
--- a/src/include/dogwoodlatch/at_most_once_core.h
+++ b/src/include/dogwoodlatch/at_most_once_core.h
@@ -53,7 +53,8 @@
 };
 /// An admitted call no longer counts as running.
 struct EndAdmission {
-  Submit order;
+  RequestId request_id;
+  uint32_t attempt = 0;
 };
 using AtMostOnceCommand =
     std::variant<SendBack, StartRun, EnsureLayout, AccessLog, EndAdmission>;
--- a/src/include/dogwoodlatch/request_life.h
+++ b/src/include/dogwoodlatch/request_life.h
@@ -91,7 +91,7 @@
 // What the daemon does about it, in order.
 struct ChooseTargetCommand {
   std::vector<TargetId> avoid;
-  TargetId preferred;  ///< alone to be asked, unless empty
+  TargetId preferred;          ///< alone to be asked, unless empty
   bool spends_budget = false;  ///< a retry: ask the retry budget first
 };
 struct SendAttempt {
--- a/src/libdogwoodlatch/agent_core.cc
+++ b/src/libdogwoodlatch/agent_core.cc
@@ -62,9 +62,11 @@
   return crash_suspects_;
 }
 
-void AgentCore::OnEnded(const Submit& submit) {
-  running_.erase({submit.request_id, submit.attempt});
-  queued_tokens_ -= std::min<uint64_t>(queued_tokens_, submit.prompt_tokens);
+void AgentCore::OnEnded(const RequestId& request_id, uint32_t attempt) {
+  const auto found = running_.find({request_id, attempt});
+  if (found == running_.end()) return;
+  queued_tokens_ -= found->second.prompt_tokens;
+  running_.erase(found);
 }
 
 ProbeReply AgentCore::Answer(const Probe& probe) const {
--- a/src/libdogwoodlatch/agent_core_test.cc
+++ b/src/libdogwoodlatch/agent_core_test.cc
@@ -43,10 +43,10 @@
   // The target runs empty for the suspect.
   CHECK(Refusal(core, MakeOrder("r3", 3, false)) == RefusalReason::kBusyAlone);
   CHECK(Refusal(core, MakeOrder("r4", 4, true)) == RefusalReason::kBusyAlone);
-  core.OnEnded(innocent);
+  core.OnEnded(innocent.request_id, 1);
   CHECK_FALSE(Refusal(core, suspect));
   CHECK(Refusal(core, MakeOrder("r3", 3, false)) == RefusalReason::kBusyAlone);
-  core.OnEnded(suspect);
+  core.OnEnded(suspect.request_id, 1);
   CHECK_FALSE(Refusal(core, MakeOrder("r3", 3, false)));
 }
 
@@ -64,7 +64,7 @@
   CHECK_FALSE(Refusal(core, first));
   CHECK_FALSE(Refusal(core, MakeOrder("r2", 2, false)));
   CHECK(core.OnCrash({"a/b"}) == std::vector<uint64_t>{1, 2});
-  core.OnEnded(first);
+  core.OnEnded(first.request_id, 1);
   CHECK(core.OnCrash({"a/b"}) == std::vector<uint64_t>{1, 2});
   // The dead life takes nothing more, ahead of the next health check.
   CHECK(Refusal(core, MakeOrder("r3", 3, false)) ==
--- a/src/libdogwoodlatch/at_most_once_core.cc
+++ b/src/libdogwoodlatch/at_most_once_core.cc
@@ -237,7 +237,8 @@
   } else {
     RefuseAll(waiters, ReasonOf(decision.verdict), decision.owner, out);
   }
-  out.push_back(EndAdmission{call->second.order});
+  out.push_back(
+      EndAdmission{call->second.order.request_id, call->second.order.attempt});
   calls_.erase(call);
 }
 
@@ -261,7 +262,7 @@
       RefuseAll(ledger_.Remove(key), RefusalReason::kSealed, {}, out);
       break;
   }
-  out.push_back(EndAdmission{call.order});
+  out.push_back(EndAdmission{call.order.request_id, call.order.attempt});
   return out;
 }
 
--- a/src/libdogwoodlatch/at_most_once_fuzz_test.cc
+++ b/src/libdogwoodlatch/at_most_once_fuzz_test.cc
@@ -254,7 +254,7 @@
     } else if (const auto* access = std::get_if<AccessLog>(&command)) {
       Access(i, *access);
     } else if (const auto* end = std::get_if<EndAdmission>(&command)) {
-      agents_[i].admission->OnEnded(end->order);
+      agents_[i].admission->OnEnded(end->request_id, end->attempt);
     }
   }
   KeepTicking(i);
--- a/src/libdogwoodlatch/idempotent_life.cc
+++ b/src/libdogwoodlatch/idempotent_life.cc
@@ -187,8 +187,13 @@
   phase_ = Phase::kRunning;
   next_sequence_ = 0;
   wake_at_ = now_ + plan_.retry.first_part_timeout;
-  return {SendAttempt{target_.target, attempt_, target_.incarnation,
-                      target_.weights_version, delivered_text_, {}, run_alone_}};
+  return {SendAttempt{target_.target,
+                      attempt_,
+                      target_.incarnation,
+                      target_.weights_version,
+                      delivered_text_,
+                      {},
+                      run_alone_}};
 }
 
 IdempotentLife::Commands IdempotentLife::Choose(bool spends_budget) {
--- a/testsuite/caller_gone/run.py
+++ b/testsuite/caller_gone/run.py
@@ -6,9 +6,9 @@
 from cluster import HOST, Cluster, bearer, chat_body, running_requests, two_engine_cluster, wait_until
 
 # No token follows the first within the time that the case waits, and a long prompt gets not even the first.
-ENGINE_OPTIONS = ["--token-ms", "60000", "--prefill-rate", "300"]
-# Its prefill takes 30 s: far longer than the case waits, and within the deadline, so that it is admitted.
-LONG_PROMPT = "log line " * 4000
+ENGINE_OPTIONS = ["--token-ms", "60000", "--prefill-rate", "100"]
+# Its prefill takes longer than the case waits, and less than the deadline, which the agent would refuse.
+LONG_PROMPT = "log line " * 1000
 
 
 def total_running(cluster):
