Halve the charge for delay to others; refuse more candidates and retries

Change: weight 0.5 on the product of recomputation and queue.

Tried and reverted: probe all 10 replicas instead of 4, which bounds what more homes for hot prefixes could gain at this size:

Tried and reverted: a request shed on arrival asks another replica, up to 4:

A refusal as overloaded should be final.

--- a/src/libdogwoodlatch/routing.cc
+++ b/src/libdogwoodlatch/routing.cc
@@ -8,6 +8,10 @@
 namespace dogwoodlatch {
 namespace {
 
+// Charge for a second of delay to others, against a second of own waiting, a
+// second of queue.
+constexpr double kDelayWeight = 0.5;
+
 // The finalizer of SplitMix64: every bit of the input moves every bit of the
 // output.
 uint64_t Mix(uint64_t value) {
@@ -61,7 +65,7 @@
   const double queue = static_cast<double>(reply.queued_tokens) / rate;
   // Work added to a busy engine delays whatever comes later, for as long as
   // the queue lasts.
-  const double delay_to_others = recompute * queue;
+  const double delay_to_others = kDelayWeight * recompute * queue;
   return queue + recompute * (1 + policy.recompute_weight) + delay_to_others;
 }
 
