Keep entries as probable over one gap of the cache events

Cause: after a lost event the index forgot everything, so prefixes that were still cached were paid for again elsewhere until each was stored anew. Change: a gap makes entries doubtful. They are no promise (cached_pieces leaves them out) but count in the estimate (pending_pieces) until the next gap; a new life of the engine or of its weights forgets them at once.

--- a/src/include/dogwoodlatch/cache_index.h
+++ b/src/include/dogwoodlatch/cache_index.h
@@ -55,7 +55,8 @@
   uint32_t CachedPieces(const CacheLife& life,
                         std::span<const PieceKey> keys) const;
 
-  /// Leading keys that are in the cache of `life` or in prefill now.
+  /// Leading keys that are probably in the cache of `life`, or in prefill now.
+  /// After a gap, entries are probable until the next gap.
   uint32_t HeldPieces(const CacheLife& life,
                       std::span<const PieceKey> keys) const;
 
@@ -65,13 +66,18 @@
 
   /// Where to go on reading: the last sequence number of the present life.
   uint64_t last_sequence() const { return last_sequence_.value_or(0); }
-  size_t size() const { return block_of_key_.size(); }
+  size_t size() const { return entries_.size(); }
   uint64_t gaps() const { return gaps_; }
 
  private:
   // Late notices name runs that have ended, so a few of those are kept.
   static constexpr size_t kMaxEndedRuns = 1024;
 
+  struct Entry {
+    EngineBlock block = 0;
+    bool is_sure = true;
+  };
+
   enum class Phase { kQueued, kSubmitted, kEnded };
 
   struct Run {
@@ -91,10 +97,12 @@
   void Store(const CacheNotice& notice);
   void Remove(EngineBlock block);
   void ForgetEntries();
+  void DoubtEntries();
+  bool IsSure(PieceKey key) const;
 
   CacheLife life_;
   std::optional<uint64_t> last_sequence_;
-  std::unordered_map<PieceKey, EngineBlock> block_of_key_;
+  std::unordered_map<PieceKey, Entry> entries_;
   std::unordered_map<EngineBlock, PieceKey> key_of_block_;
   RunCounts queued_;
   RunCounts submitted_;
--- a/src/include/dogwoodlatch/messages.h
+++ b/src/include/dogwoodlatch/messages.h
@@ -66,7 +66,7 @@
   uint32_t cached_pieces =
       0;  ///< leading pieces of the chain surely in the cache
   uint32_t pending_pieces =
-      0;  ///< leading pieces in the cache or being prefilled now
+      0;  ///< leading pieces probably cached, or asked for already
   uint64_t queued_tokens =
       0;  ///< uncached prompt tokens ahead of a new request
   uint32_t running = 0;
--- a/src/libdogwoodlatch/cache_index.cc
+++ b/src/libdogwoodlatch/cache_index.cc
@@ -56,16 +56,14 @@
 uint32_t CacheIndex::CachedPieces(const CacheLife& life,
                                   std::span<const PieceKey> keys) const {
   if (life != life_) return 0;
-  return CountLeading(
-      keys, [this](PieceKey key) { return block_of_key_.contains(key); });
+  return CountLeading(keys, [this](PieceKey key) { return IsSure(key); });
 }
 
 uint32_t CacheIndex::HeldPieces(const CacheLife& life,
                                 std::span<const PieceKey> keys) const {
   const bool is_known = life == life_;
   return CountLeading(keys, [this, is_known](PieceKey key) {
-    return (is_known && block_of_key_.contains(key)) ||
-           submitted_.contains(key);
+    return (is_known && entries_.contains(key)) || submitted_.contains(key);
   });
 }
 
@@ -73,8 +71,8 @@
                                    std::span<const PieceKey> keys) const {
   const bool is_known = life == life_;
   return CountLeading(keys, [this, is_known](PieceKey key) {
-    return (is_known && block_of_key_.contains(key)) ||
-           submitted_.contains(key) || queued_.contains(key);
+    return (is_known && entries_.contains(key)) || submitted_.contains(key) ||
+           queued_.contains(key);
   });
 }
 
@@ -96,10 +94,9 @@
 
 void CacheIndex::Apply(const CacheNotice& notice) {
   if (last_sequence_ && notice.sequence <= *last_sequence_) return;
-  // Any entry may have been removed by a notice that was lost.
   if (last_sequence_ && notice.sequence != *last_sequence_ + 1) {
     ++gaps_;
-    ForgetEntries();
+    DoubtEntries();
   }
   last_sequence_ = notice.sequence;
   switch (notice.kind) {
@@ -123,9 +120,9 @@
     // One key and one block belong together; whatever paired either with
     // another is out of date.
     Remove(block);
-    const auto known = block_of_key_.find(keys[i]);
-    if (known != block_of_key_.end()) Remove(known->second);
-    block_of_key_[keys[i]] = block;
+    const auto known = entries_.find(keys[i]);
+    if (known != entries_.end()) Remove(known->second.block);
+    entries_[keys[i]] = {block, true};
     key_of_block_[block] = keys[i];
   }
 }
@@ -133,12 +130,28 @@
 void CacheIndex::Remove(EngineBlock block) {
   const auto found = key_of_block_.find(block);
   if (found == key_of_block_.end()) return;
-  block_of_key_.erase(found->second);
+  entries_.erase(found->second);
   key_of_block_.erase(found);
 }
 
+// Any entry may have been removed by a notice that was lost, though most are
+// not: they serve as estimates, never as promises, until the next gap.
+void CacheIndex::DoubtEntries() {
+  std::erase_if(key_of_block_, [this](const auto& pair) {
+    return !entries_.at(pair.second).is_sure;
+  });
+  std::erase_if(entries_,
+                [](const auto& pair) { return !pair.second.is_sure; });
+  for (auto& [key, entry] : entries_) entry.is_sure = false;
+}
+
+bool CacheIndex::IsSure(PieceKey key) const {
+  const auto found = entries_.find(key);
+  return found != entries_.end() && found->second.is_sure;
+}
+
 void CacheIndex::ForgetEntries() {
-  block_of_key_.clear();
+  entries_.clear();
   key_of_block_.clear();
 }
 
--- a/src/libdogwoodlatch/cache_index_test.cc
+++ b/src/libdogwoodlatch/cache_index_test.cc
@@ -123,6 +123,7 @@
   const std::vector<PieceKey> keys = {1, 2};
   index.OnQueued("r1", keys);
   index.OnSubmitted("r1");
+  index.OnEnded("r1");
   index.Apply(life, std::vector<CacheNotice>{
                         {1, CacheChange::kStored, {11, 12}, "r1"}});
   CHECK(index.CachedPieces(life, keys) == 2);
@@ -132,11 +133,29 @@
               std::vector<CacheNotice>{{3, CacheChange::kRemoved, {99}, ""}});
   CHECK(index.gaps() == 1);
   CHECK(index.CachedPieces(life, keys) == 0);
+  CHECK(index.HeldPieces(life, keys) == 2);
+  CHECK(index.HeldPieces({"other boot", "v"}, keys) == 0);
   index.Apply(life, std::vector<CacheNotice>{
                         {4, CacheChange::kStored, {11, 12}, "r1"}});
   CHECK(index.CachedPieces(life, keys) == 2);
 }
 
+TEST_CASE("probable entries last until the next gap") {
+  CacheIndex index;
+  const CacheLife life{"boot", "v"};
+  const std::vector<PieceKey> keys = {1};
+  index.OnQueued("r1", keys);
+  index.OnSubmitted("r1");
+  index.OnEnded("r1");
+  index.Apply(life,
+              std::vector<CacheNotice>{{1, CacheChange::kStored, {11}, "r1"},
+                                       {3, CacheChange::kRemoved, {99}, ""}});
+  CHECK(index.HeldPieces(life, keys) == 1);
+  index.Apply(life,
+              std::vector<CacheNotice>{{5, CacheChange::kRemoved, {99}, ""}});
+  CHECK(index.HeldPieces(life, keys) == 0);
+}
+
 TEST_CASE("pieces being prefilled are pending until their run ends") {
   CacheIndex index;
   const CacheLife life{"boot", "v"};
