--- a/src/dogwoodlatch-bench/main.cc
+++ b/src/dogwoodlatch-bench/main.cc
@@ -14,7 +14,8 @@
 constexpr std::array kSubcommands = {
     Subcommand{"keying", "rate of keying a long prompt", RunKeying},
     Subcommand{"routing", "time of one routing decision", RunRouting},
-    Subcommand{"policy", "routing policies in virtual time; --json", RunPolicy},
+    Subcommand{"policy", "routing policies in virtual time; --json, --curve",
+               RunPolicy},
 };
 
 int Run(const std::vector<std::string>& arguments) {
--- a/src/dogwoodlatch-bench/policy.cc
+++ b/src/dogwoodlatch-bench/policy.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <numeric>
+#include <sstream>
 
 #include "bench.h"
 #include "policy_routers.h"
@@ -18,6 +19,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::string_view kRouterPolicy = "probe";
 constexpr uint64_t kSeed = 20261203;
 constexpr unsigned kHistogramBins = 600;
 constexpr double kShortestMillis = 0.1;
@@ -29,6 +31,8 @@
     Scenario{.name = "shifting-hot", .shift_every = seconds(15)},
     Scenario{.name = "replica-crash", .fault = Fault::kReplicaCrash},
     Scenario{.name = "domain-lost", .load = 0.7, .fault = Fault::kDomainLost},
+    Scenario{
+        .name = "domain-lost-50", .load = 0.5, .fault = Fault::kDomainLost},
     Scenario{.name = "event-gaps", .event_loss = 0.02},
     Scenario{.name = "load-lag", .load_lag = seconds(2)},
     Scenario{.name = "router-herd", .fault = Fault::kRouterHerd},
@@ -167,6 +171,23 @@
   std::cout << line.dump() << "\n";
 }
 
+// How the weight on recomputation moves the measures of the router's policy.
+void RunCurve(bool is_json) {
+  constexpr std::array kWeights = {0.0, 0.5, 1.0, 2.0, 4.0, 8.0};
+  const auto print = is_json ? PrintJson : PrintRow;
+  const auto probe =
+      std::ranges::find(Policies(), kRouterPolicy, &NamedPolicy::name);
+  for (Deployment deployment : Deployments()) {
+    for (const double weight : kWeights) {
+      deployment.recompute_weight = weight;
+      std::ostringstream label;
+      label << "weight=" << weight;
+      print(deployment, kScenarios[1], label.str(),
+            Measure(Simulate(deployment, kScenarios[1], probe->make, kSeed)));
+    }
+  }
+}
+
 bool Has(std::span<const std::string> arguments, std::string_view wanted) {
   return std::ranges::find(arguments, wanted) != arguments.end();
 }
@@ -177,6 +198,10 @@
   const bool is_json = Has(arguments, "--json");
   const auto print = is_json ? PrintJson : PrintRow;
   if (!is_json) PrintHeader();
+  if (Has(arguments, "--curve")) {
+    RunCurve(is_json);
+    return 0;
+  }
   for (const Deployment& deployment : Deployments()) {
     for (const Scenario& scenario : kScenarios) {
       for (const NamedPolicy& policy : Policies()) {
