Spread candidates over failure domains

Cause: with all four candidates in the lost domain a request had nobody to answer (0.2% of menus' requests). Change: one domain gets at most half of the candidates while others have homes.

--- a/src/include/dogwoodlatch/admission_queue.h
+++ b/src/include/dogwoodlatch/admission_queue.h
@@ -82,9 +82,9 @@
   };
   using Classes = std::map<int, PriorityClass, std::greater<>>;
 
-  void Erase(Classes::iterator level,
-             std::map<WorkspaceId, Line>::iterator line,
-             std::deque<QueuedWork>::iterator work);
+  void Erase(const Classes::iterator& level,
+             const std::map<WorkspaceId, Line>::iterator& line,
+             const std::deque<QueuedWork>::iterator& work);
 
   AdmissionLimits limits_;
   Classes classes_;
--- a/src/libdogwoodlatch/admission_queue.cc
+++ b/src/libdogwoodlatch/admission_queue.cc
@@ -125,9 +125,9 @@
   return ahead;
 }
 
-void AdmissionQueue::Erase(Classes::iterator level,
-                           std::map<WorkspaceId, Line>::iterator line,
-                           std::deque<QueuedWork>::iterator work) {
+void AdmissionQueue::Erase(const Classes::iterator& level,
+                           const std::map<WorkspaceId, Line>::iterator& line,
+                           const std::deque<QueuedWork>::iterator& work) {
   const uint64_t tokens = work->tokens;
   queued_tokens_ -= tokens;
   level->second.tokens -= tokens;
--- a/src/libdogwoodlatch/routing.cc
+++ b/src/libdogwoodlatch/routing.cc
@@ -69,6 +69,15 @@
   return queue + recompute * (1 + policy.recompute_weight) + delay_to_others;
 }
 
+void AddCandidate(const TargetEntry* target, size_t wanted, size_t domain_limit,
+                  std::vector<const TargetEntry*>& candidates) {
+  if (candidates.size() >= wanted) return;
+  if (std::ranges::find(candidates, target) != candidates.end()) return;
+  const auto in_domain = static_cast<size_t>(std::ranges::count(
+      candidates, target->failure_domain, &TargetEntry::failure_domain));
+  if (in_domain < domain_limit) candidates.push_back(target);
+}
+
 }  // namespace
 
 std::vector<TargetId> PickCandidates(
@@ -85,16 +94,19 @@
     homes.push_back(BestHomes(targets, key, wanted));
   }
   // Round by round each depth names its next best home, so that deep and
-  // shallow homes are both asked.
-  std::vector<TargetId> candidates;
-  for (size_t place = 0; place < wanted; ++place) {
-    for (const auto& ranked : homes) {
-      const TargetId& id = ranked[place]->id;
-      const bool is_new = std::ranges::find(candidates, id) == candidates.end();
-      if (is_new && candidates.size() < wanted) candidates.push_back(id);
+  // shallow homes are both asked. No failure domain gets more than half of the
+  // places, so that the loss of one leaves somebody to answer.
+  std::vector<const TargetEntry*> candidates;
+  for (const size_t domain_limit : {(wanted + 1) / 2, wanted}) {
+    for (size_t place = 0; place < wanted; ++place) {
+      for (const auto& ranked : homes) {
+        AddCandidate(ranked[place], wanted, domain_limit, candidates);
+      }
     }
   }
-  return candidates;
+  std::vector<TargetId> ids;
+  std::ranges::transform(candidates, std::back_inserter(ids), &TargetEntry::id);
+  return ids;
 }
 
 std::optional<size_t> ChooseTarget(std::span<const ProbedTarget> probed,
