Count the way to a target in its cost

Change: the round trip of the probe is added to the estimated time to first token, so the router's own failure domain wins where cache and queue are equal.

Kept for the traffic it keeps inside a domain.

--- a/src/dogwoodlatch-bench/policy_routers.cc
+++ b/src/dogwoodlatch-bench/policy_routers.cc
@@ -116,11 +116,12 @@
           std::ranges::find(fleet.targets(), id, &TargetEntry::id);
       const auto i = static_cast<size_t>(target - fleet.targets().begin());
       const std::optional<ProbeReply> reply = fleet.Ask(i, probe);
-      slowest = std::max(slowest, reply ? RoundTrip(policy_.failure_domain,
-                                                    target->failure_domain)
-                                        : kProbeTimeout);
+      const Duration round_trip =
+          reply ? RoundTrip(policy_.failure_domain, target->failure_domain)
+                : kProbeTimeout;
+      slowest = std::max(slowest, round_trip);
       if (!reply) continue;
-      probed.push_back({id, *reply});
+      probed.push_back({id, *reply, round_trip});
       replica_of.push_back(i);
     }
     const std::optional<size_t> best = ChooseTarget(probed, prompt, policy_);
--- a/src/dogwoodlatch-router/request_driver.cc
+++ b/src/dogwoodlatch-router/request_driver.cc
@@ -164,7 +164,8 @@
         message == nullptr ? nullptr : std::get_if<ProbeReply>(message);
     if (message != nullptr && reply == nullptr) continue;
     --open;
-    if (reply != nullptr) probed.push_back({*target, *reply});
+    if (reply != nullptr)
+      probed.push_back({*target, *reply, SteadyNow() - start});
   }
   return probed;
 }
--- a/src/include/dogwoodlatch/routing.h
+++ b/src/include/dogwoodlatch/routing.h
@@ -24,6 +24,7 @@
 struct ProbedTarget {
   TargetId target;
   ProbeReply reply;
+  Duration round_trip{0};  ///< of the probe
 };
 
 /// What is known of the prompt.
--- a/src/libdogwoodlatch/routing.cc
+++ b/src/libdogwoodlatch/routing.cc
@@ -66,7 +66,11 @@
   // Work added to a busy engine delays whatever comes later, for as long as
   // the queue lasts.
   const double delay_to_others = kDelayWeight * recompute * queue;
-  return queue + recompute * (1 + policy.recompute_weight) + delay_to_others;
+  // The request goes the way of its probe; within the router's own failure
+  // domain that way is short.
+  const double way = std::chrono::duration<double>(probed.round_trip).count();
+  return way + queue + recompute * (1 + policy.recompute_weight) +
+         delay_to_others;
 }
 
 void AddCandidate(const TargetEntry* target, size_t wanted, size_t domain_limit,
