--- a/src/dogwoodlatch-bench/policy_routers.cc
+++ b/src/dogwoodlatch-bench/policy_routers.cc
@@ -176,7 +176,7 @@
 }  // namespace
 
 std::span<const NamedPolicy> Policies() {
-  static const std::vector<NamedPolicy> kPolicies = {
+  static const std::vector<NamedPolicy> policies = {
       {"round-robin", true,
        [](const Deployment&, size_t) {
          return std::make_unique<RoundRobin>();
@@ -202,7 +202,7 @@
          return std::make_unique<Omniscient>(deployment);
        }},
   };
-  return kPolicies;
+  return policies;
 }
 
 }  // namespace dogwoodlatch::bench
--- a/src/dogwoodlatch-bench/policy_workload.cc
+++ b/src/dogwoodlatch-bench/policy_workload.cc
@@ -103,7 +103,7 @@
 const std::vector<Deployment>& Deployments() {
   // Instructions, build template, district template, device log; and
   // instructions, weekly menu frame, group of members, member notes.
-  static const std::vector<Deployment> kDeployments = {
+  static const std::vector<Deployment> deployments = {
       {"imaging",
        {{2, 1, 0}, {6, 4, 1.2}, {4, 12, 1.0}},
        3,
@@ -114,7 +114,7 @@
        24},
       {"menus", {{1, 1, 0}, {4, 6, 1.5}, {1, 20, 0.8}}, 1, 2, 500, 0.5, 3, 65},
   };
-  return kDeployments;
+  return deployments;
 }
 
 std::vector<SimRequest> MakeTrace(const Deployment& deployment,
--- a/src/dogwoodlatch-bench/routing.cc
+++ b/src/dogwoodlatch-bench/routing.cc
@@ -41,6 +41,7 @@
 
 std::vector<ProbedTarget> AnswersOf(const std::vector<TargetId>& candidates) {
   std::vector<ProbedTarget> probed;
+  probed.reserve(candidates.size());
   for (const TargetId& id : candidates) {
     ProbeReply reply;
     reply.cached_pieces = static_cast<uint32_t>(probed.size());
@@ -53,6 +54,7 @@
 void MeasureWith(size_t replicas) {
   const std::vector<TargetEntry> targets = MakeTargets(replicas);
   std::vector<const TargetEntry*> serving;
+  serving.reserve(replicas);
   for (const TargetEntry& target : targets) serving.push_back(&target);
   std::mt19937_64 random(replicas);
   auto micros =
--- a/src/libdogwoodlatch/routing_test.cc
+++ b/src/libdogwoodlatch/routing_test.cc
@@ -35,6 +35,7 @@
     const auto count = *rc::gen::inRange<size_t>(1, 40);
     const std::vector<TargetEntry> targets = MakeTargets(count, 4);
     std::vector<const TargetEntry*> serving;
+    serving.reserve(count);
     for (const TargetEntry& target : targets) serving.push_back(&target);
     const PromptShape prompt{std::move(keys), 1000, 100};
     RoutingPolicy policy;
