--- a/src/dogwoodlatch-bench/main.cc
+++ b/src/dogwoodlatch-bench/main.cc
@@ -18,7 +18,8 @@
     Subcommand{"transport", "connections between our processes",
                RunTransportSlopes},
     Subcommand{"routing", "time of one routing decision", RunRouting},
-    Subcommand{"policy", "routing policies in virtual time; --json", RunPolicy},
+    Subcommand{"policy", "routing policies in virtual time; --json, --curve",
+               RunPolicy},
     Subcommand{"claims", "platform writes of claims, in virtual time",
                RunClaims},
 };
--- a/src/libdogwoodlatch/routing.cc
+++ b/src/libdogwoodlatch/routing.cc
@@ -8,6 +8,10 @@
 namespace dogwoodlatch {
 namespace {
 
+// Charge for a second of delay to others, against a second of own waiting, a
+// second of queue.
+constexpr double kDelayWeight = 0.5;
+
 // The finalizer of SplitMix64: every bit of the input moves every bit of the
 // output.
 uint64_t Mix(uint64_t value) {
@@ -61,8 +65,21 @@
   const double queue = static_cast<double>(reply.queued_tokens) / rate;
   // Work added to a busy engine delays whatever comes later, for as long as
   // the queue lasts.
-  const double delay_to_others = recompute * queue;
-  return queue + recompute * (1 + policy.recompute_weight) + delay_to_others;
+  const double delay_to_others = kDelayWeight * recompute * queue;
+  // The request goes the way of its probe; within the router's own failure
+  // domain that way is short.
+  const double way = std::chrono::duration<double>(probed.round_trip).count();
+  return way + queue + recompute * (1 + policy.recompute_weight) +
+         delay_to_others;
+}
+
+void AddCandidate(const TargetEntry* target, size_t wanted, size_t domain_limit,
+                  std::vector<const TargetEntry*>& candidates) {
+  if (candidates.size() >= wanted) return;
+  if (std::ranges::find(candidates, target) != candidates.end()) return;
+  const auto in_domain = static_cast<size_t>(std::ranges::count(
+      candidates, target->failure_domain, &TargetEntry::failure_domain));
+  if (in_domain < domain_limit) candidates.push_back(target);
 }
 
 }  // namespace
@@ -81,16 +98,19 @@
     homes.push_back(BestHomes(targets, key, wanted));
   }
   // Round by round each depth names its next best home, so that deep and
-  // shallow homes are both asked.
-  std::vector<TargetId> candidates;
-  for (size_t place = 0; place < wanted; ++place) {
-    for (const auto& ranked : homes) {
-      const TargetId& id = ranked[place]->id;
-      const bool is_new = std::ranges::find(candidates, id) == candidates.end();
-      if (is_new && candidates.size() < wanted) candidates.push_back(id);
+  // shallow homes are both asked. No failure domain gets more than half of the
+  // places, so that the loss of one leaves somebody to answer.
+  std::vector<const TargetEntry*> candidates;
+  for (const size_t domain_limit : {(wanted + 1) / 2, wanted}) {
+    for (size_t place = 0; place < wanted; ++place) {
+      for (const auto& ranked : homes) {
+        AddCandidate(ranked[place], wanted, domain_limit, candidates);
+      }
     }
   }
-  return candidates;
+  std::vector<TargetId> ids;
+  std::ranges::transform(candidates, std::back_inserter(ids), &TargetEntry::id);
+  return ids;
 }
 
 std::optional<size_t> ChooseTarget(std::span<const ProbedTarget> probed,
