--- a/src/dogwoodlatch-router/crash_guard.h
+++ b/src/dogwoodlatch-router/crash_guard.h
@@ -38,7 +38,8 @@
   RetryBudget budget_;
 };
 
-// Thread-safe. Writes the platform and tells peers on threads of its own from Start to Stop; a request never waits for either.
+// Thread-safe. Writes the platform and tells peers on threads of its own from
+// Start to Stop; a request never waits for either.
 class CrashGuard {
  public:
   // Follows the quarantine objects by `sync`, which starts later.
