End a request at once when its cheapest target cannot meet its deadline

Cause: a request shed by one agent's queue was sent on to others. Change: the queue's refusal is a reason of its own (too_late) and ends the request as not_run with the agent's time to come back, unless its stream has begun; a target without a free place (overloaded) is still left for another.

--- a/src/dogwoodlatch-agent/agent.cc
+++ b/src/dogwoodlatch-agent/agent.cc
@@ -200,7 +200,7 @@
     return std::nullopt;
   }
   Forget(run);
-  return Refused{order.request_id, order.attempt, RefusalReason::kOverloaded,
+  return Refused{order.request_id, order.attempt, RefusalReason::kTooLate,
                  shed->retry_after, ""};
 }
 
@@ -216,7 +216,7 @@
       run = std::move(queued_.extract(next->run_id).mapped());
     }
     if (shed) {
-      Refuse(run, RefusalReason::kOverloaded, shed->retry_after);
+      Refuse(run, RefusalReason::kTooLate, shed->retry_after);
     } else {
       asio::post(pool_, [this, run] { Execute(run); });
     }
--- a/src/dogwoodlatch-bench/slopes.cc
+++ b/src/dogwoodlatch-bench/slopes.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "bench.h"
+#include "dogwoodlatch/cache_index.h"
 #include "dogwoodlatch/membership.h"
 #include "dogwoodlatch/messages.h"
 #include "dogwoodlatch/prefix_key.h"
@@ -182,12 +183,52 @@
   PrintSlope("keying_time", "piece", "ns", time);
 }
 
+CacheNotice MakeNotice(uint64_t sequence, size_t pieces) {
+  CacheNotice notice{sequence, CacheChange::kStored, {}, ""};
+  notice.run_id = std::to_string(sequence);
+  for (size_t i = 0; i < pieces; ++i) {
+    notice.blocks.push_back((sequence << 20U) + i);
+  }
+  return notice;
+}
+
+// An index that has seen `notices` prompts of as many pieces as one has.
+CacheIndex MakeIndex(size_t notices) {
+  constexpr size_t kPiecesPerPrompt = 50;
+  const CacheLife life{"boot", "v1"};
+  CacheIndex index;
+  index.Apply(life, {});
+  for (uint64_t sequence = 1; sequence <= notices; ++sequence) {
+    const CacheNotice notice = MakeNotice(sequence, kPiecesPerPrompt);
+    index.OnQueued(notice.run_id, notice.blocks);
+    index.OnSubmitted(notice.run_id);
+    index.Apply(life, std::span(&notice, 1));
+    index.OnEnded(notice.run_id);
+  }
+  return index;
+}
+
+void PrintCacheIndexSlopes() {
+  SlopeFit memory;
+  size_t blocks = 0;
+  for (const size_t notices : {size_t{1100}, size_t{1500}, size_t{2000}}) {
+    blocks = MakeIndex(notices).size();
+    memory.Add(blocks, HeapBytesOf([notices] { return MakeIndex(notices); }));
+  }
+  PrintSlope("cache_index_memory", "block", "B", memory);
+  constexpr size_t kTimedNotices = 2000;
+  PrintFigure("cache_event_time", "ns", NanosecondsPerCall(1, [] {
+                                          (void)MakeIndex(kTimedNotices);
+                                        }) / static_cast<double>(blocks));
+}
+
 }  // namespace
 
 int RunSlopes(std::span<const std::string>) {
   PrintKeyingSlope();
   PrintMessageSlopes();
   PrintRoutingSlopes();
+  PrintCacheIndexSlopes();
   PrintSettingsSlopes();
   return 0;
 }
--- a/src/include/dogwoodlatch/messages.h
+++ b/src/include/dogwoodlatch/messages.h
@@ -25,7 +25,7 @@
   kStaleIncarnation,  ///< routed on an earlier life of the target
   kStaleWeights,      ///< routed on other model weights
   kDraining,          ///< the target is leaving
-  kOverloaded,        ///< the queue cannot meet the deadline
+  kOverloaded,        ///< no place is free
   kQuarantined,       ///< the request has crashed targets before
   kSealed,            ///< the key was sealed as not run
   kNotOwner,          ///< another agent owns the claims of this key
@@ -33,6 +33,7 @@
   kKeyReused,         ///< the idempotency key came with another body before
   kTargetDown,        ///< the target does not answer
   kBusyAlone,         ///< a suspect must run alone and the target is busy
+  kTooLate,           ///< the queue cannot meet the deadline
 };
 
 /// How a running attempt ended without a whole answer.
--- a/src/libdogwoodlatch/idempotent_life.cc
+++ b/src/libdogwoodlatch/idempotent_life.cc
@@ -103,6 +103,11 @@
   if (event.reason == RefusalReason::kBusyAlone && run_alone_) {
     return Pause(Failure(OutcomeReason::kOverloaded, event.retry_after), true);
   }
+  // The cheapest target cannot meet the deadline, so the others are no better
+  // off; a second try would take a place in a queue from somebody else.
+  if (event.reason == RefusalReason::kTooLate && delivered_text_.empty()) {
+    return End(Failure(OutcomeReason::kOverloaded, event.retry_after));
+  }
   if (!IsStaleRoute(event.reason)) avoid_.push_back(target_.target);
   // A planned stop costs the request nothing.
   if (event.reason == RefusalReason::kDraining) return Choose(false);
--- /dev/null
+++ b/src/libdogwoodlatch/idempotent_life_test.cc
@@ -0,0 +1,64 @@
+#include "dogwoodlatch/idempotent_life.h"
+
+#include <catch2/catch.hpp>
+
+namespace dogwoodlatch {
+namespace {
+
+const RequestId kRequest{"request-1"};
+constexpr Duration kRetryAfter = std::chrono::seconds(2);
+
+IdempotentLife StartedLife() {
+  RequestPlan plan;
+  plan.request_id = kRequest;
+  plan.idempotent = true;
+  plan.deadline = TimePoint(std::chrono::seconds(60));
+  IdempotentLife life(plan);
+  (void)life.Start();
+  (void)life.Handle(TargetChosen{{"engine-1"}, {"life-1"}, "v1"});
+  return life;
+}
+
+Refused TooLate(uint32_t attempt) {
+  return {kRequest, attempt, RefusalReason::kTooLate, kRetryAfter, ""};
+}
+
+template <typename Command>
+const Command* Find(const std::vector<RequestCommand>& commands) {
+  for (const RequestCommand& command : commands) {
+    if (const auto* found = std::get_if<Command>(&command)) return found;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+TEST_CASE("a shed request ends at once with the agent's time to come back") {
+  IdempotentLife life = StartedLife();
+  const auto commands = life.Handle(TooLate(1));
+  const auto* give = Find<GiveOutcome>(commands);
+  REQUIRE(give != nullptr);
+  CHECK(give->outcome.kind == OutcomeKind::kNotRun);
+  CHECK(give->outcome.reason == OutcomeReason::kOverloaded);
+  CHECK(give->outcome.retry_after == kRetryAfter);
+}
+
+TEST_CASE("a stream that has begun looks for another target when it is shed") {
+  IdempotentLife life = StartedLife();
+  (void)life.Handle(Chunk{kRequest, 1, 0, "It "});
+  (void)life.Handle(ConnectionLost{1});
+  (void)life.Handle(TargetChosen{{"engine-2"}, {"life-2"}, "v1"});
+  const auto commands = life.Handle(TooLate(2));
+  CHECK(Find<GiveOutcome>(commands) == nullptr);
+  CHECK(Find<ChooseTargetCommand>(commands) != nullptr);
+}
+
+TEST_CASE("a target without a free place is left for another") {
+  IdempotentLife life = StartedLife();
+  const auto commands = life.Handle(
+      Refused{kRequest, 1, RefusalReason::kOverloaded, kRetryAfter, ""});
+  CHECK(Find<GiveOutcome>(commands) == nullptr);
+  CHECK(Find<ChooseTargetCommand>(commands) != nullptr);
+}
+
+}  // namespace dogwoodlatch
--- a/src/libdogwoodlatch/messages.cc
+++ b/src/libdogwoodlatch/messages.cc
@@ -93,7 +93,7 @@
   FromEnum(json, field, RequestKind::kService);
 }
 void FromField(const Json& json, RefusalReason& field) {
-  FromEnum(json, field, RefusalReason::kBusyAlone);
+  FromEnum(json, field, RefusalReason::kTooLate);
 }
 void FromField(const Json& json, BreakCause& field) {
   FromEnum(json, field, BreakCause::kHandedOver);
@@ -149,10 +149,10 @@
 }
 
 std::string_view ToString(RefusalReason reason) {
-  static constexpr std::array<std::string_view, 11> kNames = {
-      "stale_incarnation", "stale_weights", "draining",  "overloaded",
-      "quarantined",       "sealed",        "not_owner", "claim_failed",
-      "key_reused",        "target_down",   "busy_alone"};
+  static constexpr std::array<std::string_view, 12> kNames = {
+      "stale_incarnation", "stale_weights", "draining",   "overloaded",
+      "quarantined",       "sealed",        "not_owner",  "claim_failed",
+      "key_reused",        "target_down",   "busy_alone", "too_late"};
   return kNames.at(static_cast<size_t>(reason));
 }
 
