--- a/testsuite/measure/capacity.py
+++ b/testsuite/measure/capacity.py
@@ -23,11 +23,12 @@
 
 # What the workload and the settings are taken to be; none of it is measured.
 CANDIDATES = 4
-PROBE_KEYS = 16
+PROMPT_PIECES = 16
+LONG_PROMPT_PIECES = 50
 WORKSPACES_PER_TEAM = 100
 VM_ENTRY_BYTES = 150
-WATCH_WAIT_SECONDS = 30
-HEALTH_CHECKS_PER_SECOND = 10
+WATCH_WAIT_SECONDS = 5
+CLAIM_WRITES_PER_SECOND = 258  # dogwoodlatch-bench claims: 310/s, 760 targets, 8 logs
 NON_IDEMPOTENT_SHARE = 0.1
 
 # Budgets of one daemon for control.
@@ -81,7 +82,7 @@
            ("keying, 50 pieces", 100 * requests * figures.at("keying_time", 50) / 1e9),
            ("workspace lookup", 100 * requests * figures.at("workspace_lookup_time", WORKSPACES) / 1e9),
            ("adoption of settings", 100 * changes * adopt_us / 1e6)]
-    sent = [("probes and replies", probes * (figures.at("probe_bytes", PROBE_KEYS) + figures.at("probe_reply_bytes"))),
+    sent = [("probes and replies", probes * (figures.at("probe_bytes", PROMPT_PIECES) + figures.at("probe_reply_bytes"))),
             ("settings changes", changes * team),
             ("VM list", vm_changes * AGENTS * VM_ENTRY_BYTES)]
     memory = [("settings, two snapshots", 2 * figures.at("settings_memory", WORKSPACES) / 1e6),
@@ -100,17 +101,18 @@
     if figures.has("cache_event_time"):
         cpu.append(("cache events", 100 * events * figures.at("cache_event_time") / 1e9))
         memory.append(("cache index", blocks * figures.slope("cache_index_memory") / 1e6))
-    sent = [("probes and replies", probes * (figures.at("probe_bytes", PROBE_KEYS) + figures.at("probe_reply_bytes")))]
+    sent = [("probes and replies", probes * (figures.at("probe_bytes", PROMPT_PIECES) + figures.at("probe_reply_bytes")))]
     return cpu, sent, memory
 
 
 def print_platform():
     print("\n### Platform calls a second\n\n| call | a second |\n|---|---|")
-    watches = (ROUTERS * 2 + AGENTS) / WATCH_WAIT_SECONDS
+    watches = ROUTERS * 2 / WATCH_WAIT_SECONDS
     changes = CHANGES_PER_DAY / SECONDS_PER_DAY
     print(f"| watches that return on their own ({WATCH_WAIT_SECONDS} s) | {watches:.0f} |")
-    print(f"| watches that return with a change | {changes * (ROUTERS + AGENTS):.0f} |")
+    print(f"| watches that return with a change | {changes * ROUTERS:.0f} |")
     print(f"| claims before group commit | {REQUESTS_PER_SECOND * NON_IDEMPOTENT_SHARE:.0f} |")
+    print(f"| writes of claims, group commit | {CLAIM_WRITES_PER_SECOND} |")
 
 
 def main():
@@ -120,6 +122,9 @@
         table(f"{role}: processor time", cpu, "% of a core", 100 * CORE_SHARE)
         table(f"{role}: bytes", sent, "B/s", BYTES_PER_SECOND)
         table(f"{role}: memory", memory, "MB", MEMORY_MB)
+    long_probe = figures.at("probe_bytes", LONG_PROMPT_PIECES) + figures.at("probe_reply_bytes")
+    print(f"\nProbes of {LONG_PROMPT_PIECES} pieces: "
+          f"{REQUESTS_PER_SECOND / ROUTERS * CANDIDATES * long_probe:.0f} B/s a router.")
     print_platform()
 
 
