Map refusals to outcomes in one place

Cause: both request lives held the same table, one with a row more. Change: ReasonOf stands in request_life. Measured: idempotent_life_test, outcomes_fuzz_test and at_most_once_fuzz_test pass.

--- a/src/include/dogwoodlatch/request_life.h
+++ b/src/include/dogwoodlatch/request_life.h
@@ -40,6 +40,9 @@
 std::string_view ToString(OutcomeKind kind);
 std::string_view ToString(OutcomeReason reason);
 
+/// What a caller is told of an agent's refusal.
+OutcomeReason ReasonOf(RefusalReason reason);
+
 /// The one final outcome of a request.
 struct Outcome {
   OutcomeKind kind = OutcomeKind::kNotRun;
--- a/src/libdogwoodlatch/at_most_once_life.cc
+++ b/src/libdogwoodlatch/at_most_once_life.cc
@@ -13,22 +13,6 @@
 constexpr uint32_t kMaxChoices = 12;
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
-OutcomeReason ReasonOf(RefusalReason reason) {
-  switch (reason) {
-    case RefusalReason::kQuarantined:
-      return OutcomeReason::kQuarantined;
-    case RefusalReason::kKeyReused:
-      return OutcomeReason::kKeyReused;
-    case RefusalReason::kClaimFailed:
-      return OutcomeReason::kClaimFailed;
-    case RefusalReason::kSealed:
-    case RefusalReason::kTargetDown:
-      return OutcomeReason::kTargetLost;
-    default:
-      return OutcomeReason::kOverloaded;
-  }
-}
-
 }  // namespace
 
 AtMostOnceLife::AtMostOnceLife(RequestPlan plan) : plan_(std::move(plan)) {}
--- a/src/libdogwoodlatch/idempotent_life.cc
+++ b/src/libdogwoodlatch/idempotent_life.cc
@@ -9,21 +9,6 @@
 constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
 constexpr Duration kMaxPause = std::chrono::milliseconds(400);
 
-OutcomeReason ReasonOf(RefusalReason reason) {
-  switch (reason) {
-    case RefusalReason::kQuarantined:
-      return OutcomeReason::kQuarantined;
-    case RefusalReason::kKeyReused:
-      return OutcomeReason::kKeyReused;
-    case RefusalReason::kClaimFailed:
-      return OutcomeReason::kClaimFailed;
-    case RefusalReason::kTargetDown:
-      return OutcomeReason::kTargetLost;
-    default:
-      return OutcomeReason::kOverloaded;
-  }
-}
-
 bool IsFinalRefusal(RefusalReason reason) {
   return reason == RefusalReason::kQuarantined ||
          reason == RefusalReason::kKeyReused;
--- a/src/libdogwoodlatch/request_life.cc
+++ b/src/libdogwoodlatch/request_life.cc
@@ -15,6 +15,22 @@
   return std::make_unique<IdempotentLife>(std::move(plan));
 }
 
+OutcomeReason ReasonOf(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kQuarantined:
+      return OutcomeReason::kQuarantined;
+    case RefusalReason::kKeyReused:
+      return OutcomeReason::kKeyReused;
+    case RefusalReason::kClaimFailed:
+      return OutcomeReason::kClaimFailed;
+    case RefusalReason::kSealed:
+    case RefusalReason::kTargetDown:
+      return OutcomeReason::kTargetLost;
+    default:
+      return OutcomeReason::kOverloaded;
+  }
+}
+
 std::string_view ToString(OutcomeKind kind) {
   static constexpr std::array<std::string_view, 4> kNames = {
       "complete", "not_run", "outcome_unknown", "rejected"};
