Check a team's settings against the other teams' before a put

Cause: the client checked the schema only, so a put that claimed another team's workspace was accepted and then refused by every daemon. Change: put lists the teams' objects and applies the daemons' cross-team rules. The check reads before it writes: two teams that claim one name in the same moment are still settled by the daemons, as before.

--- a/src/dogwoodlatch/settings_commands.cc
+++ b/src/dogwoodlatch/settings_commands.cc
@@ -7,6 +7,7 @@
 #include "client_options.h"
 #include "command.h"
 #include "dogwoodlatch/settings.h"
+#include "dogwoodlatch/settings_rules.h"
 #include "settings_diff.h"
 #include "table.h"
 
@@ -109,6 +110,19 @@
   return ExitCode::kOk;
 }
 
+// What all teams have in force, as far as their newest objects are valid.
+Result<SettingsSnapshot> LoadInForce(const PlatformClient& platform) {
+  const Result<ObjectList> list = platform.List(kSettingsPrefix);
+  if (!list) return list.error();
+  SettingsSnapshot in_force;
+  for (const PlatformObject& object : list.value().objects) {
+    if (!FindTeamFaults(object.value, object.path).empty()) continue;
+    const std::string team = TeamOfPath(object.path);
+    in_force.teams[team] = ParseTeam(team, object.version, object.value);
+  }
+  return in_force;
+}
+
 // The object that the new settings were made from.
 Result<PlatformObject> FindBase(const ClientOptions& options,
                                 const PlatformClient& platform,
@@ -125,6 +139,11 @@
       FindTeamFaults(document.value(), arguments[1]);
   if (!faults.empty()) return Refuse(faults);
   const PlatformClient platform = options.OpenPlatform();
+  const Result<SettingsSnapshot> in_force = LoadInForce(platform);
+  if (!in_force) return Fail(in_force.error());
+  const std::vector<Error> clashes =
+      FindSettingsFaults(arguments[0], document.value(), in_force.value());
+  if (!clashes.empty()) return Refuse(clashes);
   const std::string path = PathOf(arguments[0]);
   const Result<PlatformObject> base = FindBase(options, platform, path);
   if (!base) return Fail(base.error());
--- a/testsuite/client_settings/run.py
+++ b/testsuite/client_settings/run.py
@@ -71,6 +71,9 @@
     print("their change stands", current == theirs)
     code, out, _ = operator.run("settings", "history", "schools", "--output", "json")
     print("history", code, [[c["path"] for c in v["changes"]] for v in json.loads(out)[1:]])
+    code, _, errors = operator.run("settings", "put", "clinics", operator.file("clash.json", team()))
+    print("put of another team's workspace", code, "forbidden" in errors, "schools" in errors)
+    print("not written", operator.run("settings", "get", "clinics")[0])
     return ours
 
 
