Remove the unused seal messages and check the protocol version

Cause: no process sends Seal since the ledger refuses late copies by itself, and the version in Hello was sent and never read. Change: both messages are gone; an agent closes a connection of another version. Measured: messages_test, e2e thin_path, wipe_resent and engine_killed_midstream pass. A connection of another version has no test yet.

--- a/src/dogwoodlatch-agent/agent.cc
+++ b/src/dogwoodlatch-agent/agent.cc
@@ -155,6 +155,16 @@
   }
 }
 
+// Messages of another protocol version could be read wrongly, so its
+// connection is closed before any order is taken.
+void Agent::Handle(ConnectionId connection, const Hello& hello) {
+  if (hello.protocol_version == kProtocolVersion) return;
+  LogEvent(EventId::kBadMessage,
+           {{"protocol_version", std::to_string(hello.protocol_version)},
+            {"sender", hello.sender}});
+  node_.Close(connection);
+}
+
 void Agent::Handle(ConnectionId connection, const Probe& probe) {
   ProbeReply reply;
   {
--- a/src/dogwoodlatch-agent/agent.h
+++ b/src/dogwoodlatch-agent/agent.h
@@ -54,6 +54,7 @@
 
   void OnReceived(ConnectionId connection, const std::string& bytes);
   void OnClosed(ConnectionId connection);
+  void Handle(ConnectionId connection, const Hello& hello);
   void Handle(ConnectionId connection, const Probe& probe);
   void Handle(ConnectionId connection, Submit& submit);
   void Handle(ConnectionId connection, const Cancel& cancel);
--- a/src/dogwoodlatch-bench/load.cc
+++ b/src/dogwoodlatch-bench/load.cc
@@ -83,6 +83,7 @@
   std::vector<Sample> samples(options.requests);
   std::atomic<int> next{0};
   std::vector<std::thread> workers;
+  workers.reserve(static_cast<size_t>(options.concurrency));
   for (int i = 0; i < options.concurrency; ++i) {
     workers.emplace_back([&] {
       httplib::Client client(options.address.host, options.address.port);
--- a/src/include/dogwoodlatch/messages.h
+++ b/src/include/dogwoodlatch/messages.h
@@ -158,23 +158,8 @@
   uint32_t attempt = 0;
 };
 
-/// Asks the owner of a key to refuse it from now on unless it has been seen.
-struct Seal {
-  RequestId request_id;
-  Incarnation incarnation;
-  WorkspaceId workspace;
-  std::string idempotency_key;
-};
-
-/// Answers a Seal: with `sealed` the key was not run and any late copy will be
-/// refused.
-struct SealReply {
-  RequestId request_id;
-  bool sealed = false;
-};
-
 using Message = std::variant<Hello, Probe, ProbeReply, Submit, Refused, Chunk,
-                             Finished, Broken, Cancel, Seal, SealReply>;
+                             Finished, Broken, Cancel>;
 
 /// The CBOR form: an array of the message's type number and its fields in
 /// order.
--- a/src/libdogwoodlatch/messages.cc
+++ b/src/libdogwoodlatch/messages.cc
@@ -43,10 +43,6 @@
     visit(m.request_id, m.attempt, m.sequence, m.cause, m.crash_suspects);
   } else if constexpr (std::is_same_v<T, Cancel>) {
     visit(m.request_id, m.attempt);
-  } else if constexpr (std::is_same_v<T, Seal>) {
-    visit(m.request_id, m.incarnation, m.workspace, m.idempotency_key);
-  } else if constexpr (std::is_same_v<T, SealReply>) {
-    visit(m.request_id, m.sealed);
   }
 }
 
