--- a/src/libdogwoodlatch/outcomes_fuzz_routers.h
+++ b/src/libdogwoodlatch/outcomes_fuzz_routers.h
@@ -160,8 +160,9 @@
     std::erase_if(to_agents_, [i](const auto& m) { return m.request == i; });
     for (Target& target : targets_) {
       std::erase_if(target.runs, [&](const Run& run) {
-        if (run.request == i)
+        if (run.request == i) {
           target.core->OnEnded(run.order.request_id, run.order.attempt);
+        }
         return run.request == i;
       });
     }
