--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -22,6 +22,9 @@
 
 # Adds one test program a `<unit>_test.cc` of the current folder.
 function(dogwoodlatch_add_tests)
+  if(DOGWOODLATCH_DAEMONS_ONLY)
+    return()
+  endif()
   file(GLOB sources CONFIGURE_DEPENDS "*_test.cc")
   foreach(source ${sources})
     get_filename_component(name ${source} NAME_WE)
--- /dev/null
+++ b/src/dogwoodlatchd/main.cc
@@ -0,0 +1,133 @@
+// The daemon of every VM of a deployment on the platform: `router` on entry
+// VMs, `agent` beside model targets.
+#include <asio.hpp>
+#include <cxxopts.hpp>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <string>
+
+#include "dogwoodlatch/daemon/agent.h"
+#include "dogwoodlatch/daemon/router.h"
+#include "dogwoodlatch/util/log.h"
+#include "dogwoodlatch/util/program.h"
+#include "platform/node_settings.h"
+
+namespace dogwoodlatch {
+namespace {
+
+using daemon::Agent;
+using daemon::Router;
+
+struct CommandLine {
+  std::string role;
+  std::string settings_path;
+  bool is_check = false;
+};
+
+// Sets `exit_code` and returns nothing when the process is to end.
+std::optional<CommandLine> ReadCommandLine(int argc, const char* const* argv,
+                                           ExitCode& exit_code) {
+  cxxopts::Options options("dogwoodlatchd",
+                           "Routes language-model traffic on the platform.");
+  options.add_options()("role", "router or agent",
+                        cxxopts::value<std::string>()->default_value(""))(
+      "settings", "settings file of the platform; the default is the path in "
+      "DOGWOODLATCH_BOOT",
+      cxxopts::value<std::string>()->default_value(platform::SettingsPath()))(
+      "check-config", "check the settings file and exit")(
+      "help", "print this text")("version", "print the version");
+  options.parse_positional({"role"});
+  options.positional_help("router|agent");
+  // cxxopts reports bad command lines by exception only.
+  try {
+    const cxxopts::ParseResult parsed = options.parse(argc, argv);
+    exit_code = ExitCode::kOk;
+    if (parsed.count("help") > 0) {
+      std::cout << options.help() << "\n";
+      return std::nullopt;
+    }
+    if (parsed.count("version") > 0) {
+      std::cout << "dogwoodlatchd " << DOGWOODLATCH_VERSION << "\n";
+      return std::nullopt;
+    }
+    CommandLine line{parsed["role"].as<std::string>(),
+                     parsed["settings"].as<std::string>(),
+                     parsed.count("check-config") > 0};
+    if (line.role != "router" && line.role != "agent") {
+      std::cerr << "the role must be router or agent\n";
+      exit_code = ExitCode::kBadUsage;
+      return std::nullopt;
+    }
+    return line;
+  } catch (const cxxopts::exceptions::exception& fault) {
+    std::cerr << fault.what() << "\n";
+    exit_code = ExitCode::kBadUsage;
+    return std::nullopt;
+  }
+}
+
+// Runs a daemon until it stops its event loop.
+template <typename Daemon>
+ExitCode Run(const CommandLine& line, platform::NodeSettings settings) {
+  asio::io_context context(1);
+  LogEvent(EventId::kStarted, {{"role", line.role},
+                               {"vm", settings.vm},
+                               {"failure_domain", settings.failure_domain}});
+  Daemon daemon(context, std::move(settings));
+  const Result<void> started = daemon.Start();
+  if (!started) {
+    LogEvent(EventId::kListenFailed, {{"fault", ToString(started.error())}});
+    FlushLog();
+    return ExitCode::kFailed;
+  }
+  asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+  std::function<void()> await_signal = [&] {
+    signals.async_wait([&](std::error_code error, int number) {
+      if (error) return;
+      if (number == SIGHUP) {
+        const auto reread = platform::LoadNodeSettings(line.settings_path);
+        if (reread) {
+          daemon.Reload(reread.value());
+        } else {
+          LogEvent(EventId::kSettingsFileRefused,
+                   {{"fault", ToString(reread.error())}});
+        }
+      } else {
+        daemon.Stop();
+      }
+      await_signal();
+    });
+  };
+  await_signal();
+  context.run();
+  FlushLog();
+  return ExitCode::kOk;
+}
+
+ExitCode Main(int argc, const char* const* argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  ExitCode exit_code = ExitCode::kOk;
+  const std::optional<CommandLine> line = ReadCommandLine(argc, argv, exit_code);
+  if (!line) return exit_code;
+  Result<platform::NodeSettings> settings =
+      platform::LoadNodeSettings(line->settings_path);
+  if (!settings) {
+    std::cerr << ToString(settings.error()) << "\n";
+    return ExitCode::kBadSettings;
+  }
+  if (line->is_check) {
+    std::cout << "settings are valid\n";
+    return ExitCode::kOk;
+  }
+  InitBufferedLogging(settings.value().vm, Severity::kInfo);
+  return line->role == "router" ? Run<Router>(*line, settings.value())
+                                : Run<Agent>(*line, settings.value());
+}
+
+}  // namespace
+}  // namespace dogwoodlatch
+
+int main(int argc, char** argv) {
+  return static_cast<int>(dogwoodlatch::Main(argc, argv));
+}
--- /dev/null
+++ b/src/include/dogwoodlatch/daemon/agent.h
@@ -0,0 +1,73 @@
+/// The process beside every model target: brings the target to the weights
+/// named last and tells routers and other agents what it has.
+#pragma once
+
+#include <asio.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dogwoodlatch/daemon/agent_link.h"
+#include "dogwoodlatch/daemon/object_feed.h"
+#include "dogwoodlatch/daemon/platform_view.h"
+#include "dogwoodlatch/dataplane/http_caller.h"
+#include "dogwoodlatch/serving/rollout.h"
+#include "platform/node_settings.h"
+#include "platform/weights_orders.h"
+
+namespace dogwoodlatch::daemon {
+
+class Agent {
+ public:
+  Agent(asio::io_context& context, platform::NodeSettings settings);
+
+  /// Follows the platform and the target. Fails with kIo when its own port
+  /// cannot be bound.
+  Result<void> Start();
+
+  void Stop();
+  void Reload(const platform::NodeSettings& settings);
+
+ private:
+  struct Peer {
+    TargetNews news;
+    TimePoint heard{};
+  };
+
+  void FollowPlatform();
+  void OnDatagram(const asio::ip::udp::endpoint& from,
+                  std::span<const uint8_t> bytes);
+  void Tick();
+  void AskForReport();
+  void OnReport(Result<dataplane::CallAnswer> answer);
+  void ConsiderOrder(TimePoint now);
+  void GiveOrder(const std::string& model, const WeightsState& named);
+  void OnOrderAnswered(Result<dataplane::CallAnswer> answer);
+  void TellNews(TimePoint now);
+  std::vector<serving::RolloutPeer> PeersOf(const std::string& model,
+                                            TimePoint now) const;
+  serving::Fleet::TargetPtr OwnTarget();
+
+  asio::io_context& io_;
+  platform::NodeSettings settings_;
+  PlatformView view_;
+  std::vector<std::unique_ptr<ObjectFeed>> feeds_;
+  std::unique_ptr<AgentLink> link_;
+  dataplane::HttpCaller report_caller_;
+  dataplane::HttpCaller order_caller_;
+  asio::steady_timer tick_timer_;
+  std::map<std::string, Peer> peers_;  ///< by target id
+  std::map<asio::ip::udp::endpoint, TimePoint> subscribers_;
+  std::optional<platform::TargetReport> report_;
+  TimePoint report_at_{};
+  TimePoint next_report_{};
+  TimePoint next_news_{};
+  TimePoint order_pause_until_{};
+  bool is_asking_ = false;
+  bool is_ordering_ = false;
+  TargetNews last_told_;
+};
+
+}  // namespace dogwoodlatch::daemon
--- /dev/null
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -0,0 +1,72 @@
+/// Datagrams between agents and from agents to routers: what a target has
+/// loaded and how busy it is. Losing one costs knowledge, never a request.
+#pragma once
+
+#include <asio.hpp>
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dogwoodlatch/error.h"
+
+namespace dogwoodlatch::daemon {
+
+/// What an agent says of its target.
+struct TargetNews {
+  std::string target_id;
+  std::map<std::string, uint64_t> weights;  ///< version loaded, by model
+  bool is_loading = false;  ///< an order is being carried out
+  int queued = 0;           ///< requests that wait to run
+  int active = 0;           ///< requests that run
+  int64_t kv_used_tokens = 0;
+  int64_t kv_total_tokens = 0;
+
+  bool operator==(const TargetNews&) const = default;
+};
+
+/// CBOR, with the protocol's version first.
+std::vector<uint8_t> Encode(const TargetNews& news);
+
+/// Fails with kBadMessage or kBadVersion.
+Result<TargetNews> DecodeNews(std::span<const uint8_t> bytes);
+
+/// The datagram with which a router asks an agent for its news.
+std::vector<uint8_t> EncodeSubscription();
+bool IsSubscription(std::span<const uint8_t> bytes);
+
+/// A UDP socket on the port of our own processes.
+class AgentLink {
+ public:
+  using Receiver = std::function<void(const asio::ip::udp::endpoint& from,
+                                      std::span<const uint8_t> bytes)>;
+
+  /// Fails with kIo when the address cannot be bound.
+  static Result<std::unique_ptr<AgentLink>> Open(asio::io_context& context,
+                                                 std::string_view ip,
+                                                 uint16_t port,
+                                                 Receiver receiver);
+
+  /// Sends if the socket takes it at once; otherwise the datagram is lost.
+  void Send(const asio::ip::udp::endpoint& to, std::span<const uint8_t> bytes);
+
+  uint16_t port() const { return port_; }
+
+ private:
+  AgentLink(asio::io_context& context, Receiver receiver);
+  void Receive();
+
+  asio::ip::udp::socket socket_;
+  asio::ip::udp::endpoint from_;
+  std::array<uint8_t, 2048> buffer_{};
+  Receiver receiver_;
+  uint16_t port_ = 0;
+};
+
+}  // namespace dogwoodlatch::daemon
--- /dev/null
+++ b/src/include/dogwoodlatch/daemon/platform_view.h
@@ -0,0 +1,99 @@
+/// What a process believes of the platform: configuration, targets and named
+/// weights. Adopted upwards only.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dogwoodlatch/serving/configuration.h"
+#include "dogwoodlatch/serving/fleet.h"
+#include "dogwoodlatch/serving/freshness.h"
+#include "dogwoodlatch/time.h"
+#include "platform/node_settings.h"
+#include "platform/objects.h"
+
+namespace dogwoodlatch::daemon {
+
+/// The newest weights of a model.
+struct WeightsState {
+  uint64_t version = 0;
+  uint64_t fence = 0;
+  TimePoint learned{};  ///< when this process first saw the version
+};
+
+class PlatformView {
+ public:
+  using ConfigurationPtr = std::shared_ptr<const serving::Configuration>;
+
+  /// Requests with keys are accepted until the configuration's last proof is
+  /// older than `key_bound`. An outage counts as over `settling` after it.
+  PlatformView(Duration key_bound, Duration settling);
+
+  /// Called when another configuration is in force.
+  void NotifyConfiguration(std::function<void()> changed) {
+    configuration_changed_ = std::move(changed);
+  }
+
+  /// Called when a target is no longer to be used.
+  void NotifyRemoved(std::function<void(const std::string& id)> removed) {
+    target_removed_ = std::move(removed);
+  }
+
+  /// A list or the changes of a watch. `sent` is when the call was sent.
+  void OnList(platform::ObjectKind kind,
+              const std::vector<platform::StoredObject>& objects,
+              TimePoint sent, TimePoint now);
+  void OnChanges(platform::ObjectKind kind,
+                 const std::vector<platform::StoredObject>& objects,
+                 TimePoint sent, TimePoint now);
+
+  /// A call has failed.
+  void OnFailure(platform::ObjectKind kind, const std::string& reason,
+                 TimePoint now);
+
+  /// Drops targets whose grace is over.
+  void Tick(TimePoint now);
+
+  /// Null before the first configuration.
+  const ConfigurationPtr& configuration() const { return configuration_; }
+  const serving::FreshnessGuard& freshness() const { return freshness_; }
+  serving::Fleet& fleet() { return fleet_; }
+  const std::map<std::string, WeightsState>& weights() const {
+    return weights_;
+  }
+  /// Highest fence of all named weights.
+  uint64_t newest_fence() const { return newest_fence_; }
+  bool has_targets() const { return has_targets_; }
+  bool is_reachable() const { return failures_in_row_ == 0; }
+
+  /// True while the store has answered for longer than the settling time.
+  bool IsSettled(TimePoint now) const;
+
+ private:
+  void OnContact(TimePoint now);
+  void AdoptConfiguration(const platform::StoredObject& object);
+  void AdoptTargets(const std::vector<platform::StoredObject>& objects,
+                    TimePoint now, bool is_whole);
+  void AdoptWeights(const platform::StoredObject& object, TimePoint now);
+
+  serving::FreshnessGuard freshness_;
+  Duration settling_;
+  ConfigurationPtr configuration_;
+  serving::Fleet fleet_;
+  std::map<std::string, WeightsState> weights_;
+  std::map<std::string, uint64_t> target_revisions_;
+  uint64_t newest_fence_ = 0;
+  bool has_targets_ = false;
+  int failures_in_row_ = 0;
+  TimePoint lost_at_{};
+  TimePoint regained_at_{};
+  std::function<void()> configuration_changed_;
+  std::function<void(const std::string&)> target_removed_;
+};
+
+}  // namespace dogwoodlatch::daemon
--- /dev/null
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -0,0 +1,72 @@
+/// The process on every entry VM: door, readiness, metrics and the view of the
+/// platform, on one event loop.
+#pragma once
+
+#include <asio.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dogwoodlatch/daemon/agent_link.h"
+#include "dogwoodlatch/daemon/exchange.h"
+#include "dogwoodlatch/daemon/object_feed.h"
+#include "dogwoodlatch/daemon/platform_view.h"
+#include "dogwoodlatch/dataplane/door_session.h"
+#include "platform/node_settings.h"
+
+namespace dogwoodlatch::daemon {
+
+class Router {
+ public:
+  Router(asio::io_context& context, platform::NodeSettings settings);
+
+  /// Opens the addresses and follows the platform. Fails with kIo.
+  Result<void> Start();
+
+  /// Takes nothing new from the balancer, lets requests finish and stops the
+  /// event loop.
+  void Stop();
+
+  /// Other bounds are in force.
+  void Reload(const platform::NodeSettings& settings);
+
+ private:
+  struct Listener {
+    explicit Listener(asio::io_context& context)
+        : acceptor(context), retry_timer(context) {}
+    asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer retry_timer;
+    dataplane::DoorPolicy policy;
+    dataplane::DoorSession::Handler handler;
+    std::vector<std::weak_ptr<dataplane::DoorSession>> sessions;
+  };
+
+  Result<void> Listen(Listener& listener, const std::string& address);
+  void Accept(Listener& listener);
+  void FollowPlatform();
+  void OpenAgentLink();
+  void Subscribe(TimePoint now);
+  void OnNews(std::span<const uint8_t> bytes);
+  void Tick();
+  void TickStop(TimePoint now);
+  bool IsReady() const;
+
+  asio::io_context& io_;
+  platform::NodeSettings settings_;
+  PlatformView view_;
+  dataplane::ConnectionPool pool_;
+  Metrics metrics_;
+  ExchangeContext context_;
+  Listener door_;
+  Listener operations_;
+  Listener scrape_;
+  std::vector<std::unique_ptr<ObjectFeed>> feeds_;
+  std::unique_ptr<AgentLink> link_;
+  asio::steady_timer tick_timer_;
+  TimePoint next_subscription_{};
+  TimePoint next_sweep_{};
+  bool is_stopping_ = false;
+  TimePoint stop_began_{};
+};
+
+}  // namespace dogwoodlatch::daemon
--- /dev/null
+++ b/src/libdaemon/agent.cc
@@ -0,0 +1,287 @@
+#include "dogwoodlatch/daemon/agent.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dogwoodlatch/util/log.h"
+
+namespace dogwoodlatch::daemon {
+namespace {
+
+using platform::ObjectKind;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{50};
+constexpr milliseconds kStoreWait{8000};
+constexpr milliseconds kStorePause{800};
+
+// Reports are about 100 ms old when they are read, and cost nothing on the
+// target's own VM.
+constexpr milliseconds kReportPeriod{100};
+constexpr milliseconds kCallTimeout{1000};
+
+// News are repeated at this period, and told at once when they matter.
+constexpr milliseconds kNewsPeriod{250};
+constexpr Duration kNewsLifetime = milliseconds(1500);
+constexpr Duration kSubscriptionLifetime = std::chrono::seconds(4);
+
+// Beyond two loads at once, each takes longer. A load takes about 1.1 s, after
+// the runs in progress, which last about as long.
+constexpr serving::RolloutLimits kRolloutLimits{
+    .concurrent_loads = 2, .turn = milliseconds(2500)};
+
+// An order without effect is given again after this time.
+constexpr milliseconds kOrderPause{600};
+
+constexpr int kAccepted = 202;
+constexpr int kHolds = 200;
+
+}  // namespace
+
+Agent::Agent(asio::io_context& context, platform::NodeSettings settings)
+    : io_(context),
+      settings_(std::move(settings)),
+      view_(settings_.bounds.key_revocation, settings_.bounds.settling),
+      report_caller_(context, settings_.target_address),
+      order_caller_(context, settings_.target_address),
+      tick_timer_(context) {}
+
+Result<void> Agent::Start() {
+  auto link = AgentLink::Open(
+      io_, settings_.ip, settings_.first_own_port,
+      [this](const asio::ip::udp::endpoint& from,
+             std::span<const uint8_t> bytes) { OnDatagram(from, bytes); });
+  if (!link) return link.error();
+  link_ = std::move(link).value();
+  FollowPlatform();
+  Tick();
+  return boost::outcome_v2::success();
+}
+
+void Agent::FollowPlatform() {
+  for (const ObjectKind kind : {ObjectKind::kTargets, ObjectKind::kWeights}) {
+    FeedHandlers handlers;
+    handlers.on_list = [this, kind](const auto& objects, TimePoint sent) {
+      view_.OnList(kind, objects, sent, SteadyNow());
+    };
+    handlers.on_changes = [this, kind](const auto& objects, TimePoint sent) {
+      view_.OnChanges(kind, objects, sent, SteadyNow());
+    };
+    handlers.on_failure = [this, kind](const std::string& reason) {
+      view_.OnFailure(kind, reason, SteadyNow());
+    };
+    feeds_.push_back(std::make_unique<ObjectFeed>(
+        io_,
+        FeedOptions{.kind = kind,
+                    .store_address = settings_.store_address,
+                    .wait = kStoreWait,
+                    .longest_pause = kStorePause},
+        std::move(handlers)));
+  }
+  std::ranges::for_each(feeds_, &ObjectFeed::Start);
+}
+
+serving::Fleet::TargetPtr Agent::OwnTarget() {
+  serving::Fleet::TargetPtr own;
+  for (const auto& [id, target] : view_.fleet().targets()) {
+    const bool is_beside = target->record.address == settings_.target_address;
+    const bool is_newer =
+        !own || target->record.started > own->record.started;
+    if (is_beside && is_newer) own = target;
+  }
+  return own;
+}
+
+void Agent::OnDatagram(const asio::ip::udp::endpoint& from,
+                       std::span<const uint8_t> bytes) {
+  const TimePoint now = SteadyNow();
+  if (IsSubscription(bytes)) {
+    subscribers_[from] = now;
+    return;
+  }
+  Result<TargetNews> news = DecodeNews(bytes);
+  if (!news) {
+    LogEvent(EventId::kBadMessage, {{"fault", ToString(news.error())}});
+    return;
+  }
+  const std::string id = news.value().target_id;
+  peers_[id] = {std::move(news).value(), now};
+}
+
+void Agent::Tick() {
+  const TimePoint now = SteadyNow();
+  view_.Tick(now);
+  if (now >= next_report_ && !is_asking_) AskForReport();
+  ConsiderOrder(now);
+  TellNews(now);
+  FlushLog();
+  tick_timer_.expires_after(kTick);
+  tick_timer_.async_wait([this](std::error_code error) {
+    if (!error) Tick();
+  });
+}
+
+void Agent::AskForReport() {
+  is_asking_ = true;
+  next_report_ = SteadyNow() + kReportPeriod;
+  report_caller_.Start(
+      dataplane::Call::Get(std::string(platform::kReportPath), kCallTimeout),
+      [this](Result<dataplane::CallAnswer> answer) {
+        OnReport(std::move(answer));
+      });
+}
+
+void Agent::OnReport(Result<dataplane::CallAnswer> answer) {
+  is_asking_ = false;
+  const bool is_answered = answer && answer.value().status == 200;
+  if (!is_answered) {
+    if (report_) LogEvent(EventId::kTargetDown, {{"target", settings_.target_address}});
+    report_.reset();
+    return;
+  }
+  const Result<platform::TargetReport> report =
+      platform::DecodeReport(answer.value().body);
+  if (!report) {
+    LogEvent(EventId::kBadMessage, {{"fault", ToString(report.error())}});
+    return;
+  }
+  if (!report_) LogEvent(EventId::kTargetUp, {{"target", settings_.target_address}});
+  if (report_ && report_->weights != report.value().weights) {
+    for (const auto& [model, version] : report.value().weights) {
+      LogEvent(EventId::kWeightsLoaded,
+               {{"model", model}, {"version", std::to_string(version)}});
+    }
+  }
+  report_ = report.value();
+  report_at_ = SteadyNow();
+}
+
+std::vector<serving::RolloutPeer> Agent::PeersOf(const std::string& model,
+                                                 TimePoint now) const {
+  std::vector<serving::RolloutPeer> peers;
+  for (const auto& [id, target] :
+       const_cast<PlatformView&>(view_).fleet().targets()) {
+    if (!target->record.weights.contains(model) || target->record.draining) {
+      continue;
+    }
+    serving::RolloutPeer peer{id, target->WeightsOf(model), false};
+    const auto heard = peers_.find(id);
+    if (heard != peers_.end() && now - heard->second.heard < kNewsLifetime) {
+      const auto told = heard->second.news.weights.find(model);
+      if (told != heard->second.news.weights.end()) {
+        peer.version = std::max(peer.version, told->second);
+      }
+      peer.is_loading = heard->second.news.is_loading;
+    }
+    peers.push_back(peer);
+  }
+  return peers;
+}
+
+void Agent::ConsiderOrder(TimePoint now) {
+  if (is_ordering_ || !report_ || report_->is_loading ||
+      now < order_pause_until_) {
+    return;
+  }
+  const auto own = OwnTarget();
+  if (!own || own->record.draining) return;
+  for (const auto& [model, named] : view_.weights()) {
+    const auto loaded = report_->weights.find(model);
+    if (loaded == report_->weights.end() || loaded->second >= named.version) {
+      continue;
+    }
+    const auto peers = PeersOf(model, now);
+    if (serving::IsTurnToLoad(own->record.id, named.version, peers,
+                              now - named.learned, kRolloutLimits)) {
+      GiveOrder(model, named);
+      return;
+    }
+  }
+}
+
+void Agent::GiveOrder(const std::string& model, const WeightsState& named) {
+  const auto own = OwnTarget();
+  is_ordering_ = true;
+  platform::WeightsOrder order;
+  order.model = model;
+  order.version = named.version;
+  order.holder = settings_.vm;
+  order.fence = view_.newest_fence();
+  order.orders_taken = report_->orders_taken;
+  LogEvent(EventId::kWeightsOrdered,
+           {{"target", own->record.id},
+            {"model", model},
+            {"version", std::to_string(order.version)},
+            {"fence", std::to_string(order.fence)},
+            {"orders_taken", std::to_string(order.orders_taken)}});
+  order_caller_.Start({.method = "POST",
+                       .target = std::string(platform::kOrderPath),
+                       .headers = platform::OrderHeaders(own->record.id),
+                       .body = platform::EncodeOrder(order),
+                       .timeout = kCallTimeout},
+                      [this](Result<dataplane::CallAnswer> answer) {
+                        OnOrderAnswered(std::move(answer));
+                      });
+}
+
+void Agent::OnOrderAnswered(Result<dataplane::CallAnswer> answer) {
+  is_ordering_ = false;
+  order_pause_until_ = SteadyNow() + kOrderPause;
+  LogEvent(EventId::kWeightsOrderAnswered,
+           {{"answer", answer ? std::to_string(answer.value().status)
+                              : ToString(answer.error())}});
+  const int status = answer ? answer.value().status : 0;
+  const bool is_taken = status == kAccepted || status == kHolds;
+  // The report lags behind; peers learn at once that a load has begun.
+  if (is_taken && report_) report_->is_loading = status == kAccepted;
+}
+
+void Agent::TellNews(TimePoint now) {
+  const auto own = OwnTarget();
+  if (!own || !report_ || !link_) return;
+  const TargetNews news{.target_id = own->record.id,
+                        .weights = report_->weights,
+                        .is_loading = report_->is_loading || is_ordering_,
+                        .queued = report_->queued,
+                        .active = report_->active,
+                        .kv_used_tokens = report_->kv_used_tokens,
+                        .kv_total_tokens = report_->kv_total_tokens};
+  const bool is_urgent = news.weights != last_told_.weights ||
+                         news.is_loading != last_told_.is_loading;
+  if (!is_urgent && now < next_news_) return;
+  next_news_ = now + kNewsPeriod;
+  last_told_ = news;
+  const std::vector<uint8_t> datagram = Encode(news);
+  std::erase_if(subscribers_, [&](const auto& entry) {
+    return now - entry.second > kSubscriptionLifetime;
+  });
+  for (const auto& [subscriber, heard] : subscribers_) {
+    link_->Send(subscriber, datagram);
+  }
+  // Agents of the same service need news while a rollout lasts.
+  const bool is_rollout = std::ranges::any_of(
+      view_.weights(), [&](const auto& entry) {
+        return now - entry.second.learned < settings_.bounds.weights;
+      });
+  if (!is_rollout && !is_urgent) return;
+  for (const auto& [id, target] : view_.fleet().targets()) {
+    const auto endpoint = dataplane::ParseEndpoint(target->record.address);
+    const bool is_peer = target->record.service == own->record.service &&
+                         id != own->record.id;
+    if (!endpoint || !is_peer) continue;
+    link_->Send({endpoint->address(), settings_.first_own_port}, datagram);
+  }
+}
+
+void Agent::Stop() {
+  LogEvent(EventId::kStopped, {{"ordering", is_ordering_ ? "yes" : "no"}});
+  FlushLog();
+  io_.stop();
+}
+
+void Agent::Reload(const platform::NodeSettings& settings) {
+  settings_.bounds = settings.bounds;
+  LogEvent(EventId::kReloaded, {{"vm", settings.vm}});
+}
+
+}  // namespace dogwoodlatch::daemon
--- /dev/null
+++ b/src/libdaemon/platform_view.cc
@@ -0,0 +1,161 @@
+#include "dogwoodlatch/daemon/platform_view.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dogwoodlatch/util/log.h"
+
+namespace dogwoodlatch::daemon {
+
+using platform::ObjectKind;
+using platform::StoredObject;
+
+PlatformView::PlatformView(Duration key_bound, Duration settling)
+    : freshness_(key_bound), settling_(settling) {}
+
+void PlatformView::OnContact(TimePoint now) {
+  if (failures_in_row_ > 0) {
+    regained_at_ = now;
+    LogEvent(EventId::kPlatformBack,
+             {{"lost_ms", std::to_string((now - lost_at_).count() / 1000)}});
+  }
+  failures_in_row_ = 0;
+}
+
+void PlatformView::OnFailure(ObjectKind kind, const std::string& reason,
+                             TimePoint now) {
+  if (failures_in_row_++ > 0) return;
+  lost_at_ = now;
+  LogEvent(EventId::kPlatformUnavailable,
+           {{"feed", std::string(ToString(kind))}, {"reason", reason}});
+}
+
+bool PlatformView::IsSettled(TimePoint now) const {
+  return failures_in_row_ == 0 && now - regained_at_ > settling_;
+}
+
+void PlatformView::OnList(ObjectKind kind,
+                          const std::vector<StoredObject>& objects,
+                          TimePoint sent, TimePoint now) {
+  if (kind == ObjectKind::kTargets) AdoptTargets(objects, now, true);
+  if (kind != ObjectKind::kTargets) OnChanges(kind, objects, sent, now);
+  OnContact(now);
+}
+
+void PlatformView::OnChanges(ObjectKind kind,
+                             const std::vector<StoredObject>& objects,
+                             TimePoint sent, TimePoint now) {
+  switch (kind) {
+    case ObjectKind::kConfiguration:
+      std::ranges::for_each(objects, [&](const StoredObject& object) {
+        AdoptConfiguration(object);
+      });
+      freshness_.OnProof(sent);
+      break;
+    case ObjectKind::kTargets:
+      AdoptTargets(objects, now, false);
+      break;
+    case ObjectKind::kWeights:
+      std::ranges::for_each(objects, [&](const StoredObject& object) {
+        AdoptWeights(object, now);
+      });
+      break;
+  }
+  OnContact(now);
+}
+
+void PlatformView::AdoptConfiguration(const StoredObject& object) {
+  if (object.deleted) return;
+  std::vector<Error> faults;
+  Result<serving::Configuration> decoded =
+      platform::DecodeConfiguration(object.content, faults);
+  for (const Error& fault : faults) {
+    LogEvent(EventId::kBadObject, {{"object", object.name},
+                                   {"fault", ToString(fault)}});
+  }
+  if (!decoded) {
+    LogEvent(EventId::kBadObject, {{"object", object.name},
+                                   {"fault", ToString(decoded.error())}});
+    return;
+  }
+  const uint64_t version = decoded.value().version();
+  if (configuration_ && version <= configuration_->version()) return;
+  configuration_ = std::make_shared<const serving::Configuration>(
+      std::move(decoded).value());
+  LogEvent(EventId::kConfigurationAdopted,
+           {{"version", std::to_string(version)},
+            {"revision", std::to_string(object.revision)},
+            {"routes", std::to_string(configuration_->routes().size())}});
+  if (configuration_changed_) configuration_changed_();
+}
+
+void PlatformView::AdoptTargets(const std::vector<StoredObject>& objects,
+                                TimePoint now, bool is_whole) {
+  const bool is_settled = IsSettled(now);
+  std::vector<serving::TargetRecord> present;
+  for (const StoredObject& object : objects) {
+    uint64_t& revision = target_revisions_[object.name];
+    const bool is_older = object.revision < revision;
+    if (is_older && !is_whole) continue;
+    revision = std::max(revision, object.revision);
+    if (object.deleted) {
+      target_revisions_.erase(object.name);
+      LogEvent(EventId::kTargetUnlisted,
+               {{"target", object.name},
+                {"settled", is_settled ? "yes" : "no"}});
+      fleet_.Remove(object.name, now, is_settled);
+      if (target_removed_) target_removed_(object.name);
+      continue;
+    }
+    Result<serving::TargetRecord> record = platform::DecodeTarget(object);
+    if (!record) {
+      LogEvent(EventId::kBadObject, {{"object", object.name},
+                                     {"fault", ToString(record.error())}});
+      continue;
+    }
+    const serving::Fleet::TargetPtr known = fleet_.Find(object.name);
+    if (!known || known->record != record.value()) {
+      LogEvent(EventId::kTargetListed,
+               {{"target", object.name},
+                {"service", record.value().service},
+                {"address", record.value().address},
+                {"draining", record.value().draining ? "yes" : "no"},
+                {"revision", std::to_string(object.revision)}});
+    }
+    if (is_whole) {
+      present.push_back(std::move(record).value());
+    } else {
+      fleet_.Upsert(record.value());
+    }
+  }
+  if (is_whole) fleet_.Replace(present, now, is_settled);
+  has_targets_ = true;
+}
+
+void PlatformView::AdoptWeights(const StoredObject& object, TimePoint now) {
+  if (object.deleted) return;
+  const Result<platform::NamedWeights> named =
+      platform::DecodeNamedWeights(object);
+  if (!named) {
+    LogEvent(EventId::kBadObject, {{"object", object.name},
+                                   {"fault", ToString(named.error())}});
+    return;
+  }
+  newest_fence_ = std::max(newest_fence_, named.value().fence);
+  WeightsState& state = weights_[named.value().model];
+  if (named.value().version <= state.version) return;
+  state = {named.value().version, named.value().fence, now};
+  LogEvent(EventId::kWeightsNamed,
+           {{"model", named.value().model},
+            {"version", std::to_string(state.version)},
+            {"revision", std::to_string(state.fence)}});
+}
+
+void PlatformView::Tick(TimePoint now) {
+  for (const std::string& id : fleet_.DropExpired(now)) {
+    LogEvent(EventId::kTargetUnlisted, {{"target", id}, {"settled", "late"}});
+    if (target_removed_) target_removed_(id);
+  }
+}
+
+}  // namespace dogwoodlatch::daemon
--- /dev/null
+++ b/src/libdataplane/door_session.cc
@@ -0,0 +1,258 @@
+#include "dogwoodlatch/dataplane/door_session.h"
+
+#include <boost/beast/http/status.hpp>
+#include <utility>
+
+namespace dogwoodlatch::dataplane {
+namespace {
+
+constexpr size_t kReadBytes = 16 * 1024;
+
+// Bytes of later requests that are read ahead while one is served; beyond it
+// reading stops until the request has ended.
+constexpr size_t kReadAheadBytes = 64 * 1024;
+
+// Unsent bytes at which an answer counts as congested.
+constexpr size_t kCongestedBytes = 128 * 1024;
+
+// How long the caller's close is awaited after the last answer.
+constexpr std::chrono::milliseconds kLinger{1000};
+
+std::string StatusLine(int status) {
+  const auto reason =
+      boost::beast::http::obsolete_reason(
+          static_cast<boost::beast::http::status>(status));
+  std::string line = "HTTP/1.1 " + std::to_string(status) + " ";
+  line.append(reason.data(), reason.size());
+  return line.append("\r\n");
+}
+
+std::string ChunkOf(std::string_view bytes) {
+  char size[20];
+  const int length = std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  std::string chunk;
+  chunk.reserve(bytes.size() + 24);
+  chunk.append(size, static_cast<size_t>(length)).append(bytes);
+  return chunk.append("\r\n");
+}
+
+}  // namespace
+
+DoorSession::DoorSession(asio::ip::tcp::socket socket, DoorPolicy& policy,
+                         Handler handler)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      policy_(policy),
+      handler_(std::move(handler)),
+      chunk_(kReadBytes, '\0') {
+  ++policy_.sessions;
+}
+
+DoorSession::~DoorSession() { --policy_.sessions; }
+
+void DoorSession::Start() {
+  std::error_code ignored;  // latency only
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  ParseNext();
+}
+
+void DoorSession::ReadMore() {
+  if (is_reading_ || is_closed_) return;
+  if (is_serving_ && input_.size() >= kReadAheadBytes) return;
+  is_reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(chunk_),
+      [self = shared_from_this()](std::error_code error, size_t count) {
+        self->is_reading_ = false;
+        self->OnBytes(error, count);
+      });
+}
+
+void DoorSession::OnBytes(std::error_code error, size_t count) {
+  if (is_closed_) return;
+  if (error) {
+    Close();
+    return;
+  }
+  if (is_lingering_) {
+    ReadMore();
+    return;
+  }
+  input_.append(chunk_, 0, count);
+  if (is_serving_) {
+    ReadMore();
+  } else {
+    ParseNext();
+  }
+}
+
+void DoorSession::ParseNext() {
+  if (is_closed_ || is_serving_) return;
+  if (!reader_) {
+    reader_.emplace(
+        ReaderLimits{policy_.limits.header_bytes, policy_.limits.body_bytes});
+  }
+  const ReadState state = reader_->Feed(input_);
+  if (reader_->TakeContinueWish() && state == ReadState::kNeedMore) {
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  switch (state) {
+    case ReadState::kNeedMore:
+      ArmTimer();
+      ReadMore();
+      return;
+    case ReadState::kMalformed:
+      RefuseUnread(400);
+      return;
+    case ReadState::kHeaderTooLong:
+      RefuseUnread(431);
+      return;
+    case ReadState::kBodyTooLong:
+      RefuseUnread(413);
+      return;
+    case ReadState::kDone:
+      break;
+  }
+  timer_.cancel();
+  is_serving_ = true;
+  Request request = reader_->Take();
+  reader_.reset();
+  keeps_alive_ = request.keep_alive;
+  method_ = request.method;
+  ReadMore();
+  handler_(shared_from_this(), std::move(request));
+}
+
+// What follows a request that could not be read has no known beginning.
+void DoorSession::RefuseUnread(int status) {
+  is_serving_ = true;
+  keeps_alive_ = false;
+  Answer(status, {}, "");
+}
+
+void DoorSession::ArmTimer() {
+  const bool has_begun = reader_ && reader_->has_started();
+  timer_.expires_after(has_begun ? policy_.limits.header_timeout +
+                                       policy_.limits.idle_timeout
+                                 : policy_.limits.idle_timeout);
+  timer_.async_wait([weak = weak_from_this()](std::error_code error) {
+    const Pointer self = weak.lock();
+    if (error || !self || self->is_serving_) return;
+    self->Close();
+  });
+}
+
+void DoorSession::Answer(int status, const HeaderList& headers,
+                         std::string_view body) {
+  if (is_closed_) return;
+  if (policy_.is_closing) keeps_alive_ = false;
+  std::string bytes = StatusLine(status);
+  AppendHeaders(headers, bytes);
+  if (!keeps_alive_) bytes.append("Connection: close\r\n");
+  bytes.append("Content-Length: ").append(std::to_string(body.size()));
+  bytes.append("\r\n\r\n");
+  if (method_ != "HEAD") bytes.append(body);
+  Write(std::move(bytes));
+  FinishAnswer();
+}
+
+void DoorSession::StartStream(int status, const HeaderList& headers) {
+  if (is_closed_) return;
+  if (policy_.is_closing) keeps_alive_ = false;
+  std::string bytes = StatusLine(status);
+  AppendHeaders(headers, bytes);
+  if (!keeps_alive_) bytes.append("Connection: close\r\n");
+  bytes.append("Transfer-Encoding: chunked\r\n\r\n");
+  Write(std::move(bytes));
+}
+
+void DoorSession::SendPiece(std::string_view bytes) {
+  if (is_closed_ || bytes.empty()) return;
+  Write(ChunkOf(bytes));
+}
+
+void DoorSession::EndStream() {
+  if (is_closed_) return;
+  Write("0\r\n\r\n");
+  FinishAnswer();
+}
+
+void DoorSession::BreakOff() {
+  gone_ = nullptr;
+  Close();
+}
+
+bool DoorSession::IsCongested() const {
+  return outgoing_.size() + in_writing_.size() > kCongestedBytes;
+}
+
+void DoorSession::CloseIfIdle() {
+  const bool has_begun = reader_ && reader_->has_started();
+  if (!is_serving_ && !has_begun && !is_writing_ && input_.empty()) Close();
+}
+
+void DoorSession::Write(std::string bytes) {
+  outgoing_.append(bytes);
+  Flush();
+}
+
+void DoorSession::Flush() {
+  if (is_writing_ || is_closed_ || outgoing_.empty()) return;
+  is_writing_ = true;
+  in_writing_ = std::exchange(outgoing_, {});
+  asio::async_write(
+      socket_, asio::buffer(in_writing_),
+      [self = shared_from_this()](std::error_code error, size_t /*count*/) {
+        self->is_writing_ = false;
+        self->in_writing_.clear();
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->Flush();
+        if (!self->IsCongested() && self->drained_) {
+          std::exchange(self->drained_, nullptr)();
+        }
+        if (!self->is_serving_ && !self->keeps_alive_) self->Linger();
+      });
+}
+
+void DoorSession::FinishAnswer() {
+  is_serving_ = false;
+  gone_ = nullptr;
+  drained_ = nullptr;
+  if (!keeps_alive_) return;
+  // The next request starts from the event loop, so pipelined requests don't
+  // nest.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->ParseNext();
+  });
+}
+
+// A close with unread bytes would reset the connection and could take the
+// answer with it.
+void DoorSession::Linger() {
+  if (is_lingering_ || is_closed_ || is_writing_) return;
+  is_lingering_ = true;
+  input_.clear();
+  std::error_code ignored;  // the caller may have closed
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  timer_.expires_after(kLinger);
+  timer_.async_wait([weak = weak_from_this()](std::error_code error) {
+    const Pointer self = weak.lock();
+    if (!error && self) self->Close();
+  });
+  ReadMore();
+}
+
+void DoorSession::Close() {
+  if (is_closed_) return;
+  is_closed_ = true;
+  timer_.cancel();
+  std::error_code ignored;  // nothing is left to do with the socket
+  socket_.close(ignored);
+  drained_ = nullptr;
+  if (auto gone = std::exchange(gone_, nullptr)) gone();
+}
+
+}  // namespace dogwoodlatch::dataplane
--- /dev/null
+++ b/src/libdataplane/http_caller.cc
@@ -0,0 +1,120 @@
+#include "dogwoodlatch/dataplane/http_caller.h"
+
+#include <utility>
+
+namespace dogwoodlatch::dataplane {
+namespace {
+
+// The platform answers a new connection within milliseconds.
+constexpr std::chrono::milliseconds kConnectTimeout{600};
+
+}  // namespace
+
+// One call in progress. It keeps itself alive through the handlers that it
+// leaves with the event loop.
+class HttpCaller::Collector final
+    : public AnswerListener,
+      public std::enable_shared_from_this<Collector> {
+ public:
+  Collector(asio::io_context& context, HttpCaller& owner, Call call, Done done)
+      : owner_(&owner),
+        timer_(context),
+        call_(std::move(call)),
+        done_(std::move(done)) {}
+
+  void Start(const std::string& address) {
+    timer_.expires_after(call_.timeout);
+    timer_.async_wait([self = shared_from_this()](std::error_code error) {
+      if (!error) self->Fail(ErrorCode::kUnknownOutcome, "no answer in time");
+    });
+    call_.headers.insert(call_.headers.begin(), Header{"Host", address});
+    if (owner_->connection_ && owner_->connection_->IsReusable()) {
+      Send();
+      return;
+    }
+    const auto endpoint = ParseEndpoint(address);
+    if (!endpoint) {
+      Fail(ErrorCode::kUnavailable, "not an address");
+      return;
+    }
+    owner_->connection_ =
+        std::make_shared<UpstreamConnection>(owner_->context_);
+    owner_->connection_->Connect(
+        *endpoint, kConnectTimeout,
+        [self = shared_from_this()](std::error_code error) {
+          if (!self->done_) return;
+          if (error) {
+            self->Fail(ErrorCode::kUnavailable, error.message());
+          } else {
+            self->Send();
+          }
+        });
+  }
+
+  void Abandon() {
+    done_ = nullptr;
+    timer_.cancel();
+  }
+
+  bool OnHead(const AnswerHead& head) override {
+    answer_.status = head.status;
+    answer_.headers = head.headers;
+    return true;
+  }
+  void OnBody(std::string_view bytes) override { answer_.body.append(bytes); }
+  void OnEnd() override { Finish(std::move(answer_)); }
+  void OnBroken() override {
+    Fail(ErrorCode::kUnknownOutcome, "the connection broke");
+  }
+
+ private:
+  void Send() {
+    owner_->connection_->Send(
+        RequestHead(call_.method, call_.target, call_.headers,
+                    call_.body.size()),
+        std::make_shared<const std::string>(call_.body), this);
+  }
+
+  void Fail(ErrorCode code, std::string detail) {
+    if (!done_) return;
+    if (owner_->connection_) owner_->connection_->Cancel();
+    owner_->connection_.reset();
+    Finish(Error{code, owner_->address_, std::move(detail)});
+  }
+
+  void Finish(Result<CallAnswer> result) {
+    const std::shared_ptr<Collector> keep = shared_from_this();
+    timer_.cancel();
+    if (owner_->current_.get() == this) owner_->current_.reset();
+    if (Done done = std::exchange(done_, nullptr)) done(std::move(result));
+  }
+
+  HttpCaller* owner_;
+  asio::steady_timer timer_;
+  Call call_;
+  Done done_;
+  CallAnswer answer_;
+};
+
+HttpCaller::HttpCaller(asio::io_context& context, std::string address)
+    : context_(context), address_(std::move(address)) {}
+
+HttpCaller::~HttpCaller() { Cancel(); }
+
+void HttpCaller::Start(Call call, Done done) {
+  Cancel();
+  current_ = std::make_shared<Collector>(context_, *this, std::move(call),
+                                         std::move(done));
+  const std::shared_ptr<Collector> started = current_;
+  started->Start(address_);
+}
+
+void HttpCaller::Cancel() {
+  if (!current_) return;
+  current_->Abandon();
+  if (connection_) connection_->Cancel();
+  connection_.reset();
+  current_.reset();
+}
+
+}  // namespace dogwoodlatch::dataplane
--- /dev/null
+++ b/src/libdataplane/http_reader.cc
@@ -0,0 +1,223 @@
+#include "dogwoodlatch/dataplane/http_reader.h"
+
+#include <algorithm>
+#include <boost/beast/http/basic_parser.hpp>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+namespace dogwoodlatch::dataplane {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+
+// Answers of targets have heads of a few hundred bytes.
+constexpr uint32_t kAnswerHeadLimit = 64 * 1024;
+
+std::string ToStd(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::optional<std::chrono::seconds> IdleLimitOf(const HeaderList& headers) {
+  const std::string_view value = FindHeader(headers, "keep-alive");
+  constexpr std::string_view kTimeout = "timeout=";
+  const size_t at = value.find(kTimeout);
+  if (at == std::string_view::npos) return std::nullopt;
+  const std::string_view number = value.substr(at + kTimeout.size());
+  int64_t seconds = 0;
+  const auto parsed =
+      std::from_chars(number.data(), number.data() + number.size(), seconds);
+  if (parsed.ec != std::errc{}) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+std::string_view Request::path() const {
+  return std::string_view(target).substr(0, target.find('?'));
+}
+
+class RequestReader::Parser final : public http::basic_parser<true> {
+ public:
+  Request request;
+  bool wants_continue = false;
+
+ private:
+  void on_request_impl(http::verb /*verb*/, boost::beast::string_view method,
+                       boost::beast::string_view target, int /*version*/,
+                       error_code& /*ec*/) override {
+    request.method = ToStd(method);
+    request.target = ToStd(target);
+  }
+  void on_response_impl(int /*code*/, boost::beast::string_view /*reason*/,
+                        int /*version*/, error_code& /*ec*/) override {}
+  void on_field_impl(http::field /*field*/, boost::beast::string_view name,
+                     boost::beast::string_view value,
+                     error_code& /*ec*/) override {
+    request.headers.push_back({ToStd(name), ToStd(value)});
+  }
+  void on_header_impl(error_code& ec) override {
+    const auto is_host = [](const Header& header) {
+      return EqualsIgnoringCase(header.name, "host");
+    };
+    const auto is_coding = [](const Header& header) {
+      return EqualsIgnoringCase(header.name, "transfer-encoding");
+    };
+    // Targets and this process must see the same framing and the same host.
+    const bool is_ambiguous =
+        std::ranges::count_if(request.headers, is_host) != 1 ||
+        std::ranges::any_of(request.headers, [&](const Header& header) {
+          return is_coding(header) &&
+                 !EqualsIgnoringCase(header.value, "chunked");
+        });
+    if (is_ambiguous) ec = http::error::bad_value;
+    wants_continue = EqualsIgnoringCase(
+        FindHeader(request.headers, "expect"), "100-continue");
+  }
+  void on_body_init_impl(boost::optional<uint64_t> const& /*length*/,
+                         error_code& /*ec*/) override {}
+  size_t on_body_impl(boost::beast::string_view body,
+                      error_code& /*ec*/) override {
+    request.body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_chunk_header_impl(uint64_t /*size*/,
+                            boost::beast::string_view /*extensions*/,
+                            error_code& /*ec*/) override {}
+  size_t on_chunk_body_impl(uint64_t /*remain*/, boost::beast::string_view body,
+                            error_code& /*ec*/) override {
+    request.body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_finish_impl(error_code& /*ec*/) override {}
+};
+
+RequestReader::RequestReader(ReaderLimits limits)
+    : parser_(std::make_unique<Parser>()) {
+  parser_->eager(true);
+  parser_->header_limit(limits.header_bytes);
+  parser_->body_limit(limits.body_bytes);
+}
+
+RequestReader::~RequestReader() = default;
+
+ReadState RequestReader::Feed(std::string& input) {
+  while (!input.empty()) {
+    // Empty lines between requests are no part of the next one.
+    if (!started_ && input.starts_with("\r\n")) {
+      input.erase(0, 2);
+      continue;
+    }
+    started_ = true;
+    error_code ec;
+    const size_t used =
+        parser_->put(boost::asio::const_buffer(input.data(), input.size()), ec);
+    input.erase(0, used);
+    if (ec == http::error::need_more) return ReadState::kNeedMore;
+    if (ec == http::error::header_limit) return ReadState::kHeaderTooLong;
+    if (ec == http::error::body_limit) return ReadState::kBodyTooLong;
+    if (ec) return ReadState::kMalformed;
+    if (parser_->is_done()) return ReadState::kDone;
+  }
+  return ReadState::kNeedMore;
+}
+
+bool RequestReader::TakeContinueWish() {
+  return parser_->is_header_done() &&
+         std::exchange(parser_->wants_continue, false);
+}
+
+Request RequestReader::Take() {
+  parser_->request.keep_alive = parser_->keep_alive();
+  return std::move(parser_->request);
+}
+
+class AnswerReader::Parser final : public http::basic_parser<false> {
+ public:
+  AnswerHead head;
+  AnswerListener* listener = nullptr;
+  bool is_skipped = false;
+
+ private:
+  void on_request_impl(http::verb /*verb*/,
+                       boost::beast::string_view /*method*/,
+                       boost::beast::string_view /*target*/, int /*version*/,
+                       error_code& /*ec*/) override {}
+  void on_response_impl(int code, boost::beast::string_view /*reason*/,
+                        int /*version*/, error_code& /*ec*/) override {
+    head.status = code;
+  }
+  void on_field_impl(http::field /*field*/, boost::beast::string_view name,
+                     boost::beast::string_view value,
+                     error_code& /*ec*/) override {
+    head.headers.push_back({ToStd(name), ToStd(value)});
+  }
+  void on_body_init_impl(boost::optional<uint64_t> const& /*length*/,
+                         error_code& /*ec*/) override {}
+  void on_header_impl(error_code& /*ec*/) override {
+    head.keep_alive = keep_alive();
+    head.ends_with_connection = need_eof();
+    head.idle_limit = IdleLimitOf(head.headers);
+    const bool is_interim = head.status < 200;
+    is_skipped = is_interim || !listener->OnHead(head);
+  }
+  void Deliver(boost::beast::string_view body) {
+    if (!is_skipped) listener->OnBody({body.data(), body.size()});
+  }
+  size_t on_body_impl(boost::beast::string_view body,
+                      error_code& /*ec*/) override {
+    Deliver(body);
+    return body.size();
+  }
+  void on_chunk_header_impl(uint64_t /*size*/,
+                            boost::beast::string_view /*extensions*/,
+                            error_code& /*ec*/) override {}
+  size_t on_chunk_body_impl(uint64_t /*remain*/, boost::beast::string_view body,
+                            error_code& /*ec*/) override {
+    Deliver(body);
+    return body.size();
+  }
+  void on_finish_impl(error_code& /*ec*/) override {}
+};
+
+AnswerReader::AnswerReader() { Reset(); }
+AnswerReader::~AnswerReader() = default;
+
+void AnswerReader::Reset() {
+  parser_ = std::make_unique<Parser>();
+  parser_->eager(true);
+  parser_->header_limit(kAnswerHeadLimit);
+  parser_->body_limit(std::numeric_limits<uint64_t>::max());
+}
+
+bool AnswerReader::Feed(std::string& input, AnswerListener& listener) {
+  while (!input.empty()) {
+    parser_->listener = &listener;
+    error_code ec;
+    const size_t used =
+        parser_->put(boost::asio::const_buffer(input.data(), input.size()), ec);
+    input.erase(0, used);
+    if (ec == http::error::need_more) return true;
+    if (ec) return false;
+    if (!parser_->is_done()) continue;
+    if (!parser_->is_skipped) return true;
+    // A skipped answer that the connection's end would have to end can't be
+    // told from what follows.
+    if (parser_->head.ends_with_connection) return false;
+    Reset();
+  }
+  return true;
+}
+
+bool AnswerReader::FinishAtClose() {
+  if (!parser_->got_some() || parser_->is_done()) return false;
+  error_code ec;
+  parser_->put_eof(ec);
+  return !ec && !parser_->is_skipped && parser_->is_done();
+}
+
+bool AnswerReader::done() const { return parser_->is_done(); }
+const AnswerHead& AnswerReader::head() const { return parser_->head; }
+
+}  // namespace dogwoodlatch::dataplane
--- /dev/null
+++ b/src/libdataplane/upstream_connection.cc
@@ -0,0 +1,272 @@
+#include "dogwoodlatch/dataplane/upstream_connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <numeric>
+#include <ranges>
+#include <utility>
+
+namespace dogwoodlatch::dataplane {
+namespace {
+
+constexpr size_t kReadBytes = 16 * 1024;
+
+// Unacknowledged bytes end a connection after this time: links answer within
+// milliseconds, and lost packets are sent again after some hundred.
+constexpr std::chrono::milliseconds kUserTimeout{1500};
+
+// Kept connections are given up this long before the peer's own limit.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
+
+// Peers that state no limit close idle connections after some seconds.
+constexpr Duration kUnstatedIdleLimit = std::chrono::seconds(3);
+
+constexpr size_t kMaxIdlePerTarget = 64;
+
+template <int kLevel, int kName>
+using IntegerOption = asio::detail::socket_option::integer<kLevel, kName>;
+
+void SetUpSocket(asio::ip::tcp::socket& socket) {
+  std::error_code ignored;  // the connection works without these options too
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(
+                        static_cast<int>(kUserTimeout.count())),
+                    ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPIDLE>(1), ignored);
+  socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPINTVL>(1), ignored);
+  socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPCNT>(2), ignored);
+}
+
+}  // namespace
+
+std::string RequestHead(std::string_view method, std::string_view target,
+                        const HeaderList& headers, size_t body_bytes) {
+  std::string head;
+  head.reserve(512);
+  head.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+  AppendHeaders(headers, head);
+  const bool has_body = body_bytes > 0 || method == "POST" || method == "PUT";
+  if (has_body) {
+    head.append("Content-Length: ").append(std::to_string(body_bytes));
+    head.append("\r\n");
+  }
+  return head.append("\r\n");
+}
+
+std::optional<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  uint16_t port = 0;
+  const std::string_view digits = address.substr(colon + 1);
+  const auto parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  std::error_code error;
+  const auto ip = asio::ip::make_address_v4(
+      std::string(address.substr(0, colon)), error);
+  if (error || parsed.ec != std::errc{} || port == 0) return std::nullopt;
+  return asio::ip::tcp::endpoint(ip, port);
+}
+
+UpstreamConnection::UpstreamConnection(asio::io_context& context)
+    : socket_(context), connect_timer_(context), chunk_(kReadBytes, '\0') {}
+
+void UpstreamConnection::Connect(const asio::ip::tcp::endpoint& endpoint,
+                                 std::chrono::milliseconds timeout,
+                                 std::function<void(std::error_code)> done) {
+  connect_timer_.expires_after(timeout);
+  connect_timer_.async_wait([self = shared_from_this()](std::error_code error) {
+    if (error || self->is_open_) return;
+    std::error_code ignored;
+    self->socket_.close(ignored);
+  });
+  socket_.async_connect(endpoint, [self = shared_from_this(),
+                                   done = std::move(done)](
+                                      std::error_code error) {
+    self->connect_timer_.cancel();
+    if (!error && !self->socket_.is_open()) error = asio::error::timed_out;
+    if (!error) {
+      self->is_open_ = true;
+      SetUpSocket(self->socket_);
+      self->idle_since_ = SteadyNow();
+    }
+    done(error);
+  });
+}
+
+void UpstreamConnection::Send(std::string head,
+                              std::shared_ptr<const std::string> body,
+                              AnswerListener* listener) {
+  listener_ = listener;
+  answer_ended_ = false;
+  is_writing_ = true;
+  is_paused_ = false;
+  reader_.Reset();
+  head_ = std::move(head);
+  body_ = std::move(body);
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(head_), body_ ? asio::buffer(*body_) : asio::const_buffer()};
+  asio::async_write(
+      socket_, buffers,
+      [self = shared_from_this()](std::error_code error, size_t /*count*/) {
+        self->is_writing_ = false;
+        // The reading side reports a broken connection, after an answer that
+        // may have come before.
+        if (error) self->keeps_alive_ = false;
+      });
+  ReadMore();
+}
+
+void UpstreamConnection::Cancel() {
+  listener_ = nullptr;
+  is_open_ = false;
+  std::error_code ignored;
+  socket_.close(ignored);
+}
+
+void UpstreamConnection::ResumeReading() {
+  is_paused_ = false;
+  if (is_open_) ReadMore();
+}
+
+bool UpstreamConnection::IsReusable() const {
+  return is_open_ && keeps_alive_ && !is_writing_ && input_.empty() &&
+         listener_ == nullptr;
+}
+
+void UpstreamConnection::ReadMore() {
+  if (is_reading_ || is_paused_) return;
+  is_reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(chunk_),
+      [self = shared_from_this()](std::error_code error, size_t count) {
+        self->is_reading_ = false;
+        self->OnBytes(error, count);
+      });
+}
+
+void UpstreamConnection::OnBytes(std::error_code error, size_t count) {
+  if (!is_open_) return;
+  if (error) {
+    const bool is_complete = error == asio::error::eof && listener_ != nullptr &&
+                             reader_.FinishAtClose();
+    keeps_alive_ = false;
+    if (is_complete) {
+      FinishAnswer();
+    }
+    Break();
+    return;
+  }
+  input_.append(chunk_, 0, count);
+  // Bytes without a request belong to no answer.
+  if (listener_ == nullptr) {
+    Break();
+    return;
+  }
+  Consume();
+}
+
+void UpstreamConnection::Consume() {
+  // Callbacks may cancel or drop this connection.
+  const Pointer keep = shared_from_this();
+  const bool is_valid = reader_.Feed(input_, *listener_);
+  if (listener_ == nullptr) return;
+  if (!is_valid) {
+    Break();
+    return;
+  }
+  if (reader_.done()) {
+    FinishAnswer();
+    if (is_open_ && keeps_alive_ && input_.empty()) ReadMore();
+    return;
+  }
+  ReadMore();
+}
+
+void UpstreamConnection::FinishAnswer() {
+  is_used_ = true;
+  idle_since_ = SteadyNow();
+  idle_limit_ = reader_.head().idle_limit;
+  if (!reader_.head().keep_alive || is_writing_ || !input_.empty()) {
+    keeps_alive_ = false;
+  }
+  AnswerListener* listener = std::exchange(listener_, nullptr);
+  listener->OnEnd();
+}
+
+void UpstreamConnection::Break() {
+  AnswerListener* listener = std::exchange(listener_, nullptr);
+  Cancel();
+  if (listener != nullptr) listener->OnBroken();
+}
+
+UpstreamConnection::Pointer ConnectionPool::TakeIdle(const std::string& key,
+                                                     TimePoint now,
+                                                     Duration longest_idle) {
+  const auto found = idle_.find(key);
+  if (found == idle_.end()) return nullptr;
+  auto& kept = found->second;
+  while (!kept.empty()) {
+    UpstreamConnection::Pointer connection = std::move(kept.back());
+    kept.pop_back();
+    const Duration stated =
+        connection->idle_limit()
+            ? Duration(*connection->idle_limit()) - kIdleMargin
+            : kUnstatedIdleLimit;
+    if (!connection->IsReusable()) continue;
+    if (connection->IdleFor(now) > stated) {
+      connection->Cancel();
+      continue;
+    }
+    if (connection->IdleFor(now) > longest_idle) {
+      kept.push_back(std::move(connection));
+      return nullptr;
+    }
+    return connection;
+  }
+  return nullptr;
+}
+
+UpstreamConnection::Pointer ConnectionPool::Make() {
+  return std::make_shared<UpstreamConnection>(context_);
+}
+
+void ConnectionPool::Return(const std::string& key,
+                            UpstreamConnection::Pointer connection) {
+  auto& kept = idle_[key];
+  if (!connection->IsReusable() || kept.size() >= kMaxIdlePerTarget) {
+    connection->Cancel();
+    return;
+  }
+  kept.push_back(std::move(connection));
+}
+
+void ConnectionPool::Sweep(TimePoint now) {
+  for (auto& [key, kept] : idle_) {
+    std::erase_if(kept, [&](const UpstreamConnection::Pointer& connection) {
+      const Duration limit =
+          connection->idle_limit()
+              ? Duration(*connection->idle_limit()) - kIdleMargin
+              : kUnstatedIdleLimit;
+      const bool is_over =
+          !connection->IsReusable() || connection->IdleFor(now) > limit;
+      if (is_over) connection->Cancel();
+      return is_over;
+    });
+  }
+  std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+size_t ConnectionPool::idle_count() const {
+  const auto sizes = idle_ | std::views::values |
+                     std::views::transform([](const auto& kept) {
+                       return kept.size();
+                     });
+  return std::accumulate(sizes.begin(), sizes.end(), size_t{0});
+}
+
+}  // namespace dogwoodlatch::dataplane
--- /dev/null
+++ b/src/libserving/configuration.cc
@@ -0,0 +1,97 @@
+#include "dogwoodlatch/serving/configuration.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace dogwoodlatch::serving {
+
+const Route* Configuration::FindRoute(std::string_view host,
+                                      std::string_view path) const {
+  const auto of_host = routes_by_host_.find(host);
+  if (of_host == routes_by_host_.end()) return nullptr;
+  const auto found = std::ranges::find_if(of_host->second, [&](size_t index) {
+    return path.starts_with(routes_[index].path_prefix);
+  });
+  return found == of_host->second.end() ? nullptr : &routes_[*found];
+}
+
+const Service* Configuration::FindService(std::string_view name) const {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+const Workspace* Configuration::FindWorkspace(std::string_view key) const {
+  const auto found = workspace_by_key_.find(key);
+  return found == workspace_by_key_.end() ? nullptr
+                                          : &workspaces_[found->second];
+}
+
+const std::string& Configuration::PickService(const Route& route,
+                                              uint64_t draw) {
+  const uint64_t total = std::accumulate(
+      route.shares.begin(), route.shares.end(), uint64_t{0},
+      [](uint64_t sum, const ServiceShare& share) {
+        return sum + share.weight;
+      });
+  uint64_t point = total == 0 ? 0 : draw % total;
+  const auto picked =
+      std::ranges::find_if(route.shares, [&](const ServiceShare& share) {
+        if (point < share.weight) return true;
+        point -= share.weight;
+        return false;
+      });
+  return picked == route.shares.end() ? route.shares.front().service
+                                      : picked->service;
+}
+
+using Builder = Configuration::Builder;
+
+Builder& Builder::Version(uint64_t version) {
+  built_.version_ = version;
+  return *this;
+}
+
+Builder& Builder::Limits(const DoorLimits& limits) {
+  built_.limits_ = limits;
+  return *this;
+}
+
+Builder& Builder::AddRoute(Route route) {
+  built_.routes_.push_back(std::move(route));
+  return *this;
+}
+
+Builder& Builder::AddService(Service service) {
+  std::string name = service.name;
+  built_.services_.insert_or_assign(std::move(name), std::move(service));
+  return *this;
+}
+
+Builder& Builder::AddWorkspace(Workspace workspace,
+                               const std::vector<std::string>& keys) {
+  const size_t index = built_.workspaces_.size();
+  built_.workspaces_.push_back(std::move(workspace));
+  for (const std::string& key : keys) built_.workspace_by_key_[key] = index;
+  built_.needs_keys_ = true;
+  return *this;
+}
+
+Builder& Builder::NeedKeys() {
+  built_.needs_keys_ = true;
+  return *this;
+}
+
+Configuration Builder::Build() && {
+  for (size_t i = 0; i < built_.routes_.size(); ++i) {
+    built_.routes_by_host_[built_.routes_[i].host].push_back(i);
+  }
+  for (auto& [host, indexes] : built_.routes_by_host_) {
+    std::ranges::stable_sort(indexes, std::ranges::greater{}, [&](size_t i) {
+      return built_.routes_[i].path_prefix.size();
+    });
+  }
+  return std::move(built_);
+}
+
+}  // namespace dogwoodlatch::serving
--- /dev/null
+++ b/src/libserving/fleet.cc
@@ -0,0 +1,189 @@
+#include "dogwoodlatch/serving/fleet.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <set>
+
+namespace dogwoodlatch::serving {
+namespace {
+
+// Weight of one outcome in the moving share of failures: about the last twenty
+// requests count.
+constexpr double kOutcomeWeight = 0.05;
+
+// First pause after a failed connection; it doubles up to the longest. Both are
+// short beside the 0.6 s deadline of the shortest requests.
+constexpr Duration kFirstAvoidance = std::chrono::milliseconds(250);
+constexpr int kMaxAvoidanceDoublings = 3;
+
+// A target that refuses is full or loads weights, which takes about a second.
+constexpr Duration kRefusalPause = std::chrono::milliseconds(250);
+
+// Agents repeat their news several times a second.
+constexpr Duration kReportLifetime = std::chrono::milliseconds(800);
+constexpr Duration kLoadingNewsLifetime = std::chrono::milliseconds(600);
+
+// Cached parts that nobody uses yield after several seconds under load.
+constexpr Duration kPartLifetime = std::chrono::seconds(8);
+constexpr size_t kMaxKnownParts = 4096;
+
+}  // namespace
+
+void TargetSignals::OnSent(TimePoint now, uint32_t prefill_tokens) {
+  if (in_flight_ == 0) waiting_since_ = now;
+  ++in_flight_;
+  prefill_backlog_ += prefill_tokens;
+}
+
+void TargetSignals::OnFirstEvent(uint32_t prefill_tokens) {
+  prefill_backlog_ = std::max<int64_t>(0, prefill_backlog_ - prefill_tokens);
+}
+
+void TargetSignals::OnEnded(TimePoint now) {
+  in_flight_ = std::max(0, in_flight_ - 1);
+  waiting_since_ = now;
+}
+
+void TargetSignals::OnOutcome(bool failed) {
+  failure_share_ += kOutcomeWeight * ((failed ? 1.0 : 0.0) - failure_share_);
+}
+
+void TargetSignals::OnUnreachable(TimePoint now) {
+  const int doublings = std::min(unreachable_streak_, kMaxAvoidanceDoublings);
+  avoid_until_ = now + kFirstAvoidance * (1 << doublings);
+  ++unreachable_streak_;
+}
+
+void TargetSignals::OnRefused(TimePoint now) {
+  refusing_until_ = now + kRefusalPause;
+}
+
+void TargetSignals::OnReport(bool is_loading, int queued, int active,
+                             TimePoint now) {
+  reported_at_ = now;
+  reported_queued_ = queued;
+  reported_active_ = active;
+  refusing_until_ = is_loading ? now + kLoadingNewsLifetime : TimePoint{};
+}
+
+int TargetSignals::ReportedRequests(TimePoint now) const {
+  const bool is_recent = now - reported_at_ < kReportLifetime;
+  return is_recent ? reported_queued_ + reported_active_ : 0;
+}
+
+int TargetSignals::ReportedQueue(TimePoint now) const {
+  return now - reported_at_ < kReportLifetime ? reported_queued_ : 0;
+}
+
+Duration TargetSignals::Silence(TimePoint now) const {
+  if (in_flight_ == 0) return Duration{0};
+  return now - std::max(waiting_since_, last_heard_);
+}
+
+void TargetSignals::OnPartUsed(uint64_t part, TimePoint now) {
+  if (parts_.size() >= kMaxKnownParts) {
+    std::erase_if(parts_, [&](const auto& entry) {
+      return now - entry.second > kPartLifetime;
+    });
+    if (parts_.size() >= kMaxKnownParts) parts_.clear();
+  }
+  parts_[part] = now;
+}
+
+bool TargetSignals::HoldsPart(uint64_t part, TimePoint now) const {
+  const auto found = parts_.find(part);
+  return found != parts_.end() && now - found->second <= kPartLifetime;
+}
+
+uint64_t Target::WeightsOf(std::string_view model) const {
+  const auto found = record.weights.find(std::string(model));
+  return found == record.weights.end() ? 0 : found->second;
+}
+
+void Target::RaiseWeights(const std::map<std::string, uint64_t>& weights) {
+  for (const auto& [model, version] : weights) {
+    uint64_t& known = record.weights[model];
+    if (version <= known) continue;
+    known = version;
+    signals.ForgetParts();
+  }
+}
+
+void Target::OnNews(const std::map<std::string, uint64_t>& weights,
+                    bool is_loading, int queued, int active, TimePoint now) {
+  RaiseWeights(weights);
+  signals.OnReport(is_loading, queued, active, now);
+}
+
+void Fleet::Upsert(const TargetRecord& record) {
+  TargetPtr& target = targets_[record.id];
+  const bool same_incarnation =
+      target && target->record.started == record.started &&
+      target->record.address == record.address;
+  if (!same_incarnation) target = std::make_shared<Target>();
+  // The agent's news may be ahead of the list; versions only rise.
+  std::map<std::string, uint64_t> known = std::move(target->record.weights);
+  target->record = record;
+  target->listed = true;
+  std::swap(target->record.weights, known);
+  target->RaiseWeights(known);
+}
+
+void Fleet::Remove(std::string_view id, TimePoint now, bool platform_settled) {
+  const auto found = targets_.find(id);
+  if (found == targets_.end()) return;
+  Target& target = *found->second;
+  if (target.listed) target.unlisted_since = now;
+  target.listed = false;
+  const bool may_have_lapsed = !platform_settled && !target.record.draining;
+  if (!may_have_lapsed) targets_.erase(found);
+}
+
+void Fleet::Replace(const std::vector<TargetRecord>& records, TimePoint now,
+                    bool platform_settled) {
+  std::set<std::string_view> present;
+  for (const TargetRecord& record : records) {
+    present.insert(record.id);
+    Upsert(record);
+  }
+  std::vector<std::string> missing;
+  std::ranges::copy_if(std::views::keys(targets_), std::back_inserter(missing),
+                       [&](const std::string& id) {
+                         return !present.contains(id);
+                       });
+  for (const std::string& id : missing) Remove(id, now, platform_settled);
+}
+
+std::vector<std::string> Fleet::DropExpired(TimePoint now) {
+  std::vector<std::string> dropped;
+  std::erase_if(targets_, [&](const auto& entry) {
+    const Target& target = *entry.second;
+    const bool expired =
+        !target.listed && now - target.unlisted_since > kRelistGrace;
+    if (expired) dropped.push_back(entry.first);
+    return expired;
+  });
+  return dropped;
+}
+
+Fleet::TargetPtr Fleet::Find(std::string_view id) const {
+  const auto found = targets_.find(id);
+  return found == targets_.end() ? nullptr : found->second;
+}
+
+std::vector<Fleet::TargetPtr> Fleet::Serving(std::string_view service,
+                                             TimePoint now) const {
+  std::vector<TargetPtr> serving;
+  const auto usable = [&](const TargetPtr& target) {
+    const bool expired =
+        !target->listed && now - target->unlisted_since > kRelistGrace;
+    return target->record.service == service && !target->record.draining &&
+           !expired;
+  };
+  std::ranges::copy_if(std::views::values(targets_),
+                       std::back_inserter(serving), usable);
+  return serving;
+}
+
+}  // namespace dogwoodlatch::serving
