Fetch shared prompt parts from peers and drain targets before loads

Loads take 1.1 s, but the order waits for running streams for up to 3 s and blocked the next load. Every agent watched every target's entry.

Change: the cache group carries the weights' version and requests name the target's version, so parts can be fetched from a target of the same version; targets drain before they are ordered to load, and only real loads count against the limit; agents list targets with stale reads at a period.

Ruled out: slow loads (each took 1.1 s after the last run had ended).

--- a/src/include/dogwoodlatch/daemon/agent.h
+++ b/src/include/dogwoodlatch/daemon/agent.h
@@ -42,7 +42,8 @@
   void Tick();
   void AskForReport();
   void OnReport(Result<dataplane::CallAnswer> answer);
-  void ConsiderOrder(TimePoint now);
+  void ConsiderRollout(TimePoint now);
+  bool IsDrained(TimePoint now) const;
   void GiveOrder(const std::string& model, const WeightsState& named);
   void OnOrderAnswered(Result<dataplane::CallAnswer> answer);
   void TellNews(TimePoint now);
@@ -61,12 +62,15 @@
   std::map<std::string, Peer> peers_;  ///< by target id
   std::map<asio::ip::udp::endpoint, TimePoint> subscribers_;
   std::optional<platform::TargetReport> report_;
-  TimePoint report_at_{};
+  TimePoint ordered_at_{};
+  TimePoint runs_ended_at_{};  ///< of the load in progress, as far as known
   TimePoint next_report_{};
   TimePoint next_news_{};
   TimePoint order_pause_until_{};
   bool is_asking_ = false;
   bool is_ordering_ = false;
+  serving::RolloutPhase phase_ = serving::RolloutPhase::kServing;
+  TimePoint drain_began_{};
   TargetNews last_told_;
 };
 
--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "dogwoodlatch/error.h"
+#include "dogwoodlatch/serving/rollout.h"
 
 namespace dogwoodlatch::daemon {
 
@@ -22,11 +23,11 @@
 struct TargetNews {
   std::string target_id;
   std::map<std::string, uint64_t> weights;  ///< version loaded, by model
-  bool is_loading = false;  ///< an order is being carried out
-  int queued = 0;           ///< requests that wait to run
-  int active = 0;           ///< requests that run
-  int64_t kv_used_tokens = 0;
-  int64_t kv_total_tokens = 0;
+  serving::RolloutPhase phase = serving::RolloutPhase::kServing;
+  int queued = 0;      ///< requests that wait to run
+  int active = 0;      ///< requests that run
+  int prefilling = 0;  ///< of these, without a first token yet
+  int routers = 0;     ///< that ask for these news
 
   bool operator==(const TargetNews&) const = default;
 };
--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -104,7 +104,6 @@
   const serving::Route* route_ = nullptr;
   const serving::Workspace* workspace_ = nullptr;
   std::string service_;
-  std::string cache_group_;
   uint64_t fingerprint_ = 0;
   TimePoint arrived_;
   TimePoint answer_by_;
--- a/src/include/dogwoodlatch/daemon/object_feed.h
+++ b/src/include/dogwoodlatch/daemon/object_feed.h
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -20,6 +21,10 @@
   std::string store_address;
   std::chrono::milliseconds wait{1000};          ///< of one watch
   std::chrono::milliseconds longest_pause{500};  ///< between failed calls
+  /// After a change, so that several come with one call.
+  std::chrono::milliseconds gather{0};
+  /// Lists that may be stale at this period take the place of watches.
+  std::optional<std::chrono::milliseconds> poll_period;
 };
 
 struct FeedHandlers {
@@ -47,6 +52,8 @@
  private:
   void ListFrom(std::string after);
   void Watch();
+  void FollowUp(bool has_changed);
+  void Pause(std::chrono::milliseconds pause);
   void OnListed(Result<dataplane::CallAnswer> answer);
   void OnWatched(Result<dataplane::CallAnswer> answer);
   void Retry(const std::string& reason);
--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -31,6 +31,15 @@
   bool operator==(const TargetRecord&) const = default;
 };
 
+/// What the agent beside a target says of its load.
+struct LoadReport {
+  bool is_leaving = false;  ///< it loads weights now or soon
+  int queued = 0;           ///< requests that wait to run
+  int active = 0;           ///< requests that run
+  int prefilling = 0;       ///< of these, without a first token yet
+  int routers = 1;          ///< that send requests
+};
+
 /// What the process has learned of a target from its own requests.
 class TargetSignals {
  public:
@@ -59,12 +68,10 @@
   /// The target refused a request without running it.
   void OnRefused(TimePoint now);
 
-  /// The agent beside the target reports its load.
-  void OnReport(bool is_loading, int queued, int active, TimePoint now);
+  void OnReport(const LoadReport& report, TimePoint now);
 
-  /// The requests of all routers at the target, as last reported.
-  int ReportedRequests(TimePoint now) const;
-  int ReportedQueue(TimePoint now) const;
+  /// The last report; an empty one when it is outdated.
+  LoadReport Report(TimePoint now) const;
 
   bool IsAvoided(TimePoint now) const { return now < avoid_until_; }
   bool IsRefusing(TimePoint now) const { return now < refusing_until_; }
@@ -90,8 +97,7 @@
   TimePoint avoid_until_{};
   TimePoint refusing_until_{};
   TimePoint reported_at_{};
-  int reported_queued_ = 0;
-  int reported_active_ = 0;
+  LoadReport report_;
   std::unordered_map<uint64_t, TimePoint> parts_;
 };
 
@@ -106,10 +112,6 @@
 
   /// Takes over versions that are newer than the known ones.
   void RaiseWeights(const std::map<std::string, uint64_t>& weights);
-
-  /// What the agent beside it says; newer than the platform's list.
-  void OnNews(const std::map<std::string, uint64_t>& weights, bool is_loading,
-              int queued, int active, TimePoint now);
 };
 
 /// The targets by id. A target lives as long as somebody uses it, so a request
--- a/src/include/dogwoodlatch/serving/placement.h
+++ b/src/include/dogwoodlatch/serving/placement.h
@@ -1,10 +1,11 @@
-/// Which target gets a request.
+/// Which target gets a request, and from where it fetches cached parts.
 #pragma once
 
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "dogwoodlatch/serving/fleet.h"
@@ -15,18 +16,21 @@
 /// What the choice depends on, besides the targets.
 struct PlacementRequest {
   const Prompt* prompt = nullptr;  ///< null for a plain service
-  std::string_view cache_group;    ///< requests of other groups share no part
-  std::vector<std::string> tried;  ///< ids of targets that are left out
-  uint64_t newest_weights = 0;     ///< newest named version of the model
-  bool weights_overdue = false;    ///< older weights cost credit by now
+  std::string_view workspace;      ///< set if it shares no cached part
+  std::span<const std::string> tried;  ///< ids of targets that are left out
+  uint64_t newest_weights = 0;         ///< newest named version of the model
+  bool weights_overdue = false;        ///< older weights cost credit by now
 };
 
-/// The chosen target and why, for the log.
+/// The chosen target and why.
 struct Placement {
   Fleet::TargetPtr target;
-  Duration estimate{0};         ///< time until the first event
+  Duration estimate{0};         ///< expected time until the first event
   uint32_t missing_tokens = 0;  ///< prompt tokens expected to be read there
   size_t usable = 0;            ///< targets that were weighed
+  uint64_t weights = 0;         ///< the target's version; 0 for plain services
+  std::string cache_group;      ///< requests of other groups share no part
+  std::string fetch_from;       ///< address of a target with cached parts
 };
 
 class PlacementPolicy {
@@ -41,14 +45,26 @@
                                   TimePoint now) const;
 
  private:
+  std::optional<Placement> ChooseForPrompt(
+      std::span<const Fleet::TargetPtr> usable, const PlacementRequest& request,
+      TimePoint now) const;
+  std::optional<Placement> ChoosePlain(std::span<const Fleet::TargetPtr> usable,
+                                       TimePoint now) const;
+  double PenaltyMs(const Target& target, double least_failing,
+                   TimePoint now) const;
+
   std::string own_domain_;
 };
 
+/// The group of requests that may share cached parts: those on the same
+/// weights and, for an isolated workspace, of that workspace.
+std::string CacheGroup(uint64_t weights, std::string_view workspace);
+
 /// The id of a part inside a cache group.
 uint64_t PartKey(const PromptPart& part, std::string_view cache_group);
 
-/// The part that decides where a prompt's cache lives: the deepest part that
-/// other requests share. 0 when the prompt has no parts.
-uint64_t AffinityPart(const Prompt& prompt, std::string_view cache_group);
+/// The parts of a prompt that other requests share, as keys of the group.
+std::vector<uint64_t> SharedPartKeys(const Prompt& prompt,
+                                     std::string_view cache_group);
 
 }  // namespace dogwoodlatch::serving
--- a/src/include/dogwoodlatch/serving/rollout.h
+++ b/src/include/dogwoodlatch/serving/rollout.h
@@ -11,26 +11,40 @@
 
 namespace dogwoodlatch::serving {
 
+/// Where a target stands in a change of weights.
+enum class RolloutPhase {
+  kServing,   ///< takes requests
+  kDraining,  ///< gets no new requests; those in progress end
+  kLoading    ///< runs nothing
+};
+inline constexpr int kRolloutPhases = 3;
+
 /// What an agent knows of one target that serves the same model.
 struct RolloutPeer {
   std::string target_id;
-  uint64_t version = 0;     ///< weights that it has
-  bool is_loading = false;  ///< it said so a moment ago
+  uint64_t version = 0;  ///< weights that it has
+  RolloutPhase phase = RolloutPhase::kServing;
 };
 
 struct RolloutLimits {
-  size_t concurrent_loads = 2;  ///< beyond it every load takes longer
-  Duration turn{0};             ///< longest wait for the peers of one turn
+  size_t concurrent_loads = 2;   ///< beyond it every load takes longer
+  size_t concurrent_drains = 2;  ///< that make ready for the next loads
+  Duration turn{0};              ///< longest wait for the peers of one turn
 };
 
-/// True when the target `own_id` should be ordered to load `named`. Every agent
-/// comes to the same order of turns from the list alone: the targets that lag
-/// behind go in the order of a hash over id and version, `concurrent_loads` at
-/// a time. Peers that neither load nor finish are passed after `turn`, so a
-/// target that is gone holds up nobody. `since` is how long the version is
+/// True when the target `own_id` should stop taking requests, to be ready when
+/// it may load `named`. Every agent comes to the same order of turns from the
+/// list alone: the targets that lag behind go in the order of a hash over id
+/// and version. Peers that neither load nor finish are passed after `turn`, so
+/// a target that is gone holds up nobody. `since` is how long the version is
 /// known here.
-bool IsTurnToLoad(std::string_view own_id, uint64_t named,
-                  std::span<const RolloutPeer> peers, Duration since,
-                  const RolloutLimits& limits);
+bool IsTurnToDrain(std::string_view own_id, uint64_t named,
+                   std::span<const RolloutPeer> peers, Duration since,
+                   const RolloutLimits& limits);
+
+/// True when a target that has drained may be ordered to load: fewer than
+/// `concurrent_loads` peers load.
+bool MayLoad(std::string_view own_id, std::span<const RolloutPeer> peers,
+             const RolloutLimits& limits);
 
 }  // namespace dogwoodlatch::serving
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -27,14 +27,24 @@
 
 // Beyond two loads at once, each takes longer. A load takes about 1.1 s, after
 // the runs in progress, which last about as long.
-constexpr serving::RolloutLimits kRolloutLimits{
-    .concurrent_loads = 2, .turn = milliseconds(2500)};
+constexpr serving::RolloutLimits kRolloutLimits{.concurrent_loads = 2,
+                                                .concurrent_drains = 2,
+                                                .turn = milliseconds(2500)};
+
+// Streams that last longer than this are few, and wait for no longer drain.
+constexpr Duration kLongestDrain = milliseconds(600);
 
 // An order without effect is given again after this time.
 constexpr milliseconds kOrderPause{600};
 
+// Targets are listed at this period for the sake of newcomers.
+constexpr milliseconds kTargetPoll{4000};
+
+std::string Millis(Duration duration) {
+  return std::to_string(duration.count() / 1000);
+}
+
 constexpr int kAccepted = 202;
-constexpr int kHolds = 200;
 
 }  // namespace
 
@@ -70,13 +80,14 @@
     handlers.on_failure = [this, kind](const std::string& reason) {
       view_.OnFailure(kind, reason, SteadyNow());
     };
-    feeds_.push_back(std::make_unique<ObjectFeed>(
-        io_,
-        FeedOptions{.kind = kind,
-                    .store_address = settings_.store_address,
-                    .wait = kStoreWait,
-                    .longest_pause = kStorePause},
-        std::move(handlers)));
+    FeedOptions options;
+    options.kind = kind;
+    options.store_address = settings_.store_address;
+    options.wait = kStoreWait;
+    options.longest_pause = kStorePause;
+    if (kind == ObjectKind::kTargets) options.poll_period = kTargetPoll;
+    feeds_.push_back(
+        std::make_unique<ObjectFeed>(io_, options, std::move(handlers)));
   }
   std::ranges::for_each(feeds_, &ObjectFeed::Start);
 }
@@ -112,7 +123,7 @@
   const TimePoint now = SteadyNow();
   view_.Tick(now);
   if (now >= next_report_ && !is_asking_) AskForReport();
-  ConsiderOrder(now);
+  ConsiderRollout(now);
   TellNews(now);
   FlushLog();
   tick_timer_.expires_after(kTick);
@@ -145,15 +156,23 @@
     LogEvent(EventId::kBadMessage, {{"fault", ToString(report.error())}});
     return;
   }
-  if (!report_) LogEvent(EventId::kTargetUp, {{"target", settings_.target_address}});
+  if (!report_) {
+    LogEvent(EventId::kTargetUp, {{"target", settings_.target_address}});
+    std::ranges::for_each(feeds_, &ObjectFeed::Hurry);  // it has another id
+  }
+  const TimePoint now = SteadyNow();
+  const bool has_runs = report.value().active > 0;
+  if (has_runs && report.value().is_loading) runs_ended_at_ = now;
   if (report_ && report_->weights != report.value().weights) {
     for (const auto& [model, version] : report.value().weights) {
       LogEvent(EventId::kWeightsLoaded,
-               {{"model", model}, {"version", std::to_string(version)}});
+               {{"model", model},
+                {"version", std::to_string(version)},
+                {"took_ms", Millis(now - ordered_at_)},
+                {"after_runs_ms", Millis(now - runs_ended_at_)}});
     }
   }
   report_ = report.value();
-  report_at_ = SteadyNow();
 }
 
 std::vector<serving::RolloutPeer> Agent::PeersOf(const std::string& model,
@@ -164,44 +183,68 @@
     if (!target->record.weights.contains(model) || target->record.draining) {
       continue;
     }
-    serving::RolloutPeer peer{id, target->WeightsOf(model), false};
+    serving::RolloutPeer peer{id, target->WeightsOf(model),
+                              serving::RolloutPhase::kServing};
     const auto heard = peers_.find(id);
     if (heard != peers_.end() && now - heard->second.heard < kNewsLifetime) {
       const auto told = heard->second.news.weights.find(model);
       if (told != heard->second.news.weights.end()) {
         peer.version = std::max(peer.version, told->second);
       }
-      peer.is_loading = heard->second.news.is_loading;
+      peer.phase = heard->second.news.phase;
     }
     peers.push_back(peer);
   }
   return peers;
 }
 
-void Agent::ConsiderOrder(TimePoint now) {
-  if (is_ordering_ || !report_ || report_->is_loading ||
-      now < order_pause_until_) {
+bool Agent::IsDrained(TimePoint now) const {
+  return report_->active + report_->queued == 0 ||
+         now - drain_began_ >= kLongestDrain;
+}
+
+void Agent::ConsiderRollout(TimePoint now) {
+  using serving::RolloutPhase;
+  if (is_ordering_ || !report_) return;
+  if (report_->is_loading) {
+    phase_ = report_->active > 0 ? RolloutPhase::kDraining
+                                 : RolloutPhase::kLoading;
     return;
   }
   const auto own = OwnTarget();
-  if (!own || own->record.draining) return;
-  for (const auto& [model, named] : view_.weights()) {
-    const auto loaded = report_->weights.find(model);
-    if (loaded == report_->weights.end() || loaded->second >= named.version) {
-      continue;
-    }
-    const auto peers = PeersOf(model, now);
-    if (serving::IsTurnToLoad(own->record.id, named.version, peers,
+  const bool may_order = own && !own->record.draining;
+  const auto lagging = std::ranges::find_if(
+      view_.weights(), [&](const auto& named) {
+        const auto loaded = report_->weights.find(named.first);
+        return loaded != report_->weights.end() &&
+               loaded->second < named.second.version;
+      });
+  if (!may_order || lagging == view_.weights().end()) {
+    phase_ = RolloutPhase::kServing;
+    return;
+  }
+  const auto& [model, named] = *lagging;
+  const auto peers = PeersOf(model, now);
+  const bool was_draining = phase_ == RolloutPhase::kDraining;
+  if (!was_draining &&
+      !serving::IsTurnToDrain(own->record.id, named.version, peers,
                               now - named.learned, kRolloutLimits)) {
-      GiveOrder(model, named);
-      return;
-    }
+    phase_ = RolloutPhase::kServing;
+    return;
+  }
+  phase_ = RolloutPhase::kDraining;
+  if (!was_draining) drain_began_ = now;
+  const bool is_turn =
+      serving::MayLoad(own->record.id, peers, kRolloutLimits);
+  if (IsDrained(now) && is_turn && now >= order_pause_until_) {
+    GiveOrder(model, named);
   }
 }
 
 void Agent::GiveOrder(const std::string& model, const WeightsState& named) {
   const auto own = OwnTarget();
   is_ordering_ = true;
+  ordered_at_ = SteadyNow();
   platform::WeightsOrder order;
   order.model = model;
   order.version = named.version;
@@ -231,9 +274,11 @@
            {{"answer", answer ? std::to_string(answer.value().status)
                               : ToString(answer.error())}});
   const int status = answer ? answer.value().status : 0;
-  const bool is_taken = status == kAccepted || status == kHolds;
   // The report lags behind; peers learn at once that a load has begun.
-  if (is_taken && report_) report_->is_loading = status == kAccepted;
+  if (report_ && status == kAccepted) {
+    report_->is_loading = true;
+    phase_ = serving::RolloutPhase::kLoading;
+  }
 }
 
 void Agent::TellNews(TimePoint now) {
@@ -241,13 +286,13 @@
   if (!own || !report_ || !link_) return;
   const TargetNews news{.target_id = own->record.id,
                         .weights = report_->weights,
-                        .is_loading = report_->is_loading || is_ordering_,
+                        .phase = phase_,
                         .queued = report_->queued,
                         .active = report_->active,
-                        .kv_used_tokens = report_->kv_used_tokens,
-                        .kv_total_tokens = report_->kv_total_tokens};
+                        .prefilling = report_->prefilling,
+                        .routers = static_cast<int>(subscribers_.size())};
   const bool is_urgent = news.weights != last_told_.weights ||
-                         news.is_loading != last_told_.is_loading;
+                         news.phase != last_told_.phase;
   if (!is_urgent && now < next_news_) return;
   next_news_ = now + kNewsPeriod;
   last_told_ = news;
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -27,11 +27,11 @@
   return json::to_cbor(json{{"v", kProtocolVersion},
                             {"target", news.target_id},
                             {"weights", news.weights},
-                            {"loading", news.is_loading},
+                            {"phase", static_cast<int>(news.phase)},
                             {"queued", news.queued},
                             {"active", news.active},
-                            {"kv_used", news.kv_used_tokens},
-                            {"kv_total", news.kv_total_tokens}});
+                            {"prefilling", news.prefilling},
+                            {"routers", news.routers}});
 }
 
 Result<TargetNews> DecodeNews(std::span<const uint8_t> bytes) {
@@ -43,11 +43,15 @@
   try {
     message.at("target").get_to(news.target_id);
     message.at("weights").get_to(news.weights);
-    message.at("loading").get_to(news.is_loading);
+    const int phase = message.at("phase").get<int>();
+    if (phase < 0 || phase >= serving::kRolloutPhases) {
+      return Error{ErrorCode::kBadMessage, "news.phase", std::to_string(phase)};
+    }
+    news.phase = static_cast<serving::RolloutPhase>(phase);
     message.at("queued").get_to(news.queued);
     message.at("active").get_to(news.active);
-    message.at("kv_used").get_to(news.kv_used_tokens);
-    message.at("kv_total").get_to(news.kv_total_tokens);
+    message.at("prefilling").get_to(news.prefilling);
+    message.at("routers").get_to(news.routers);
   } catch (const json::exception& fault) {
     return Error{ErrorCode::kBadMessage, "news", fault.what()};
   }
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -157,7 +157,6 @@
     }
     return false;
   }
-  if (workspace_->isolated) cache_group_ = "workspace:" + workspace_->name;
   return true;
 }
 
@@ -182,7 +181,9 @@
       route_->carries_prompt && !facts_.prompt.model.empty();
   serving::PlacementRequest wanted;
   wanted.prompt = has_prompt ? &facts_.prompt : nullptr;
-  wanted.cache_group = cache_group_;
+  if (workspace_ != nullptr && workspace_->isolated) {
+    wanted.workspace = workspace_->name;
+  }
   wanted.tried = tried_;
   if (has_prompt) {
     const auto named = context_.view.weights().find(facts_.prompt.model);
@@ -270,7 +271,9 @@
   platform::ForwardingFacts forwarding;
   forwarding.target_id = target_->record.id;
   if (workspace_ != nullptr) forwarding.workspace = workspace_->name;
-  forwarding.cache_group = cache_group_;
+  forwarding.cache_group = placement_.cache_group;
+  forwarding.weights = placement_.weights;
+  forwarding.fetch_from = placement_.fetch_from;
   forwarding.time_left = left;
   forwarding.priority = workspace_ != nullptr && workspace_->priority
                             ? *workspace_->priority
@@ -292,8 +295,9 @@
   answer_body_.clear();
   sent_at_ = now;
   target_->signals.OnSent(now, placement_.missing_tokens);
-  for (const serving::PromptPart& part : facts_.prompt.parts) {
-    target_->signals.OnPartUsed(serving::PartKey(part, cache_group_), now);
+  for (const uint64_t part :
+       serving::SharedPartKeys(facts_.prompt, placement_.cache_group)) {
+    target_->signals.OnPartUsed(part, now);
   }
   const auto age = context_.view.freshness().Age(BootNow());
   LogEvent(EventId::kAttemptSent,
@@ -303,6 +307,8 @@
             {"send", std::to_string(sends_)},
             {"estimate_ms", Millis(placement_.estimate)},
             {"missing_tokens", std::to_string(placement_.missing_tokens)},
+            {"weights", std::to_string(placement_.weights)},
+            {"fetch_from", placement_.fetch_from},
             {"weighed", std::to_string(placement_.usable)},
             {"configuration", std::to_string(configuration_->version())},
             {"age_ms", age ? Millis(*age) : "none"},
@@ -494,8 +500,12 @@
 
 // The target has proved that it did not run the request.
 void Exchange::OnRefusedByTarget() {
-  const bool is_misdirected = head_.status == 421;
-  if (is_misdirected) {
+  const bool has_other_weights =
+      head_.status == 421 && answer_.instance == target_->record.id;
+  if (has_other_weights) {
+    target_->RaiseWeights({{facts_.prompt.model, answer_.weights}});
+    target_->signals.OnRefused(SteadyNow());
+  } else if (head_.status == 421) {
     target_->signals.OnUnreachable(SteadyNow());
     context_.pool.Drop(target_->record.id);
   } else {
@@ -505,6 +515,8 @@
            {{"request", facts_.id},
             {"target", target_->record.id},
             {"status", std::to_string(head_.status)},
+            {"instance", answer_.instance},
+            {"weights", std::to_string(answer_.weights)},
             {"after_ms", Millis(SteadyNow() - sent_at_)}});
   tried_.push_back(target_->record.id);
   if (sends_ < kMaxSends && TakeRetry()) {
--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -57,7 +57,11 @@
     list_revision_ = 0;
   }
   caller_.Start(dataplane::Call::Get(
-                    platform::ListPath(options_.kind, after), kListTimeout),
+                    platform::ListPath(options_.kind, after,
+                                       options_.poll_period
+                                           ? platform::Currency::kMayBeStale
+                                           : platform::Currency::kLinearizable),
+                    kListTimeout),
                 [this](Result<dataplane::CallAnswer> answer) {
                   OnListed(std::move(answer));
                 });
@@ -87,10 +91,10 @@
     return;
   }
   pause_ = kFirstPause;
-  has_list_ = true;
+  has_list_ = !options_.poll_period;
   revision_ = list_revision_;
   handlers_.on_list(std::exchange(listed_, {}), list_sent_);
-  Watch();
+  FollowUp(false);
 }
 
 void ObjectFeed::Watch() {
@@ -132,22 +136,37 @@
     revision_ = std::max(revision_, page.value().revision);
   }
   handlers_.on_changes(changes, call_sent_);
-  Watch();
+  FollowUp(!changes.empty());
+}
+
+void ObjectFeed::FollowUp(bool has_changed) {
+  const auto pause =
+      options_.poll_period.value_or(has_changed ? options_.gather
+                                                : std::chrono::milliseconds(0));
+  if (pause.count() == 0) {
+    Watch();
+    return;
+  }
+  Pause(pause);
+}
+
+void ObjectFeed::Pause(std::chrono::milliseconds pause) {
+  is_pausing_ = true;
+  pause_timer_.expires_after(pause);
+  pause_timer_.async_wait([this](std::error_code error) {
+    if (!error && is_pausing_) Continue();
+  });
 }
 
 // Pauses grow and differ between processes, so a store that returns does not
 // meet all of them at once.
 void ObjectFeed::Retry(const std::string& reason) {
   handlers_.on_failure(reason);
-  is_pausing_ = true;
   std::uniform_real_distribution<double> spread(0.6, 1.2);
   const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
       pause_ * spread(random_));
   pause_ = std::min(pause_ * 2, options_.longest_pause);
-  pause_timer_.expires_after(pause);
-  pause_timer_.async_wait([this](std::error_code error) {
-    if (!error && is_pausing_) Continue();
-  });
+  Pause(pause);
 }
 
 }  // namespace dogwoodlatch::daemon
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -24,6 +24,9 @@
 constexpr milliseconds kConfigurationWait{800};
 constexpr milliseconds kOtherWait{8000};
 constexpr milliseconds kConfigurationPause{300};
+
+// Targets change in groups; one that leaves serves for two seconds more.
+constexpr milliseconds kGatherTargets{250};
 constexpr milliseconds kOtherPause{1500};
 
 // Share of the promised retries that this process allows itself, as the bound
@@ -180,6 +183,7 @@
     options.wait = is_configuration ? kConfigurationWait : kOtherWait;
     options.longest_pause =
         is_configuration ? kConfigurationPause : kOtherPause;
+    if (kind == ObjectKind::kTargets) options.gather = kGatherTargets;
     FeedHandlers handlers;
     handlers.on_list = [this, kind](const auto& objects, TimePoint sent) {
       const bool was_lost = !view_.is_reachable();
@@ -232,8 +236,14 @@
   }
   const auto target = view_.fleet().Find(news.value().target_id);
   if (!target) return;
-  target->OnNews(news.value().weights, news.value().is_loading,
-                 news.value().queued, news.value().active, SteadyNow());
+  target->RaiseWeights(news.value().weights);
+  target->signals.OnReport(
+      {.is_leaving = news.value().phase != serving::RolloutPhase::kServing,
+       .queued = news.value().queued,
+       .active = news.value().active,
+       .prefilling = news.value().prefilling,
+       .routers = news.value().routers},
+      SteadyNow());
 }
 
 bool Router::IsReady() const {
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -22,7 +22,6 @@
 
 // Agents repeat their news several times a second.
 constexpr Duration kReportLifetime = std::chrono::milliseconds(800);
-constexpr Duration kLoadingNewsLifetime = std::chrono::milliseconds(600);
 
 // Cached parts that nobody uses yield after several seconds under load.
 constexpr Duration kPartLifetime = std::chrono::seconds(8);
@@ -59,21 +58,13 @@
   refusing_until_ = now + kRefusalPause;
 }
 
-void TargetSignals::OnReport(bool is_loading, int queued, int active,
-                             TimePoint now) {
+void TargetSignals::OnReport(const LoadReport& report, TimePoint now) {
   reported_at_ = now;
-  reported_queued_ = queued;
-  reported_active_ = active;
-  refusing_until_ = is_loading ? now + kLoadingNewsLifetime : TimePoint{};
+  report_ = report;
 }
 
-int TargetSignals::ReportedRequests(TimePoint now) const {
-  const bool is_recent = now - reported_at_ < kReportLifetime;
-  return is_recent ? reported_queued_ + reported_active_ : 0;
-}
-
-int TargetSignals::ReportedQueue(TimePoint now) const {
-  return now - reported_at_ < kReportLifetime ? reported_queued_ : 0;
+LoadReport TargetSignals::Report(TimePoint now) const {
+  return now - reported_at_ < kReportLifetime ? report_ : LoadReport{};
 }
 
 Duration TargetSignals::Silence(TimePoint now) const {
@@ -110,12 +101,6 @@
   }
 }
 
-void Target::OnNews(const std::map<std::string, uint64_t>& weights,
-                    bool is_loading, int queued, int active, TimePoint now) {
-  RaiseWeights(weights);
-  signals.OnReport(is_loading, queued, active, now);
-}
-
 void Fleet::Upsert(const TargetRecord& record) {
   TargetPtr& target = targets_[record.id];
   const bool same_incarnation =
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -4,17 +4,26 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <ranges>
 
 namespace dogwoodlatch::serving {
 namespace {
 
-// Prompt tokens that an engine reads in a millisecond; from the deployments'
-// description of their engines.
+using TargetPtr = Fleet::TargetPtr;
+
+// Prompt tokens that an engine reads in a millisecond, and the further time for
+// each million pairs of tokens; from the deployments' description of their
+// engines.
 constexpr double kPrefillTokensPerMs = 157.0;
+constexpr double kPairsMsPerMillion = 0.109;
+
+// Time of a running request in the way of others, from the same source: each
+// slot lengthens a step of decoding.
+constexpr double kBatchSlotMs = 0.05;
 
-// A request running beside others slows each step; from the same source.
-constexpr double kBatchSlotMs = 0.3;
+// Mean time to read a prompt of which shared parts are cached.
+constexpr double kTypicalPrefillMs = 16.0;
 
 // Work of a plain request, by which a busy slot is charged.
 constexpr double kPlainWorkMs = 15.0;
@@ -23,6 +32,9 @@
 // priced by bytes.
 constexpr double kOtherDomainMs = 6.0;
 
+// A prompt's home, to which all routers send it, is worth a small detour.
+constexpr double kHomeMs = 12.0;
+
 // Answers on older weights lose a fifth of their worth, like an answer that is
 // late by a part of its 500 ms objective.
 constexpr double kOldWeightsMs = 150.0;
@@ -42,111 +54,188 @@
 
 double PenaltyOf(bool applies, double charge) { return applies ? charge : 0.0; }
 
-}  // namespace
-
-uint64_t PartKey(const PromptPart& part, std::string_view cache_group) {
-  return Hash(cache_group, part.id);
+double PrefillMs(uint32_t missing, uint32_t prompt_tokens) {
+  const double tokens = missing;
+  const double pairs = tokens * (prompt_tokens - tokens / 2) / 1e6;
+  return tokens / kPrefillTokensPerMs + pairs * kPairsMsPerMillion;
 }
 
-uint64_t AffinityPart(const Prompt& prompt, std::string_view cache_group) {
-  if (prompt.parts.empty()) return 0;
-  const size_t deepest_shared =
-      prompt.parts.size() >= 2 ? prompt.parts.size() - 2 : 0;
-  return PartKey(prompt.parts[deepest_shared], cache_group);
+double LeastFailing(std::span<const TargetPtr> targets) {
+  return std::ranges::min(
+      targets | std::views::transform([](const TargetPtr& target) {
+        return target->signals.failure_share();
+      }));
 }
 
-namespace {
+// The targets on the same weights, and where a prompt's parts lie among them.
+struct WeightsGroup {
+  std::string cache_group;
+  std::vector<uint64_t> shared_parts;
+  std::vector<TargetPtr> ranked;  ///< home first
+  size_t cached_anywhere = 0;     ///< leading shared parts that some target has
+};
+
+size_t LeadingParts(const Target& target, std::span<const uint64_t> parts,
+                    TimePoint now) {
+  const auto missing = std::ranges::find_if_not(parts, [&](uint64_t part) {
+    return target.signals.HoldsPart(part, now);
+  });
+  return static_cast<size_t>(missing - parts.begin());
+}
 
-// Tokens of the prompt that the target has to read. The home of a prompt is
-// taken to hold the shared parts, as every router sends them there.
-uint32_t MissingTokens(const Target& target, const Prompt& prompt,
-                       std::string_view cache_group, bool is_home,
-                       TimePoint now) {
-  uint32_t held = 0;
-  for (size_t i = 0; i < prompt.parts.size(); ++i) {
-    const bool is_own_part = i + 1 == prompt.parts.size();
-    const uint64_t key = PartKey(prompt.parts[i], cache_group);
-    const bool is_held = target.signals.HoldsPart(key, now) ||
-                         (is_home && !is_own_part);
-    if (!is_held) break;
-    held += prompt.parts[i].tokens;
+WeightsGroup MakeGroup(std::vector<TargetPtr> targets, uint64_t weights,
+                       const PlacementRequest& request, TimePoint now) {
+  WeightsGroup group;
+  group.cache_group = CacheGroup(weights, request.workspace);
+  group.shared_parts = SharedPartKeys(*request.prompt, group.cache_group);
+  const uint64_t affinity =
+      group.shared_parts.empty() ? 0 : group.shared_parts.back();
+  std::ranges::sort(targets, std::ranges::greater{},
+                    [&](const TargetPtr& target) {
+                      return Hash(target->record.id, affinity);
+                    });
+  for (const TargetPtr& target : targets) {
+    group.cached_anywhere =
+        std::max(group.cached_anywhere,
+                 LeadingParts(*target, group.shared_parts, now));
   }
-  return prompt.input_tokens - std::min(held, prompt.input_tokens);
+  group.ranked = std::move(targets);
+  return group;
+}
+
+uint32_t CachedTokens(const Prompt& prompt, size_t leading_parts) {
+  uint32_t tokens = 0;
+  for (size_t i = 0; i < leading_parts; ++i) tokens += prompt.parts[i].tokens;
+  return std::min(tokens, prompt.input_tokens);
 }
 
 }  // namespace
 
+std::string CacheGroup(uint64_t weights, std::string_view workspace) {
+  std::string group = "w" + std::to_string(weights);
+  if (!workspace.empty()) group.append("/").append(workspace);
+  return group;
+}
+
+uint64_t PartKey(const PromptPart& part, std::string_view cache_group) {
+  return Hash(cache_group, part.id);
+}
+
+std::vector<uint64_t> SharedPartKeys(const Prompt& prompt,
+                                     std::string_view cache_group) {
+  std::vector<uint64_t> keys;
+  if (prompt.parts.empty()) return keys;
+  std::ranges::transform(
+      std::span(prompt.parts).first(prompt.parts.size() - 1),
+      std::back_inserter(keys), [&](const PromptPart& part) {
+        return PartKey(part, cache_group);
+      });
+  return keys;
+}
+
+double PlacementPolicy::PenaltyMs(const Target& target, double least_failing,
+                                  TimePoint now) const {
+  const TargetSignals& signals = target.signals;
+  const double failing =
+      std::max(0.0, signals.failure_share() - least_failing - kFailureMargin);
+  return PenaltyOf(target.record.failure_domain != own_domain_,
+                   kOtherDomainMs) +
+         failing * kFailureMs +
+         PenaltyOf(signals.IsRefusing(now), kRefusingMs) +
+         PenaltyOf(signals.Silence(now) > kSilenceLimit, kSilentMs);
+}
+
 std::optional<Placement> PlacementPolicy::Choose(
-    std::span<const Fleet::TargetPtr> serving, const PlacementRequest& request,
+    std::span<const TargetPtr> serving, const PlacementRequest& request,
     TimePoint now) const {
-  std::vector<Fleet::TargetPtr> usable;
-  std::ranges::copy_if(
-      serving, std::back_inserter(usable), [&](const Fleet::TargetPtr& target) {
-        return std::ranges::find(request.tried, target->record.id) ==
-               request.tried.end();
-      });
-  // Targets in avoidance are a last resort: one of them may be back.
-  const auto is_avoided = [&](const Fleet::TargetPtr& target) {
-    return target->signals.IsAvoided(now);
+  std::vector<TargetPtr> usable;
+  std::ranges::copy_if(serving, std::back_inserter(usable),
+                       [&](const TargetPtr& target) {
+                         return std::ranges::find(request.tried,
+                                                  target->record.id) ==
+                                request.tried.end();
+                       });
+  // These are a last resort: one of them may be back.
+  const auto is_out = [&](const TargetPtr& target) {
+    return target->signals.IsAvoided(now) ||
+           target->signals.Report(now).is_leaving;
   };
-  if (!std::ranges::all_of(usable, is_avoided)) {
-    std::erase_if(usable, is_avoided);
-  }
+  if (!std::ranges::all_of(usable, is_out)) std::erase_if(usable, is_out);
   if (usable.empty()) return std::nullopt;
+  std::optional<Placement> placement =
+      request.prompt != nullptr ? ChooseForPrompt(usable, request, now)
+                                : ChoosePlain(usable, now);
+  if (placement) placement->usable = usable.size();
+  return placement;
+}
 
-  const double least_failing = std::ranges::min(
-      usable | std::views::transform([](const Fleet::TargetPtr& target) {
-        return target->signals.failure_share();
-      }));
-  const uint64_t affinity =
-      request.prompt ? AffinityPart(*request.prompt, request.cache_group) : 0;
-  const auto affinity_rank = [&](const Fleet::TargetPtr& target) {
-    return Hash(target->record.id, affinity);
-  };
-  const Target* home =
-      request.prompt
-          ? std::ranges::max_element(usable, {}, affinity_rank)->get()
-          : nullptr;
-
-  const auto weigh = [&](const Fleet::TargetPtr& target) {
-    const TargetSignals& signals = target->signals;
-    const bool is_home = target.get() == home;
-    const uint32_t missing =
-        request.prompt ? MissingTokens(*target, *request.prompt,
-                                       request.cache_group, is_home, now)
-                       : 0;
-    const double work_ms =
-        request.prompt
-            ? (static_cast<double>(signals.prefill_backlog()) + missing) /
-                      kPrefillTokensPerMs +
-                  kBatchSlotMs * signals.in_flight()
-            : kPlainWorkMs * signals.in_flight() /
-                  std::max(1, target->record.slots);
-    const double failing = std::max(
-        0.0, signals.failure_share() - least_failing - kFailureMargin);
-    const bool is_behind =
-        request.prompt && request.weights_overdue &&
-        target->WeightsOf(request.prompt->model) < request.newest_weights;
-    const double penalty_ms =
-        PenaltyOf(target->record.failure_domain != own_domain_,
-                  kOtherDomainMs) +
-        PenaltyOf(is_behind, kOldWeightsMs) + failing * kFailureMs +
-        PenaltyOf(signals.IsRefusing(now), kRefusingMs) +
-        PenaltyOf(signals.Silence(now) > kSilenceLimit, kSilentMs);
-    return std::pair{work_ms + penalty_ms, missing};
+std::optional<Placement> PlacementPolicy::ChoosePlain(
+    std::span<const TargetPtr> usable, TimePoint now) const {
+  const double least_failing = LeastFailing(usable);
+  const auto cost_ms = [&](const TargetPtr& target) {
+    const double busy =
+        static_cast<double>(target->signals.in_flight()) /
+        std::max(1, target->record.slots);
+    return kPlainWorkMs * busy + PenaltyMs(*target, least_failing, now);
   };
+  Placement placement;
+  placement.target = *std::ranges::min_element(usable, {}, cost_ms);
+  placement.estimate =
+      Duration(static_cast<int64_t>(cost_ms(placement.target) * 1000));
+  return placement;
+}
+
+std::optional<Placement> PlacementPolicy::ChooseForPrompt(
+    std::span<const TargetPtr> usable, const PlacementRequest& request,
+    TimePoint now) const {
+  const Prompt& prompt = *request.prompt;
+  std::map<uint64_t, std::vector<TargetPtr>> by_weights;
+  for (const TargetPtr& target : usable) {
+    by_weights[target->WeightsOf(prompt.model)].push_back(target);
+  }
+  const double least_failing = LeastFailing(usable);
 
   Placement best;
   double best_ms = 0;
-  for (const Fleet::TargetPtr& target : usable) {
-    const auto [cost_ms, missing] = weigh(target);
-    if (best.target && cost_ms >= best_ms) continue;
-    best_ms = cost_ms;
-    best.target = target;
-    best.missing_tokens = missing;
+  for (auto& [weights, targets] : by_weights) {
+    const WeightsGroup group =
+        MakeGroup(std::move(targets), weights, request, now);
+    const bool is_behind =
+        request.weights_overdue && weights < request.newest_weights;
+    // What one target has, the others can fetch in a few milliseconds.
+    const uint32_t missing =
+        prompt.input_tokens - CachedTokens(prompt, group.cached_anywhere);
+    for (const TargetPtr& target : group.ranked) {
+      const TargetSignals& signals = target->signals;
+      const LoadReport report = signals.Report(now);
+      const bool is_home = target == group.ranked.front();
+      const double own_backlog_ms =
+          static_cast<double>(signals.prefill_backlog()) *
+          std::max(1, report.routers) / kPrefillTokensPerMs;
+      const double reported_ms =
+          kTypicalPrefillMs * (report.prefilling + report.queued);
+      const double wait_ms = std::max(own_backlog_ms, reported_ms) +
+                             PrefillMs(missing, prompt.input_tokens) +
+                             kBatchSlotMs * report.active;
+      const double cost_ms = wait_ms + PenaltyOf(!is_home, kHomeMs) +
+                             PenaltyOf(is_behind, kOldWeightsMs) +
+                             PenaltyMs(*target, least_failing, now);
+      if (best.target && cost_ms >= best_ms) continue;
+      best_ms = cost_ms;
+      best.target = target;
+      best.estimate = Duration(static_cast<int64_t>(wait_ms * 1000));
+      best.missing_tokens = missing;
+      best.weights = weights;
+      best.cache_group = group.cache_group;
+      const auto source = std::ranges::find_if(
+          group.ranked,
+          [&](const TargetPtr& other) { return other != target; });
+      best.fetch_from =
+          source == group.ranked.end() || group.shared_parts.empty()
+              ? std::string()
+              : (*source)->record.address;
+    }
   }
-  best.estimate = Duration(static_cast<int64_t>(best_ms * 1000));
-  best.usable = usable.size();
   return best;
 }
 
--- a/src/libserving/rollout.cc
+++ b/src/libserving/rollout.cc
@@ -13,27 +13,39 @@
 
 }  // namespace
 
-bool IsTurnToLoad(std::string_view own_id, uint64_t named,
-                  std::span<const RolloutPeer> peers, Duration since,
-                  const RolloutLimits& limits) {
+bool IsTurnToDrain(std::string_view own_id, uint64_t named,
+                   std::span<const RolloutPeer> peers, Duration since,
+                   const RolloutLimits& limits) {
   const uint64_t own_key = TurnKey(own_id, named);
   const auto is_ahead = [&](const RolloutPeer& peer) {
     return peer.target_id != own_id &&
            TurnKey(peer.target_id, named) < own_key;
   };
-  const auto ahead = static_cast<size_t>(std::ranges::count_if(peers, is_ahead));
-  const auto waiting_ahead = static_cast<size_t>(
-      std::ranges::count_if(peers, [&](const RolloutPeer& peer) {
-        return is_ahead(peer) && peer.version < named;
-      }));
+  const auto count = [&](auto&& counts) {
+    return static_cast<size_t>(std::ranges::count_if(peers, counts));
+  };
+  const size_t waiting_ahead = count([&](const RolloutPeer& peer) {
+    return is_ahead(peer) && peer.version < named;
+  });
+  const size_t out_of_service = count([&](const RolloutPeer& peer) {
+    return peer.target_id != own_id && peer.phase != RolloutPhase::kServing;
+  });
+  const size_t batch = std::max<size_t>(
+      1, limits.concurrent_loads + limits.concurrent_drains);
+  if (out_of_service < batch && waiting_ahead < batch) return true;
+  const size_t loads = std::max<size_t>(1, limits.concurrent_loads);
+  const auto turns = static_cast<int64_t>(count(is_ahead) / loads);
+  return since >= limits.turn * (turns + 1);
+}
+
+bool MayLoad(std::string_view own_id, std::span<const RolloutPeer> peers,
+             const RolloutLimits& limits) {
   const auto loading = static_cast<size_t>(
       std::ranges::count_if(peers, [&](const RolloutPeer& peer) {
-        return peer.target_id != own_id && peer.is_loading;
+        return peer.target_id != own_id &&
+               peer.phase == RolloutPhase::kLoading;
       }));
-  const size_t batch = std::max<size_t>(1, limits.concurrent_loads);
-  if (loading < batch && waiting_ahead < batch) return true;
-  const auto turns = static_cast<int64_t>(ahead / batch);
-  return since >= limits.turn * (turns + 1);
+  return loading < std::max<size_t>(1, limits.concurrent_loads);
 }
 
 }  // namespace dogwoodlatch::serving
