Keep shared parts in the cache store and load the furthest behind first

Shared parts were read again because memory yields them after about 8 s.

Change: turns go by the version that a target has; routers leave targets out whose version is too old; requests save their parts in the cache store and fetch them from there; a stopping router refuses what it could not finish and ends once nothing is in progress; the retry bound is shared by the routers that agents hear of.

--- a/src/include/dogwoodlatch/daemon/agent.h
+++ b/src/include/dogwoodlatch/daemon/agent.h
@@ -44,7 +44,7 @@
   void OnReport(Result<dataplane::CallAnswer> answer);
   void ConsiderRollout(TimePoint now);
   bool IsDrained(TimePoint now) const;
-  void GiveOrder(const std::string& model, const WeightsState& named);
+  void GiveOrder(const std::string& model, uint64_t version);
   void OnOrderAnswered(Result<dataplane::CallAnswer> answer);
   void TellNews(TimePoint now);
   std::vector<serving::RolloutPeer> PeersOf(const std::string& model,
--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -19,6 +19,7 @@
 #include "dogwoodlatch/serving/event_stream.h"
 #include "dogwoodlatch/serving/placement.h"
 #include "dogwoodlatch/serving/poison_guard.h"
+#include "dogwoodlatch/serving/saved_parts.h"
 #include "platform/requests.h"
 
 namespace dogwoodlatch::daemon {
@@ -32,6 +33,9 @@
   serving::PlacementPolicy placement;
   RetryBudgetLimits retry_limits;
   Duration configuration_bound;  ///< age up to which a miss is certain
+  std::string failure_domain;    ///< of this VM
+  std::optional<TimePoint> stop_by{};  ///< when the process ends, if it does
+  serving::SavedParts saved_parts{};
   serving::PoisonGuard poison;
   std::map<std::string, RetryBudget> retry_budgets;  ///< by service
   std::minstd_rand random{std::random_device{}()};
@@ -92,6 +96,7 @@
   void OnCallerGone();
   void Finish(Outcome outcome, int status);
 
+  Duration LongestAnswer() const;
   std::chrono::milliseconds TimeLeft() const;
   std::chrono::milliseconds RetryDelay(std::chrono::milliseconds base);
 
--- a/src/include/dogwoodlatch/daemon/platform_view.h
+++ b/src/include/dogwoodlatch/daemon/platform_view.h
@@ -13,26 +13,21 @@
 #include "dogwoodlatch/serving/configuration.h"
 #include "dogwoodlatch/serving/fleet.h"
 #include "dogwoodlatch/serving/freshness.h"
+#include "dogwoodlatch/serving/named_weights.h"
 #include "dogwoodlatch/time.h"
 #include "platform/node_settings.h"
 #include "platform/objects.h"
 
 namespace dogwoodlatch::daemon {
 
-/// The newest weights of a model.
-struct WeightsState {
-  uint64_t version = 0;
-  uint64_t fence = 0;
-  TimePoint learned{};  ///< when this process first saw the version
-};
-
 class PlatformView {
  public:
   using ConfigurationPtr = std::shared_ptr<const serving::Configuration>;
 
   /// Requests with keys are accepted until the configuration's last proof is
   /// older than `key_bound`. An outage counts as over `settling` after it.
-  PlatformView(Duration key_bound, Duration settling);
+  /// `weights_bound` is the promised time until targets run named weights.
+  PlatformView(Duration key_bound, Duration settling, Duration weights_bound);
 
   /// Called when another configuration is in force.
   void NotifyConfiguration(std::function<void()> changed) {
@@ -63,9 +58,12 @@
   const ConfigurationPtr& configuration() const { return configuration_; }
   const serving::FreshnessGuard& freshness() const { return freshness_; }
   serving::Fleet& fleet() { return fleet_; }
-  const std::map<std::string, WeightsState>& weights() const {
+  const std::map<std::string, serving::NamedVersions>& weights() const {
     return weights_;
   }
+  /// The oldest version of a model that may still run; 0 for any.
+  uint64_t OldestWeights(const std::string& model, TimePoint now) const;
+
   /// Highest fence of all named weights.
   uint64_t newest_fence() const { return newest_fence_; }
   bool has_targets() const { return has_targets_; }
@@ -80,12 +78,14 @@
   void AdoptTargets(const std::vector<platform::StoredObject>& objects,
                     TimePoint now, bool is_whole);
   void AdoptWeights(const platform::StoredObject& object, TimePoint now);
+  Duration weights_bound_;
 
   serving::FreshnessGuard freshness_;
   Duration settling_;
   ConfigurationPtr configuration_;
   serving::Fleet fleet_;
-  std::map<std::string, WeightsState> weights_;
+  std::map<std::string, serving::NamedVersions> weights_;
+  bool has_weights_ = false;  ///< the first list has come
   std::map<std::string, uint64_t> target_revisions_;
   uint64_t newest_fence_ = 0;
   bool has_targets_ = false;
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -49,6 +49,7 @@
   void OnNews(std::span<const uint8_t> bytes);
   void Tick();
   void TickStop(TimePoint now);
+  void ShareRetries(int routers);
   bool IsReady() const;
 
   asio::io_context& io_;
@@ -65,6 +66,7 @@
   asio::steady_timer tick_timer_;
   TimePoint next_subscription_{};
   TimePoint next_sweep_{};
+  int sharing_routers_ = 0;  ///< that agents know of
   bool is_stopping_ = false;
   TimePoint stop_began_{};
 };
--- a/src/include/dogwoodlatch/retry_budget.h
+++ b/src/include/dogwoodlatch/retry_budget.h
@@ -18,6 +18,9 @@
   explicit RetryBudget(RetryBudgetLimits limits)
       : limits_(limits), saved_(limits.max_saved) {}
 
+  /// Other limits hold from now on; what is saved is cut to them.
+  void SetLimits(RetryBudgetLimits limits);
+
   /// A request made its first attempt.
   void OnFirstAttempt(TimePoint now);
 
--- a/src/include/dogwoodlatch/serving/placement.h
+++ b/src/include/dogwoodlatch/serving/placement.h
@@ -19,7 +19,9 @@
   std::string_view workspace;      ///< set if it shares no cached part
   std::span<const std::string> tried;  ///< ids of targets that are left out
   uint64_t newest_weights = 0;         ///< newest named version of the model
+  uint64_t oldest_weights = 0;         ///< older ones must not run any more
   bool weights_overdue = false;        ///< older weights cost credit by now
+  std::string_view kept_cache;         ///< address of the cache store, or empty
 };
 
 /// The chosen target and why.
@@ -30,7 +32,7 @@
   size_t usable = 0;            ///< targets that were weighed
   uint64_t weights = 0;         ///< the target's version; 0 for plain services
   std::string cache_group;      ///< requests of other groups share no part
-  std::string fetch_from;       ///< address of a target with cached parts
+  std::string fetch_from;       ///< address that may have cached parts
 };
 
 class PlacementPolicy {
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -51,7 +51,8 @@
 Agent::Agent(asio::io_context& context, platform::NodeSettings settings)
     : io_(context),
       settings_(std::move(settings)),
-      view_(settings_.bounds.key_revocation, settings_.bounds.settling),
+      view_(settings_.bounds.key_revocation, settings_.bounds.settling,
+            settings_.bounds.weights),
       report_caller_(context, settings_.target_address),
       order_caller_(context, settings_.target_address),
       tick_timer_(context) {}
@@ -193,6 +194,10 @@
       }
       peer.phase = heard->second.news.phase;
     }
+    if (target->record.address == settings_.target_address && report_) {
+      const auto loaded = report_->weights.find(model);
+      if (loaded != report_->weights.end()) peer.version = loaded->second;
+    }
     peers.push_back(peer);
   }
   return peers;
@@ -217,7 +222,7 @@
       view_.weights(), [&](const auto& named) {
         const auto loaded = report_->weights.find(named.first);
         return loaded != report_->weights.end() &&
-               loaded->second < named.second.version;
+               loaded->second < named.second.newest();
       });
   if (!may_order || lagging == view_.weights().end()) {
     phase_ = RolloutPhase::kServing;
@@ -227,8 +232,8 @@
   const auto peers = PeersOf(model, now);
   const bool was_draining = phase_ == RolloutPhase::kDraining;
   if (!was_draining &&
-      !serving::IsTurnToDrain(own->record.id, named.version, peers,
-                              now - named.learned, kRolloutLimits)) {
+      !serving::IsTurnToDrain(own->record.id, named.newest(), peers,
+                              now - named.newest_since(), kRolloutLimits)) {
     phase_ = RolloutPhase::kServing;
     return;
   }
@@ -237,17 +242,17 @@
   const bool is_turn =
       serving::MayLoad(own->record.id, peers, kRolloutLimits);
   if (IsDrained(now) && is_turn && now >= order_pause_until_) {
-    GiveOrder(model, named);
+    GiveOrder(model, named.newest());
   }
 }
 
-void Agent::GiveOrder(const std::string& model, const WeightsState& named) {
+void Agent::GiveOrder(const std::string& model, uint64_t version) {
   const auto own = OwnTarget();
   is_ordering_ = true;
   ordered_at_ = SteadyNow();
   platform::WeightsOrder order;
   order.model = model;
-  order.version = named.version;
+  order.version = version;
   order.holder = settings_.vm;
   order.fence = view_.newest_fence();
   order.orders_taken = report_->orders_taken;
@@ -306,7 +311,7 @@
   // Agents of the same service need news while a rollout lasts.
   const bool is_rollout = std::ranges::any_of(
       view_.weights(), [&](const auto& entry) {
-        return now - entry.second.learned < settings_.bounds.weights;
+        return now - entry.second.newest_since() < settings_.bounds.weights;
       });
   if (!is_rollout && !is_urgent) return;
   for (const auto& [id, target] : view_.fleet().targets()) {
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -46,6 +46,8 @@
 
 constexpr milliseconds kStartingDelay{400};  // until a configuration is known
 constexpr milliseconds kStaleDelay{800};     // until the store may be back
+constexpr milliseconds kStoppingDelay{50};  // other routers take it
+constexpr Duration kLongestUsualStream = std::chrono::seconds(4);
 constexpr milliseconds kBusyDelay{300};      // until a loading target is back
 
 constexpr int kFirstFailureStatus = 400;
@@ -100,6 +102,10 @@
 void Exchange::Start() {
   session_->NotifyGone([self = shared_from_this()] { self->OnCallerGone(); });
   if (!FindRoute() || !CheckKey()) return;
+  if (context_.stop_by && arrived_ + LongestAnswer() > *context_.stop_by) {
+    Refuse(Outcome::kRefused, kServiceUnavailable, kStoppingDelay);
+    return;
+  }
   fingerprint_ = Fingerprint(request_.target,
                              workspace_ ? workspace_->name : std::string(),
                              request_.body);
@@ -160,6 +166,12 @@
   return true;
 }
 
+// Plain requests end with their route's time-out, and few streams last longer
+// than some seconds.
+Duration Exchange::LongestAnswer() const {
+  return std::min<Duration>(route_->timeout, kLongestUsualStream);
+}
+
 milliseconds Exchange::TimeLeft() const {
   return std::chrono::duration_cast<milliseconds>(answer_by_ - SteadyNow());
 }
@@ -188,9 +200,14 @@
   if (has_prompt) {
     const auto named = context_.view.weights().find(facts_.prompt.model);
     if (named != context_.view.weights().end()) {
-      wanted.newest_weights = named->second.version;
-      wanted.weights_overdue = now - named->second.learned > kWeightsGrace;
+      wanted.newest_weights = named->second.newest();
+      wanted.weights_overdue =
+          now - named->second.newest_since() > kWeightsGrace;
     }
+    wanted.oldest_weights =
+        context_.view.OldestWeights(facts_.prompt.model, now);
+    wanted.kept_cache =
+        configuration_->KeptCacheFor(context_.failure_domain);
   }
   const auto serving = context_.view.fleet().Serving(service_, now);
   const auto placement = context_.placement.Choose(serving, wanted, now);
@@ -278,11 +295,18 @@
   forwarding.priority = workspace_ != nullptr && workspace_->priority
                             ? *workspace_->priority
                             : route_->priority;
+  const TimePoint now = SteadyNow();
+  const std::vector<uint64_t> shared_parts =
+      serving::SharedPartKeys(facts_.prompt, placement_.cache_group);
+  if (!shared_parts.empty() &&
+      context_.saved_parts.ShouldSave(shared_parts.back(), now)) {
+    forwarding.save_to =
+        configuration_->KeptCacheFor(context_.failure_domain);
+  }
   if (cutter_.last_id()) forwarding.last_event_id = cutter_.last_id();
   const HeaderList headers =
       platform::ForwardHeaders(request_.headers, forwarding);
 
-  const TimePoint now = SteadyNow();
   auto& budget =
       context_.retry_budgets.try_emplace(service_, context_.retry_limits)
           .first->second;
@@ -295,8 +319,7 @@
   answer_body_.clear();
   sent_at_ = now;
   target_->signals.OnSent(now, placement_.missing_tokens);
-  for (const uint64_t part :
-       serving::SharedPartKeys(facts_.prompt, placement_.cache_group)) {
+  for (const uint64_t part : shared_parts) {
     target_->signals.OnPartUsed(part, now);
   }
   const auto age = context_.view.freshness().Age(BootNow());
--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -10,8 +10,31 @@
 using platform::ObjectKind;
 using platform::StoredObject;
 
-PlatformView::PlatformView(Duration key_bound, Duration settling)
-    : freshness_(key_bound), settling_(settling) {}
+namespace {
+
+// A version is no longer used this long before the promised bound, for the time
+// that its request takes to begin.
+constexpr Duration kWeightsMargin = std::chrono::milliseconds(1500);
+
+// What the first list names may have been named a while ago. Targets get this
+// much of the bound to take it before they are left out.
+constexpr Duration kFirstListGrace = std::chrono::seconds(4);
+
+}  // namespace
+
+PlatformView::PlatformView(Duration key_bound, Duration settling,
+                           Duration weights_bound)
+    : weights_bound_(weights_bound - kWeightsMargin),
+      freshness_(key_bound),
+      settling_(settling) {}
+
+uint64_t PlatformView::OldestWeights(const std::string& model,
+                                     TimePoint now) const {
+  const auto named = weights_.find(model);
+  return named == weights_.end()
+             ? 0
+             : named->second.KnownFor(weights_bound_, now);
+}
 
 void PlatformView::OnContact(TimePoint now) {
   if (failures_in_row_ > 0) {
@@ -39,6 +62,7 @@
                           TimePoint sent, TimePoint now) {
   if (kind == ObjectKind::kTargets) AdoptTargets(objects, now, true);
   if (kind != ObjectKind::kTargets) OnChanges(kind, objects, sent, now);
+  if (kind == ObjectKind::kWeights) has_weights_ = true;
   OnContact(now);
 }
 
@@ -142,13 +166,15 @@
     return;
   }
   newest_fence_ = std::max(newest_fence_, named.value().fence);
-  WeightsState& state = weights_[named.value().model];
-  if (named.value().version <= state.version) return;
-  state = {named.value().version, named.value().fence, now};
+  const Duration known_for =
+      has_weights_ ? Duration{0} : weights_bound_ - kFirstListGrace;
+  const bool is_newest = weights_[named.value().model].OnNamed(
+      named.value().version, now, known_for);
+  if (!is_newest) return;
   LogEvent(EventId::kWeightsNamed,
            {{"model", named.value().model},
-            {"version", std::to_string(state.version)},
-            {"revision", std::to_string(state.fence)}});
+            {"version", std::to_string(named.value().version)},
+            {"revision", std::to_string(named.value().fence)}});
 }
 
 void PlatformView::Tick(TimePoint now) {
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -29,10 +29,12 @@
 constexpr milliseconds kGatherTargets{250};
 constexpr milliseconds kOtherPause{1500};
 
-// Share of the promised retries that this process allows itself, as the bound
-// counts over windows and routers.
-constexpr double kRetryShare = 0.6;
-constexpr double kSavedRetries = 6;
+// Part of the promised retries that routers use: the bound counts over every
+// span, and over targets that this process does not hear of.
+constexpr double kRetryCaution = 0.85;
+
+// Routers that share the bound until agents have told how many there are.
+constexpr int kAssumedRouters = 8;
 
 // The balancer asks once a second and takes a VM out after two misses.
 constexpr milliseconds kOutOfRotation{2600};
@@ -48,6 +50,18 @@
 // Where scrapers find the metrics; deploy/system.toml names the same.
 constexpr uint16_t kMetricsPort = 9464;
 
+// What is saved and what comes in during one window add up to this process's
+// part of the extra retries.
+RetryBudgetLimits RetryLimits(const platform::PromisedBounds& bounds,
+                              int routers) {
+  const double extra = bounds.retry_extra * kRetryCaution / routers;
+  const double window_s =
+      std::chrono::duration<double>(bounds.retry_window).count();
+  return {.share = bounds.retry_share * kRetryCaution,
+          .per_second = extra / 2 / window_s,
+          .max_saved = extra / 2};
+}
+
 bool IsModelTarget(const serving::Target& target) {
   return !target.record.weights.empty();
 }
@@ -58,7 +72,7 @@
     : io_(context),
       settings_(std::move(settings)),
       view_(settings_.bounds.key_revocation - kKeyMargin,
-            settings_.bounds.settling),
+            settings_.bounds.settling, settings_.bounds.weights),
       pool_(context),
       context_{.io = context,
                .view = view_,
@@ -66,11 +80,9 @@
                .metrics = metrics_,
                .placement =
                    serving::PlacementPolicy(settings_.failure_domain),
-               .retry_limits = {.share = settings_.bounds.retry_share *
-                                         kRetryShare,
-                                .per_second = 0,
-                                .max_saved = kSavedRetries},
+               .retry_limits = RetryLimits(settings_.bounds, kAssumedRouters),
                .configuration_bound = settings_.bounds.configuration,
+               .failure_domain = settings_.failure_domain,
                .poison = {},
                .retry_budgets = {}},
       door_(context),
@@ -237,6 +249,7 @@
   const auto target = view_.fleet().Find(news.value().target_id);
   if (!target) return;
   target->RaiseWeights(news.value().weights);
+  ShareRetries(news.value().routers);
   target->signals.OnReport(
       {.is_leaving = news.value().phase != serving::RolloutPhase::kServing,
        .queued = news.value().queued,
@@ -246,6 +259,15 @@
       SteadyNow());
 }
 
+void Router::ShareRetries(int routers) {
+  if (routers <= 0 || routers == sharing_routers_) return;
+  sharing_routers_ = routers;
+  context_.retry_limits = RetryLimits(settings_.bounds, routers);
+  for (auto& [service, budget] : context_.retry_budgets) {
+    budget.SetLimits(context_.retry_limits);
+  }
+}
+
 bool Router::IsReady() const {
   if (is_stopping_ || !view_.configuration() || !view_.has_targets()) {
     return false;
@@ -275,6 +297,8 @@
   is_stopping_ = true;
   stop_began_ = SteadyNow();
   door_.policy.is_closing = true;
+  context_.stop_by =
+      stop_began_ + settings_.bounds.graceful_stop - kStopMargin;
   LogEvent(EventId::kStopping,
            {{"in_progress", std::to_string(context_.in_progress)},
             {"connections", std::to_string(door_.policy.sessions)}});
@@ -288,9 +312,8 @@
   for (const auto& weak : door_.sessions) {
     if (const auto session = weak.lock()) session->CloseIfIdle();
   }
-  const bool is_done = door_.policy.sessions == 0;
-  const bool is_over =
-      stopping > settings_.bounds.graceful_stop - kStopMargin;
+  const bool is_done = context_.in_progress == 0;
+  const bool is_over = now >= *context_.stop_by;
   if (!is_done && !is_over) return;
   LogEvent(EventId::kStopped,
            {{"in_progress", std::to_string(context_.in_progress)}});
--- a/src/libdogwoodlatch/retry_budget.cc
+++ b/src/libdogwoodlatch/retry_budget.cc
@@ -4,6 +4,11 @@
 
 namespace dogwoodlatch {
 
+void RetryBudget::SetLimits(RetryBudgetLimits limits) {
+  limits_ = limits;
+  saved_ = std::min(saved_, limits_.max_saved);
+}
+
 void RetryBudget::OnFirstAttempt(TimePoint now) {
   Refill(now);
   saved_ = std::min(limits_.max_saved, saved_ + limits_.share);
--- a/src/libserving/configuration.cc
+++ b/src/libserving/configuration.cc
@@ -21,6 +21,17 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+std::string_view Configuration::KeptCacheFor(
+    std::string_view failure_domain) const {
+  std::string_view address;
+  for (const auto& [name, service] : services_) {
+    if (service.kept_cache_address.empty()) continue;
+    const bool is_near = service.kept_cache_domain == failure_domain;
+    if (address.empty() || is_near) address = service.kept_cache_address;
+  }
+  return address;
+}
+
 const Workspace* Configuration::FindWorkspace(std::string_view key) const {
   const auto found = workspace_by_key_.find(key);
   return found == workspace_by_key_.end() ? nullptr
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -24,7 +24,7 @@
 constexpr Duration kReportLifetime = std::chrono::milliseconds(800);
 
 // Cached parts that nobody uses yield after several seconds under load.
-constexpr Duration kPartLifetime = std::chrono::seconds(8);
+constexpr Duration kPartLifetime = std::chrono::seconds(5);
 constexpr size_t kMaxKnownParts = 4096;
 
 }  // namespace
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -103,6 +103,26 @@
   return group;
 }
 
+// Where a target fetches shared parts that it lacks: another target that got
+// them a moment ago, else the cache store, else the best guess. A wrong guess
+// costs a millisecond.
+std::string SourceFor(const WeightsGroup& group, const TargetPtr& target,
+                      const PlacementRequest& request, TimePoint now) {
+  if (group.shared_parts.empty()) return {};
+  const auto is_other = [&](const TargetPtr& other) {
+    return other != target;
+  };
+  const auto holder =
+      std::ranges::find_if(group.ranked, [&](const TargetPtr& other) {
+        return is_other(other) &&
+               other->signals.HoldsPart(group.shared_parts.back(), now);
+      });
+  if (holder != group.ranked.end()) return (*holder)->record.address;
+  if (!request.kept_cache.empty()) return std::string(request.kept_cache);
+  const auto next = std::ranges::find_if(group.ranked, is_other);
+  return next == group.ranked.end() ? std::string() : (*next)->record.address;
+}
+
 uint32_t CachedTokens(const Prompt& prompt, size_t leading_parts) {
   uint32_t tokens = 0;
   for (size_t i = 0; i < leading_parts; ++i) tokens += prompt.parts[i].tokens;
@@ -198,6 +218,7 @@
   Placement best;
   double best_ms = 0;
   for (auto& [weights, targets] : by_weights) {
+    if (weights < request.oldest_weights) continue;
     const WeightsGroup group =
         MakeGroup(std::move(targets), weights, request, now);
     const bool is_behind =
@@ -227,15 +248,10 @@
       best.missing_tokens = missing;
       best.weights = weights;
       best.cache_group = group.cache_group;
-      const auto source = std::ranges::find_if(
-          group.ranked,
-          [&](const TargetPtr& other) { return other != target; });
-      best.fetch_from =
-          source == group.ranked.end() || group.shared_parts.empty()
-              ? std::string()
-              : (*source)->record.address;
+      best.fetch_from = SourceFor(group, target, request, now);
     }
   }
+  if (!best.target) return std::nullopt;
   return best;
 }
 
--- a/src/libserving/rollout.cc
+++ b/src/libserving/rollout.cc
@@ -3,12 +3,17 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace dogwoodlatch::serving {
 namespace {
 
-uint64_t TurnKey(std::string_view id, uint64_t version) {
-  return XXH64(id.data(), id.size(), version);
+// Those furthest behind go first: when versions are named faster than targets
+// load them, nobody is left on an old one.
+using TurnKey = std::pair<uint64_t, uint64_t>;
+
+TurnKey TurnOf(std::string_view id, uint64_t loaded, uint64_t named) {
+  return {loaded, XXH64(id.data(), id.size(), named)};
 }
 
 }  // namespace
@@ -16,10 +21,12 @@
 bool IsTurnToDrain(std::string_view own_id, uint64_t named,
                    std::span<const RolloutPeer> peers, Duration since,
                    const RolloutLimits& limits) {
-  const uint64_t own_key = TurnKey(own_id, named);
+  const auto own = std::ranges::find(peers, own_id, &RolloutPeer::target_id);
+  const uint64_t own_version = own == peers.end() ? 0 : own->version;
+  const TurnKey own_turn = TurnOf(own_id, own_version, named);
   const auto is_ahead = [&](const RolloutPeer& peer) {
     return peer.target_id != own_id &&
-           TurnKey(peer.target_id, named) < own_key;
+           TurnOf(peer.target_id, peer.version, named) < own_turn;
   };
   const auto count = [&](auto&& counts) {
     return static_cast<size_t>(std::ranges::count_if(peers, counts));
