Drain fewer targets under load and serve while an order is unanswered

Change: targets drain ahead of a load only while the others have few waiting requests; after an order without an answer the target serves until it is given again; draining is a penalty and loading an exclusion; a target whose address another one answers is avoided until its entry has lapsed.

--- a/src/dogwoodlatchd/main.cc
+++ b/src/dogwoodlatchd/main.cc
@@ -32,7 +32,8 @@
                            "Routes language-model traffic on the platform.");
   options.add_options()("role", "router or agent",
                         cxxopts::value<std::string>()->default_value(""))(
-      "settings", "settings file of the platform; the default is the path in "
+      "settings",
+      "settings file of the platform; the default is the path in "
       "DOGWOODLATCH_BOOT",
       cxxopts::value<std::string>()->default_value(platform::SettingsPath()))(
       "check-config", "check the settings file and exit")(
@@ -108,7 +109,8 @@
 ExitCode Main(int argc, const char* const* argv) {
   std::signal(SIGPIPE, SIG_IGN);
   ExitCode exit_code = ExitCode::kOk;
-  const std::optional<CommandLine> line = ReadCommandLine(argc, argv, exit_code);
+  const std::optional<CommandLine> line =
+      ReadCommandLine(argc, argv, exit_code);
   if (!line) return exit_code;
   Result<platform::NodeSettings> settings =
       platform::LoadNodeSettings(line->settings_path);
--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -2,8 +2,8 @@
 /// loaded and how busy it is. Losing one costs knowledge, never a request.
 #pragma once
 
-#include <asio.hpp>
 #include <array>
+#include <asio.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
--- a/src/include/dogwoodlatch/daemon/boot_clock.h
+++ b/src/include/dogwoodlatch/daemon/boot_clock.h
@@ -13,7 +13,8 @@
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
   return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 }  // namespace dogwoodlatch::daemon
--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -32,8 +32,8 @@
   Metrics& metrics;
   serving::PlacementPolicy placement;
   RetryBudgetLimits retry_limits;
-  Duration configuration_bound;  ///< age up to which a miss is certain
-  std::string failure_domain;    ///< of this VM
+  Duration configuration_bound;        ///< age up to which a miss is certain
+  std::string failure_domain;          ///< of this VM
   std::optional<TimePoint> stop_by{};  ///< when the process ends, if it does
   serving::SavedParts saved_parts{};
   serving::PoisonGuard poison;
@@ -44,16 +44,16 @@
 
 /// How a request ended, for logs and metrics.
 enum class Outcome {
-  kServed,            ///< a target's good answer, complete
-  kTargetFailed,      ///< a target's own failure, passed on
-  kRefused,           ///< not run: no target could take it
-  kRefusedStale,      ///< not run: the configuration's age is over the bound
-  kDenied,            ///< no such route or key
-  kUnknown,           ///< it may have run; its answer is lost
-  kTimedOut,          ///< its deadline or the route's time-out has passed
-  kStreamBroken,      ///< its stream ended early
-  kCallerGone,        ///< the caller has left
-  kPoisoned           ///< it broke targets and is not sent again
+  kServed,        ///< a target's good answer, complete
+  kTargetFailed,  ///< a target's own failure, passed on
+  kRefused,       ///< not run: no target could take it
+  kRefusedStale,  ///< not run: the configuration's age is over the bound
+  kDenied,        ///< no such route or key
+  kUnknown,       ///< it may have run; its answer is lost
+  kTimedOut,      ///< its deadline or the route's time-out has passed
+  kStreamBroken,  ///< its stream ended early
+  kCallerGone,    ///< the caller has left
+  kPoisoned       ///< it broke targets and is not sent again
 };
 
 std::string_view ToString(Outcome outcome);
--- a/src/include/dogwoodlatch/serving/configuration.h
+++ b/src/include/dogwoodlatch/serving/configuration.h
@@ -49,10 +49,10 @@
   std::string health_path;
   int max_connections = 0;  ///< of all callers together; 0 is unlimited
   bool runs_model = false;
-  int batch_slots = 0;               ///< requests decoded together
-  int64_t kv_capacity_tokens = 0;    ///< memory of one target
-  std::string kept_cache_address;    ///< set when this is a KV cache store
-  std::string kept_cache_domain;     ///< failure domain of that store
+  int batch_slots = 0;             ///< requests decoded together
+  int64_t kv_capacity_tokens = 0;  ///< memory of one target
+  std::string kept_cache_address;  ///< set when this is a KV cache store
+  std::string kept_cache_domain;   ///< failure domain of that store
 };
 
 struct Workspace {
@@ -105,7 +105,8 @@
     }
   };
   template <typename T>
-  using ByName = std::unordered_map<std::string, T, StringHash, std::equal_to<>>;
+  using ByName =
+      std::unordered_map<std::string, T, StringHash, std::equal_to<>>;
 
   uint64_t version_ = 0;
   DoorLimits limits_;
--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -25,7 +25,7 @@
   std::string failure_domain;
   WallTime started{};
   bool draining = false;
-  int slots = 1;  ///< requests that run at once
+  int slots = 1;                            ///< requests that run at once
   std::map<std::string, uint64_t> weights;  ///< version loaded, by model
 
   bool operator==(const TargetRecord&) const = default;
@@ -33,7 +33,8 @@
 
 /// What the agent beside a target says of its load.
 struct LoadReport {
-  bool is_leaving = false;  ///< it loads weights now or soon
+  bool is_draining = false;  ///< it makes ready to load weights
+  bool is_loading = false;   ///< it runs nothing until weights are loaded
   int queued = 0;           ///< requests that wait to run
   int active = 0;           ///< requests that run
   int prefilling = 0;       ///< of these, without a first token yet
@@ -59,11 +60,17 @@
   /// The outcome of a request that the target itself answered or broke off.
   void OnOutcome(bool failed);
 
+  /// Another target answers at its address: it is gone, though still listed.
+  void OnReplaced(TimePoint now);
+
   /// No connection could be made, or the target stays silent.
   void OnUnreachable(TimePoint now);
 
   /// A connection was made: the target is back.
-  void OnReachable() { unreachable_streak_ = 0; avoid_until_ = {}; }
+  void OnReachable() {
+    unreachable_streak_ = 0;
+    avoid_until_ = {};
+  }
 
   /// The target refused a request without running it.
   void OnRefused(TimePoint now);
@@ -138,8 +145,7 @@
   TargetPtr Find(std::string_view id) const;
 
   /// The targets of a service that may get new work.
-  std::vector<TargetPtr> Serving(std::string_view service,
-                                 TimePoint now) const;
+  std::vector<TargetPtr> Serving(std::string_view service, TimePoint now) const;
 
   const std::map<std::string, TargetPtr, std::less<>>& targets() const {
     return targets_;
--- a/src/include/dogwoodlatch/serving/placement.h
+++ b/src/include/dogwoodlatch/serving/placement.h
@@ -15,8 +15,8 @@
 
 /// What the choice depends on, besides the targets.
 struct PlacementRequest {
-  const Prompt* prompt = nullptr;  ///< null for a plain service
-  std::string_view workspace;      ///< set if it shares no cached part
+  const Prompt* prompt = nullptr;      ///< null for a plain service
+  std::string_view workspace;          ///< set if it shares no cached part
   std::span<const std::string> tried;  ///< ids of targets that are left out
   uint64_t newest_weights = 0;         ///< newest named version of the model
   uint64_t oldest_weights = 0;         ///< older ones must not run any more
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -18,7 +18,7 @@
 // Reports are about 100 ms old when they are read, and cost nothing on the
 // target's own VM.
 constexpr milliseconds kReportPeriod{100};
-constexpr milliseconds kCallTimeout{1000};
+constexpr milliseconds kCallTimeout{300};
 
 // News are repeated at this period, and told at once when they matter.
 constexpr milliseconds kNewsPeriod{250};
@@ -27,9 +27,8 @@
 
 // Beyond two loads at once, each takes longer. A load takes about 1.1 s, after
 // the runs in progress, which last about as long.
-constexpr serving::RolloutLimits kRolloutLimits{.concurrent_loads = 2,
-                                                .concurrent_drains = 2,
-                                                .turn = milliseconds(2500)};
+constexpr serving::RolloutLimits kRolloutLimits{
+    .concurrent_loads = 2, .concurrent_drains = 2, .turn = milliseconds(2500)};
 
 // Streams that last longer than this are few, and wait for no longer drain.
 constexpr Duration kLongestDrain = milliseconds(600);
@@ -97,8 +96,7 @@
   serving::Fleet::TargetPtr own;
   for (const auto& [id, target] : view_.fleet().targets()) {
     const bool is_beside = target->record.address == settings_.target_address;
-    const bool is_newer =
-        !own || target->record.started > own->record.started;
+    const bool is_newer = !own || target->record.started > own->record.started;
     if (is_beside && is_newer) own = target;
   }
   return own;
@@ -147,7 +145,8 @@
   is_asking_ = false;
   const bool is_answered = answer && answer.value().status == 200;
   if (!is_answered) {
-    if (report_) LogEvent(EventId::kTargetDown, {{"target", settings_.target_address}});
+    if (report_)
+      LogEvent(EventId::kTargetDown, {{"target", settings_.target_address}});
     report_.reset();
     return;
   }
@@ -193,6 +192,8 @@
         peer.version = std::max(peer.version, told->second);
       }
       peer.phase = heard->second.news.phase;
+      peer.waiting_requests =
+          heard->second.news.queued + heard->second.news.prefilling;
     }
     if (target->record.address == settings_.target_address && report_) {
       const auto loaded = report_->weights.find(model);
@@ -212,14 +213,14 @@
   using serving::RolloutPhase;
   if (is_ordering_ || !report_) return;
   if (report_->is_loading) {
-    phase_ = report_->active > 0 ? RolloutPhase::kDraining
-                                 : RolloutPhase::kLoading;
+    phase_ =
+        report_->active > 0 ? RolloutPhase::kDraining : RolloutPhase::kLoading;
     return;
   }
   const auto own = OwnTarget();
   const bool may_order = own && !own->record.draining;
-  const auto lagging = std::ranges::find_if(
-      view_.weights(), [&](const auto& named) {
+  const auto lagging =
+      std::ranges::find_if(view_.weights(), [&](const auto& named) {
         const auto loaded = report_->weights.find(named.first);
         return loaded != report_->weights.end() &&
                loaded->second < named.second.newest();
@@ -231,6 +232,12 @@
   const auto& [model, named] = *lagging;
   const auto peers = PeersOf(model, now);
   const bool was_draining = phase_ == RolloutPhase::kDraining;
+  // An order without an answer may be carried out at any moment. Until then the
+  // target serves.
+  if (now < order_pause_until_) {
+    phase_ = RolloutPhase::kServing;
+    return;
+  }
   if (!was_draining &&
       !serving::IsTurnToDrain(own->record.id, named.newest(), peers,
                               now - named.newest_since(), kRolloutLimits)) {
@@ -239,9 +246,8 @@
   }
   phase_ = RolloutPhase::kDraining;
   if (!was_draining) drain_began_ = now;
-  const bool is_turn =
-      serving::MayLoad(own->record.id, peers, kRolloutLimits);
-  if (IsDrained(now) && is_turn && now >= order_pause_until_) {
+  const bool is_turn = serving::MayLoad(own->record.id, peers, kRolloutLimits);
+  if (IsDrained(now) && is_turn) {
     GiveOrder(model, named.newest());
   }
 }
@@ -296,8 +302,8 @@
                         .active = report_->active,
                         .prefilling = report_->prefilling,
                         .routers = static_cast<int>(subscribers_.size())};
-  const bool is_urgent = news.weights != last_told_.weights ||
-                         news.phase != last_told_.phase;
+  const bool is_urgent =
+      news.weights != last_told_.weights || news.phase != last_told_.phase;
   if (!is_urgent && now < next_news_) return;
   next_news_ = now + kNewsPeriod;
   last_told_ = news;
@@ -309,15 +315,15 @@
     link_->Send(subscriber, datagram);
   }
   // Agents of the same service need news while a rollout lasts.
-  const bool is_rollout = std::ranges::any_of(
-      view_.weights(), [&](const auto& entry) {
+  const bool is_rollout =
+      std::ranges::any_of(view_.weights(), [&](const auto& entry) {
         return now - entry.second.newest_since() < settings_.bounds.weights;
       });
   if (!is_rollout && !is_urgent) return;
   for (const auto& [id, target] : view_.fleet().targets()) {
     const auto endpoint = dataplane::ParseEndpoint(target->record.address);
-    const bool is_peer = target->record.service == own->record.service &&
-                         id != own->record.id;
+    const bool is_peer =
+        target->record.service == own->record.service && id != own->record.id;
     if (!endpoint || !is_peer) continue;
     link_->Send({endpoint->address(), settings_.first_own_port}, datagram);
   }
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -81,8 +81,7 @@
   if (!error) link->socket_.bind({address, port}, error);
   if (!error) link->socket_.non_blocking(true, error);
   if (error) {
-    return Error{ErrorCode::kIo,
-                 std::string(ip) + ":" + std::to_string(port),
+    return Error{ErrorCode::kIo, std::string(ip) + ":" + std::to_string(port),
                  error.message()};
   }
   link->port_ = link->socket_.local_endpoint().port();
@@ -97,13 +96,15 @@
 }
 
 void AgentLink::Receive() {
-  socket_.async_receive_from(
-      asio::buffer(buffer_), from_,
-      [this](std::error_code error, size_t count) {
-        if (error == asio::error::operation_aborted) return;
-        if (!error) receiver_(from_, std::span(buffer_).first(count));
-        Receive();
-      });
+  socket_.async_receive_from(asio::buffer(buffer_), from_,
+                             [this](std::error_code error, size_t count) {
+                               if (error == asio::error::operation_aborted)
+                                 return;
+                               if (!error)
+                                 receiver_(from_,
+                                           std::span(buffer_).first(count));
+                               Receive();
+                             });
 }
 
 }  // namespace dogwoodlatch::daemon
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -46,9 +46,9 @@
 
 constexpr milliseconds kStartingDelay{400};  // until a configuration is known
 constexpr milliseconds kStaleDelay{800};     // until the store may be back
-constexpr milliseconds kStoppingDelay{50};  // other routers take it
+constexpr milliseconds kStoppingDelay{50};   // other routers take it
 constexpr Duration kLongestUsualStream = std::chrono::seconds(4);
-constexpr milliseconds kBusyDelay{300};      // until a loading target is back
+constexpr milliseconds kBusyDelay{300};  // until a loading target is back
 
 constexpr int kFirstFailureStatus = 400;
 constexpr int kServiceUnavailable = 503;
@@ -76,9 +76,8 @@
 
 std::string_view ToString(Outcome outcome) {
   static constexpr std::array<std::string_view, 10> kNames = {
-      "served",   "target_failed", "refused",       "refused_stale",
-      "denied",   "unknown",       "timed_out",     "stream_broken",
-      "caller_gone", "poisoned"};
+      "served",  "target_failed", "refused",       "refused_stale", "denied",
+      "unknown", "timed_out",     "stream_broken", "caller_gone",   "poisoned"};
   return kNames.at(static_cast<size_t>(outcome));
 }
 
@@ -106,9 +105,9 @@
     Refuse(Outcome::kRefused, kServiceUnavailable, kStoppingDelay);
     return;
   }
-  fingerprint_ = Fingerprint(request_.target,
-                             workspace_ ? workspace_->name : std::string(),
-                             request_.body);
+  fingerprint_ =
+      Fingerprint(request_.target,
+                  workspace_ ? workspace_->name : std::string(), request_.body);
   if (context_.poison.IsBlocked(fingerprint_, arrived_)) {
     Fail(Outcome::kPoisoned, 502);
     return;
@@ -118,9 +117,10 @@
   if (facts_.time_left) allowed = std::min(allowed, *facts_.time_left);
   answer_by_ = arrived_ + allowed;
   deadline_timer_.expires_after(allowed);
-  deadline_timer_.async_wait([self = shared_from_this()](std::error_code error) {
-    if (!error) self->OnDeadline();
-  });
+  deadline_timer_.async_wait(
+      [self = shared_from_this()](std::error_code error) {
+        if (!error) self->OnDeadline();
+      });
   StartAttempt();
 }
 
@@ -206,8 +206,7 @@
     }
     wanted.oldest_weights =
         context_.view.OldestWeights(facts_.prompt.model, now);
-    wanted.kept_cache =
-        configuration_->KeptCacheFor(context_.failure_domain);
+    wanted.kept_cache = configuration_->KeptCacheFor(context_.failure_domain);
   }
   const auto serving = context_.view.fleet().Serving(service_, now);
   const auto placement = context_.placement.Choose(serving, wanted, now);
@@ -300,8 +299,7 @@
       serving::SharedPartKeys(facts_.prompt, placement_.cache_group);
   if (!shared_parts.empty() &&
       context_.saved_parts.ShouldSave(shared_parts.back(), now)) {
-    forwarding.save_to =
-        configuration_->KeptCacheFor(context_.failure_domain);
+    forwarding.save_to = configuration_->KeptCacheFor(context_.failure_domain);
   }
   if (cutter_.last_id()) forwarding.last_event_id = cutter_.last_id();
   const HeaderList headers =
@@ -370,9 +368,8 @@
   if (is_silent) target_->signals.OnUnreachable(SteadyNow());
   // A request that may be repeated once more is better off elsewhere; the
   // others stay, as the answer may still come.
-  if (!MayTryAgain() || context_.view.fleet()
-                                .Serving(service_, SteadyNow())
-                                .size() < 2) {
+  if (!MayTryAgain() ||
+      context_.view.fleet().Serving(service_, SteadyNow()).size() < 2) {
     return;
   }
   OnAnswerLost("silent");
@@ -439,8 +436,7 @@
   }
   if (!stream_started_) {
     stream_started_ = true;
-    session_->StartStream(head_.status,
-                          platform::ReturnHeaders(head_.headers));
+    session_->StartStream(head_.status, platform::ReturnHeaders(head_.headers));
   }
   session_->SendPiece(events);
   if (is_finished_ || !session_->IsCongested()) return;
@@ -529,7 +525,7 @@
     target_->RaiseWeights({{facts_.prompt.model, answer_.weights}});
     target_->signals.OnRefused(SteadyNow());
   } else if (head_.status == 421) {
-    target_->signals.OnUnreachable(SteadyNow());
+    target_->signals.OnReplaced(SteadyNow());
     context_.pool.Drop(target_->record.id);
   } else {
     target_->signals.OnRefused(SteadyNow());
@@ -570,11 +566,12 @@
   may_have_run_ = true;
   ++runs_;
   cutter_.DropPartial();
-  LogEvent(EventId::kAttemptLost, {{"request", facts_.id},
-                                   {"target", target_->record.id},
-                                   {"why", std::string(why)},
-                                   {"after_ms", Millis(SteadyNow() - sent_at_)},
-                                   {"events", std::to_string(cutter_.events())}});
+  LogEvent(EventId::kAttemptLost,
+           {{"request", facts_.id},
+            {"target", target_->record.id},
+            {"why", std::string(why)},
+            {"after_ms", Millis(SteadyNow() - sent_at_)},
+            {"events", std::to_string(cutter_.events())}});
   tried_.push_back(target_->record.id);
   if (cutter_.in_sequence() && MayTryAgain() && TakeRetry()) {
     StartAttempt();
--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -76,8 +76,7 @@
     Retry("status " + std::to_string(answer.value().status));
     return;
   }
-  Result<platform::ObjectPage> page =
-      platform::DecodeList(answer.value().body);
+  Result<platform::ObjectPage> page = platform::DecodeList(answer.value().body);
   if (!page) {
     Retry(ToString(page.error()));
     return;
@@ -99,13 +98,13 @@
 
 void ObjectFeed::Watch() {
   call_sent_ = BootNow();
-  caller_.Start(dataplane::Call::Get(
-                    platform::WatchPath(options_.kind, revision_,
-                                        options_.wait),
-                    options_.wait + kWatchSlack),
-                [this](Result<dataplane::CallAnswer> answer) {
-                  OnWatched(std::move(answer));
-                });
+  caller_.Start(
+      dataplane::Call::Get(
+          platform::WatchPath(options_.kind, revision_, options_.wait),
+          options_.wait + kWatchSlack),
+      [this](Result<dataplane::CallAnswer> answer) {
+        OnWatched(std::move(answer));
+      });
 }
 
 void ObjectFeed::OnWatched(Result<dataplane::CallAnswer> answer) {
@@ -140,9 +139,8 @@
 }
 
 void ObjectFeed::FollowUp(bool has_changed) {
-  const auto pause =
-      options_.poll_period.value_or(has_changed ? options_.gather
-                                                : std::chrono::milliseconds(0));
+  const auto pause = options_.poll_period.value_or(
+      has_changed ? options_.gather : std::chrono::milliseconds(0));
   if (pause.count() == 0) {
     Watch();
     return;
--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -31,9 +31,8 @@
 uint64_t PlatformView::OldestWeights(const std::string& model,
                                      TimePoint now) const {
   const auto named = weights_.find(model);
-  return named == weights_.end()
-             ? 0
-             : named->second.KnownFor(weights_bound_, now);
+  return named == weights_.end() ? 0
+                                 : named->second.KnownFor(weights_bound_, now);
 }
 
 void PlatformView::OnContact(TimePoint now) {
@@ -94,12 +93,12 @@
   Result<serving::Configuration> decoded =
       platform::DecodeConfiguration(object.content, faults);
   for (const Error& fault : faults) {
-    LogEvent(EventId::kBadObject, {{"object", object.name},
-                                   {"fault", ToString(fault)}});
+    LogEvent(EventId::kBadObject,
+             {{"object", object.name}, {"fault", ToString(fault)}});
   }
   if (!decoded) {
-    LogEvent(EventId::kBadObject, {{"object", object.name},
-                                   {"fault", ToString(decoded.error())}});
+    LogEvent(EventId::kBadObject,
+             {{"object", object.name}, {"fault", ToString(decoded.error())}});
     return;
   }
   const uint64_t version = decoded.value().version();
@@ -124,17 +123,17 @@
     revision = std::max(revision, object.revision);
     if (object.deleted) {
       target_revisions_.erase(object.name);
-      LogEvent(EventId::kTargetUnlisted,
-               {{"target", object.name},
-                {"settled", is_settled ? "yes" : "no"}});
+      LogEvent(
+          EventId::kTargetUnlisted,
+          {{"target", object.name}, {"settled", is_settled ? "yes" : "no"}});
       fleet_.Remove(object.name, now, is_settled);
       if (target_removed_) target_removed_(object.name);
       continue;
     }
     Result<serving::TargetRecord> record = platform::DecodeTarget(object);
     if (!record) {
-      LogEvent(EventId::kBadObject, {{"object", object.name},
-                                     {"fault", ToString(record.error())}});
+      LogEvent(EventId::kBadObject,
+               {{"object", object.name}, {"fault", ToString(record.error())}});
       continue;
     }
     const serving::Fleet::TargetPtr known = fleet_.Find(object.name);
@@ -161,8 +160,8 @@
   const Result<platform::NamedWeights> named =
       platform::DecodeNamedWeights(object);
   if (!named) {
-    LogEvent(EventId::kBadObject, {{"object", object.name},
-                                   {"fault", ToString(named.error())}});
+    LogEvent(EventId::kBadObject,
+             {{"object", object.name}, {"fault", ToString(named.error())}});
     return;
   }
   newest_fence_ = std::max(newest_fence_, named.value().fence);
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -78,8 +78,7 @@
                .view = view_,
                .pool = pool_,
                .metrics = metrics_,
-               .placement =
-                   serving::PlacementPolicy(settings_.failure_domain),
+               .placement = serving::PlacementPolicy(settings_.failure_domain),
                .retry_limits = RetryLimits(settings_.bounds, kAssumedRouters),
                .configuration_bound = settings_.bounds.configuration,
                .failure_domain = settings_.failure_domain,
@@ -107,16 +106,13 @@
                     {{"Content-Type", "text/plain; version=0.0.4"}},
                     is_scrape ? metrics_.Text() : "");
   };
-  view_.NotifyConfiguration([this] {
-    door_.policy.limits = view_.configuration()->limits();
-  });
+  view_.NotifyConfiguration(
+      [this] { door_.policy.limits = view_.configuration()->limits(); });
   view_.NotifyRemoved([this](const std::string& id) { pool_.Drop(id); });
-  metrics_.Gauge("dogwoodlatch_requests_in_progress", [this] {
-    return static_cast<double>(context_.in_progress);
-  });
-  metrics_.Gauge("dogwoodlatch_caller_connections", [this] {
-    return static_cast<double>(door_.policy.sessions);
-  });
+  metrics_.Gauge("dogwoodlatch_requests_in_progress",
+                 [this] { return static_cast<double>(context_.in_progress); });
+  metrics_.Gauge("dogwoodlatch_caller_connections",
+                 [this] { return static_cast<double>(door_.policy.sessions); });
   metrics_.Gauge("dogwoodlatch_configuration_version", [this] {
     const auto& configuration = view_.configuration();
     return configuration ? static_cast<double>(configuration->version()) : 0.0;
@@ -163,26 +159,27 @@
 }
 
 void Router::Accept(Listener& listener) {
-  listener.acceptor.async_accept([this, &listener](std::error_code error,
-                                                   asio::ip::tcp::socket
-                                                       socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (error) {
-      // No descriptors are left, as a rule: connections in progress free some.
-      listener.retry_timer.expires_after(kAcceptPause);
-      listener.retry_timer.async_wait([this, &listener](std::error_code ended) {
-        if (!ended) Accept(listener);
+  listener.acceptor.async_accept(
+      [this, &listener](std::error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        if (error) {
+          // No descriptors are left, as a rule: connections in progress free
+          // some.
+          listener.retry_timer.expires_after(kAcceptPause);
+          listener.retry_timer.async_wait(
+              [this, &listener](std::error_code ended) {
+                if (!ended) Accept(listener);
+              });
+          return;
+        }
+        auto session = std::make_shared<dataplane::DoorSession>(
+            std::move(socket), listener.policy, listener.handler);
+        std::erase_if(listener.sessions,
+                      [](const auto& weak) { return weak.expired(); });
+        listener.sessions.push_back(session);
+        session->Start();
+        Accept(listener);
       });
-      return;
-    }
-    auto session = std::make_shared<dataplane::DoorSession>(
-        std::move(socket), listener.policy, listener.handler);
-    std::erase_if(listener.sessions,
-                  [](const auto& weak) { return weak.expired(); });
-    listener.sessions.push_back(session);
-    session->Start();
-    Accept(listener);
-  });
 }
 
 void Router::FollowPlatform() {
@@ -251,7 +248,8 @@
   target->RaiseWeights(news.value().weights);
   ShareRetries(news.value().routers);
   target->signals.OnReport(
-      {.is_leaving = news.value().phase != serving::RolloutPhase::kServing,
+      {.is_draining = news.value().phase == serving::RolloutPhase::kDraining,
+       .is_loading = news.value().phase == serving::RolloutPhase::kLoading,
        .queued = news.value().queued,
        .active = news.value().active,
        .prefilling = news.value().prefilling,
@@ -297,8 +295,7 @@
   is_stopping_ = true;
   stop_began_ = SteadyNow();
   door_.policy.is_closing = true;
-  context_.stop_by =
-      stop_began_ + settings_.bounds.graceful_stop - kStopMargin;
+  context_.stop_by = stop_began_ + settings_.bounds.graceful_stop - kStopMargin;
   LogEvent(EventId::kStopping,
            {{"in_progress", std::to_string(context_.in_progress)},
             {"connections", std::to_string(door_.policy.sessions)}});
--- a/src/libdataplane/door_session.cc
+++ b/src/libdataplane/door_session.cc
@@ -19,9 +19,8 @@
 constexpr std::chrono::milliseconds kLinger{1000};
 
 std::string StatusLine(int status) {
-  const auto reason =
-      boost::beast::http::obsolete_reason(
-          static_cast<boost::beast::http::status>(status));
+  const auto reason = boost::beast::http::obsolete_reason(
+      static_cast<boost::beast::http::status>(status));
   std::string line = "HTTP/1.1 " + std::to_string(status) + " ";
   line.append(reason.data(), reason.size());
   return line.append("\r\n");
@@ -224,9 +223,8 @@
   if (!keeps_alive_) return;
   // The next request starts from the event loop, so pipelined requests don't
   // nest.
-  asio::post(socket_.get_executor(), [self = shared_from_this()] {
-    self->ParseNext();
-  });
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->ParseNext(); });
 }
 
 // A close with unread bytes would reset the connection and could take the
--- a/src/libdataplane/headers.cc
+++ b/src/libdataplane/headers.cc
@@ -8,11 +8,18 @@
 namespace dogwoodlatch::dataplane {
 namespace {
 
-constexpr std::array<std::string_view, 12> kHopByHop = {
-    "connection",       "keep-alive",        "proxy-connection",
-    "proxy-authorization", "proxy-authenticate", "te",
-    "trailer",          "transfer-encoding", "upgrade",
-    "content-length",   "expect",            "http2-settings"};
+constexpr std::array<std::string_view, 12> kHopByHop = {"connection",
+                                                        "keep-alive",
+                                                        "proxy-connection",
+                                                        "proxy-authorization",
+                                                        "proxy-authenticate",
+                                                        "te",
+                                                        "trailer",
+                                                        "transfer-encoding",
+                                                        "upgrade",
+                                                        "content-length",
+                                                        "expect",
+                                                        "http2-settings"};
 
 char Lower(char c) {
   return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
@@ -24,8 +31,7 @@
     const size_t end = std::min(list.find(','), list.size());
     std::string_view entry = list.substr(0, end);
     list.remove_prefix(std::min(end + 1, list.size()));
-    entry.remove_prefix(
-        std::min(entry.find_first_not_of(" \t"), entry.size()));
+    entry.remove_prefix(std::min(entry.find_first_not_of(" \t"), entry.size()));
     entry = entry.substr(0, entry.find_last_not_of(" \t") + 1);
     if (EqualsIgnoringCase(entry, token)) return true;
   }
--- a/src/libdataplane/http_caller.cc
+++ b/src/libdataplane/http_caller.cc
@@ -69,10 +69,10 @@
 
  private:
   void Send() {
-    owner_->connection_->Send(
-        RequestHead(call_.method, call_.target, call_.headers,
-                    call_.body.size()),
-        std::make_shared<const std::string>(call_.body), this);
+    owner_->connection_->Send(RequestHead(call_.method, call_.target,
+                                          call_.headers, call_.body.size()),
+                              std::make_shared<const std::string>(call_.body),
+                              this);
   }
 
   void Fail(ErrorCode code, std::string detail) {
--- a/src/libdataplane/http_reader.cc
+++ b/src/libdataplane/http_reader.cc
@@ -72,8 +72,8 @@
                  !EqualsIgnoringCase(header.value, "chunked");
         });
     if (is_ambiguous) ec = http::error::bad_value;
-    wants_continue = EqualsIgnoringCase(
-        FindHeader(request.headers, "expect"), "100-continue");
+    wants_continue = EqualsIgnoringCase(FindHeader(request.headers, "expect"),
+                                        "100-continue");
   }
   void on_body_init_impl(boost::optional<uint64_t> const& /*length*/,
                          error_code& /*ec*/) override {}
--- a/src/libdataplane/upstream_connection.cc
+++ b/src/libdataplane/upstream_connection.cc
@@ -66,8 +66,8 @@
   const auto parsed =
       std::from_chars(digits.data(), digits.data() + digits.size(), port);
   std::error_code error;
-  const auto ip = asio::ip::make_address_v4(
-      std::string(address.substr(0, colon)), error);
+  const auto ip =
+      asio::ip::make_address_v4(std::string(address.substr(0, colon)), error);
   if (error || parsed.ec != std::errc{} || port == 0) return std::nullopt;
   return asio::ip::tcp::endpoint(ip, port);
 }
@@ -84,18 +84,19 @@
     std::error_code ignored;
     self->socket_.close(ignored);
   });
-  socket_.async_connect(endpoint, [self = shared_from_this(),
-                                   done = std::move(done)](
-                                      std::error_code error) {
-    self->connect_timer_.cancel();
-    if (!error && !self->socket_.is_open()) error = asio::error::timed_out;
-    if (!error) {
-      self->is_open_ = true;
-      SetUpSocket(self->socket_);
-      self->idle_since_ = SteadyNow();
-    }
-    done(error);
-  });
+  socket_.async_connect(endpoint,
+                        [self = shared_from_this(),
+                         done = std::move(done)](std::error_code error) {
+                          self->connect_timer_.cancel();
+                          if (!error && !self->socket_.is_open())
+                            error = asio::error::timed_out;
+                          if (!error) {
+                            self->is_open_ = true;
+                            SetUpSocket(self->socket_);
+                            self->idle_since_ = SteadyNow();
+                          }
+                          done(error);
+                        });
 }
 
 void UpstreamConnection::Send(std::string head,
@@ -152,8 +153,8 @@
 void UpstreamConnection::OnBytes(std::error_code error, size_t count) {
   if (!is_open_) return;
   if (error) {
-    const bool is_complete = error == asio::error::eof && listener_ != nullptr &&
-                             reader_.FinishAtClose();
+    const bool is_complete = error == asio::error::eof &&
+                             listener_ != nullptr && reader_.FinishAtClose();
     keeps_alive_ = false;
     if (is_complete) {
       FinishAnswer();
@@ -262,10 +263,9 @@
 }
 
 size_t ConnectionPool::idle_count() const {
-  const auto sizes = idle_ | std::views::values |
-                     std::views::transform([](const auto& kept) {
-                       return kept.size();
-                     });
+  const auto sizes =
+      idle_ | std::views::values |
+      std::views::transform([](const auto& kept) { return kept.size(); });
   return std::accumulate(sizes.begin(), sizes.end(), size_t{0});
 }
 
--- a/src/libserving/configuration.cc
+++ b/src/libserving/configuration.cc
@@ -40,11 +40,11 @@
 
 const std::string& Configuration::PickService(const Route& route,
                                               uint64_t draw) {
-  const uint64_t total = std::accumulate(
-      route.shares.begin(), route.shares.end(), uint64_t{0},
-      [](uint64_t sum, const ServiceShare& share) {
-        return sum + share.weight;
-      });
+  const uint64_t total =
+      std::accumulate(route.shares.begin(), route.shares.end(), uint64_t{0},
+                      [](uint64_t sum, const ServiceShare& share) {
+                        return sum + share.weight;
+                      });
   uint64_t point = total == 0 ? 0 : draw % total;
   const auto picked =
       std::ranges::find_if(route.shares, [&](const ServiceShare& share) {
--- a/src/libserving/event_stream.cc
+++ b/src/libserving/event_stream.cc
@@ -15,7 +15,8 @@
   while (line < text.size()) {
     const size_t end = text.find('\n', line);
     if (end == std::string_view::npos) return end;
-    const bool is_empty = end == line || (end == line + 1 && text[line] == '\r');
+    const bool is_empty =
+        end == line || (end == line + 1 && text[line] == '\r');
     if (is_empty) return end + 1;
     line = end + 1;
   }
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -17,6 +17,9 @@
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(250);
 constexpr int kMaxAvoidanceDoublings = 3;
 
+// The platform drops the entry of a dead target after three heartbeats of 1.2 s.
+constexpr Duration kReplacedAvoidance = std::chrono::seconds(4);
+
 // A target that refuses is full or loads weights, which takes about a second.
 constexpr Duration kRefusalPause = std::chrono::milliseconds(250);
 
@@ -54,6 +57,10 @@
   ++unreachable_streak_;
 }
 
+void TargetSignals::OnReplaced(TimePoint now) {
+  avoid_until_ = now + kReplacedAvoidance;
+}
+
 void TargetSignals::OnRefused(TimePoint now) {
   refusing_until_ = now + kRefusalPause;
 }
@@ -103,9 +110,9 @@
 
 void Fleet::Upsert(const TargetRecord& record) {
   TargetPtr& target = targets_[record.id];
-  const bool same_incarnation =
-      target && target->record.started == record.started &&
-      target->record.address == record.address;
+  const bool same_incarnation = target &&
+                                target->record.started == record.started &&
+                                target->record.address == record.address;
   if (!same_incarnation) target = std::make_shared<Target>();
   // The agent's news may be ahead of the list; versions only rise.
   std::map<std::string, uint64_t> known = std::move(target->record.weights);
@@ -133,10 +140,9 @@
     Upsert(record);
   }
   std::vector<std::string> missing;
-  std::ranges::copy_if(std::views::keys(targets_), std::back_inserter(missing),
-                       [&](const std::string& id) {
-                         return !present.contains(id);
-                       });
+  std::ranges::copy_if(
+      std::views::keys(targets_), std::back_inserter(missing),
+      [&](const std::string& id) { return !present.contains(id); });
   for (const std::string& id : missing) Remove(id, now, platform_settled);
 }
 
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -43,6 +43,9 @@
 constexpr double kFailureMs = 400.0;
 constexpr double kFailureMargin = 0.1;
 
+// A target that drains serves again after more than a second.
+constexpr double kDrainingMs = 400.0;
+
 // A target that just refused, or whose requests have waited in silence.
 constexpr double kRefusingMs = 600.0;
 constexpr double kSilentMs = 800.0;
@@ -61,10 +64,10 @@
 }
 
 double LeastFailing(std::span<const TargetPtr> targets) {
-  return std::ranges::min(
-      targets | std::views::transform([](const TargetPtr& target) {
-        return target->signals.failure_share();
-      }));
+  return std::ranges::min(targets |
+                          std::views::transform([](const TargetPtr& target) {
+                            return target->signals.failure_share();
+                          }));
 }
 
 // The targets on the same weights, and where a prompt's parts lie among them.
@@ -95,9 +98,8 @@
                       return Hash(target->record.id, affinity);
                     });
   for (const TargetPtr& target : targets) {
-    group.cached_anywhere =
-        std::max(group.cached_anywhere,
-                 LeadingParts(*target, group.shared_parts, now));
+    group.cached_anywhere = std::max(
+        group.cached_anywhere, LeadingParts(*target, group.shared_parts, now));
   }
   group.ranked = std::move(targets);
   return group;
@@ -109,9 +111,7 @@
 std::string SourceFor(const WeightsGroup& group, const TargetPtr& target,
                       const PlacementRequest& request, TimePoint now) {
   if (group.shared_parts.empty()) return {};
-  const auto is_other = [&](const TargetPtr& other) {
-    return other != target;
-  };
+  const auto is_other = [&](const TargetPtr& other) { return other != target; };
   const auto holder =
       std::ranges::find_if(group.ranked, [&](const TargetPtr& other) {
         return is_other(other) &&
@@ -145,11 +145,10 @@
                                      std::string_view cache_group) {
   std::vector<uint64_t> keys;
   if (prompt.parts.empty()) return keys;
-  std::ranges::transform(
-      std::span(prompt.parts).first(prompt.parts.size() - 1),
-      std::back_inserter(keys), [&](const PromptPart& part) {
-        return PartKey(part, cache_group);
-      });
+  std::ranges::transform(std::span(prompt.parts).first(prompt.parts.size() - 1),
+                         std::back_inserter(keys), [&](const PromptPart& part) {
+                           return PartKey(part, cache_group);
+                         });
   return keys;
 }
 
@@ -162,6 +161,7 @@
                    kOtherDomainMs) +
          failing * kFailureMs +
          PenaltyOf(signals.IsRefusing(now), kRefusingMs) +
+         PenaltyOf(signals.Report(now).is_draining, kDrainingMs) +
          PenaltyOf(signals.Silence(now) > kSilenceLimit, kSilentMs);
 }
 
@@ -169,16 +169,15 @@
     std::span<const TargetPtr> serving, const PlacementRequest& request,
     TimePoint now) const {
   std::vector<TargetPtr> usable;
-  std::ranges::copy_if(serving, std::back_inserter(usable),
-                       [&](const TargetPtr& target) {
-                         return std::ranges::find(request.tried,
-                                                  target->record.id) ==
-                                request.tried.end();
-                       });
+  std::ranges::copy_if(
+      serving, std::back_inserter(usable), [&](const TargetPtr& target) {
+        return std::ranges::find(request.tried, target->record.id) ==
+               request.tried.end();
+      });
   // These are a last resort: one of them may be back.
   const auto is_out = [&](const TargetPtr& target) {
     return target->signals.IsAvoided(now) ||
-           target->signals.Report(now).is_leaving;
+           target->signals.Report(now).is_loading;
   };
   if (!std::ranges::all_of(usable, is_out)) std::erase_if(usable, is_out);
   if (usable.empty()) return std::nullopt;
@@ -193,9 +192,8 @@
     std::span<const TargetPtr> usable, TimePoint now) const {
   const double least_failing = LeastFailing(usable);
   const auto cost_ms = [&](const TargetPtr& target) {
-    const double busy =
-        static_cast<double>(target->signals.in_flight()) /
-        std::max(1, target->record.slots);
+    const double busy = static_cast<double>(target->signals.in_flight()) /
+                        std::max(1, target->record.slots);
     return kPlainWorkMs * busy + PenaltyMs(*target, least_failing, now);
   };
   Placement placement;
--- a/src/libserving/rollout.cc
+++ b/src/libserving/rollout.cc
@@ -16,6 +16,18 @@
   return {loaded, XXH64(id.data(), id.size(), named)};
 }
 
+// Of the targets in service.
+double MeanWaiting(std::span<const RolloutPeer> peers) {
+  int serving = 0;
+  int waiting = 0;
+  for (const RolloutPeer& peer : peers) {
+    if (peer.phase != RolloutPhase::kServing) continue;
+    ++serving;
+    waiting += peer.waiting_requests;
+  }
+  return serving == 0 ? 0.0 : static_cast<double>(waiting) / serving;
+}
+
 }  // namespace
 
 bool IsTurnToDrain(std::string_view own_id, uint64_t named,
@@ -37,8 +49,9 @@
   const size_t out_of_service = count([&](const RolloutPeer& peer) {
     return peer.target_id != own_id && peer.phase != RolloutPhase::kServing;
   });
-  const size_t batch = std::max<size_t>(
-      1, limits.concurrent_loads + limits.concurrent_drains);
+  const size_t drains =
+      MeanWaiting(peers) < limits.busy_requests ? limits.concurrent_drains : 0;
+  const size_t batch = std::max<size_t>(1, limits.concurrent_loads + drains);
   if (out_of_service < batch && waiting_ahead < batch) return true;
   const size_t loads = std::max<size_t>(1, limits.concurrent_loads);
   const auto turns = static_cast<int64_t>(count(is_ahead) / loads);
@@ -49,8 +62,7 @@
              const RolloutLimits& limits) {
   const auto loading = static_cast<size_t>(
       std::ranges::count_if(peers, [&](const RolloutPeer& peer) {
-        return peer.target_id != own_id &&
-               peer.phase == RolloutPhase::kLoading;
+        return peer.target_id != own_id && peer.phase == RolloutPhase::kLoading;
       }));
   return loading < std::max<size_t>(1, limits.concurrent_loads);
 }
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -1,12 +1,11 @@
 #include "dogwoodlatch/util/log.h"
 
+#include <log4cplus/appender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
-
 #include <poll.h>
 #include <unistd.h>
 
@@ -220,9 +219,9 @@
 void InitLogging(std::string_view process, Severity threshold) {
   StartLibrary();
   buffered_appender = nullptr;
-  UseAppender(log4cplus::SharedAppenderPtr(
-                  new log4cplus::ConsoleAppender(true, true)),
-              process, threshold);
+  UseAppender(
+      log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)),
+      process, threshold);
 }
 
 void InitBufferedLogging(std::string_view process, Severity threshold) {
