Tell other routers where prompt parts were sent and what is still to read

Cause: each router knew a quarter of the sends, so it fetched parts from targets that did not have them, had parts read twice and misjudged backlogs.

Change: routers send one another, every 50 ms, the parts that they sent to each target and the prompt tokens still to be read there; agents name the routers that ask them. Backlogs of all routers replace one router's backlog times the number of routers.

--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -27,7 +27,7 @@
   int queued = 0;      ///< requests that wait to run
   int active = 0;      ///< requests that run
   int prefilling = 0;  ///< of these, without a first token yet
-  int routers = 0;     ///< that ask for these news
+  std::vector<std::string> routers;  ///< "ip:port" that ask for these news
 
   bool operator==(const TargetNews&) const = default;
 };
@@ -38,6 +38,29 @@
 /// Fails with kBadMessage or kBadVersion.
 Result<TargetNews> DecodeNews(std::span<const uint8_t> bytes);
 
+/// What a router tells the others: where it sent prompt parts since its last
+/// news, and how much prompt its requests still have to read there.
+struct RouterNews {
+  struct AtTarget {
+    std::string target_id;
+    int64_t prefill_backlog = 0;         ///< tokens
+    std::vector<uint64_t> parts_used{};  ///< keys inside their cache groups
+
+    bool operator==(const AtTarget&) const = default;
+  };
+  std::vector<AtTarget> targets;
+
+  bool operator==(const RouterNews&) const = default;
+};
+
+std::vector<uint8_t> Encode(const RouterNews& news);
+
+/// Fails with kBadMessage or kBadVersion.
+Result<RouterNews> DecodeRouterNews(std::span<const uint8_t> bytes);
+
+/// True for a datagram of a router, false for one of an agent.
+bool IsRouterNews(std::span<const uint8_t> bytes);
+
 /// The datagram with which a router asks an agent for its news.
 std::vector<uint8_t> EncodeSubscription();
 bool IsSubscription(std::span<const uint8_t> bytes);
@@ -65,7 +88,7 @@
 
   asio::ip::udp::socket socket_;
   asio::ip::udp::endpoint from_;
-  std::array<uint8_t, 2048> buffer_{};
+  std::array<uint8_t, 8192> buffer_{};
   Receiver receiver_;
   uint16_t port_ = 0;
 };
--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -36,6 +36,8 @@
   std::string failure_domain;          ///< of this VM
   std::optional<TimePoint> stop_by{};  ///< when the process ends, if it does
   serving::SavedParts saved_parts{};
+  /// Parts sent to each target since the last news to other routers.
+  std::map<std::string, std::vector<uint64_t>> parts_sent{};
   serving::PoisonGuard poison;
   std::map<std::string, RetryBudget> retry_budgets;  ///< by service
   std::minstd_rand random{std::random_device{}()};
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -46,10 +46,15 @@
   void FollowPlatform();
   void OpenAgentLink();
   void Subscribe(TimePoint now);
-  void OnNews(std::span<const uint8_t> bytes);
+  void OnDatagram(const asio::ip::udp::endpoint& from,
+                  std::span<const uint8_t> bytes);
+  void OnTargetNews(const TargetNews& news);
+  void OnRouterNews(uint64_t router, const RouterNews& news);
+  void TellRouters(TimePoint now);
   void Tick();
   void TickStop(TimePoint now);
-  void ShareRetries(int routers);
+  void ShareRetries(size_t routers);
+  void SendNews(const RouterNews& news);
   bool IsReady() const;
 
   asio::io_context& io_;
@@ -66,7 +71,10 @@
   asio::steady_timer tick_timer_;
   TimePoint next_subscription_{};
   TimePoint next_sweep_{};
-  int sharing_routers_ = 0;  ///< that agents know of
+  std::map<asio::ip::udp::endpoint, TimePoint> routers_;  ///< last named
+  std::map<std::string, int64_t> told_backlogs_;  ///< by target
+  TimePoint next_news_{};
+  size_t sharing_routers_ = 0;
   bool is_stopping_ = false;
   TimePoint stop_began_{};
 };
--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -38,7 +38,6 @@
   int queued = 0;           ///< requests that wait to run
   int active = 0;           ///< requests that run
   int prefilling = 0;       ///< of these, without a first token yet
-  int routers = 1;          ///< that send requests
 };
 
 /// What the process has learned of a target from its own requests.
@@ -80,10 +79,16 @@
   /// The last report; an empty one when it is outdated.
   LoadReport Report(TimePoint now) const;
 
+  /// Another router's requests still have so many prompt tokens to read there.
+  void OnPeerBacklog(uint64_t router, int64_t tokens, TimePoint now);
+
+  /// Prompt tokens that requests of all routers still have to read there.
+  int64_t TotalBacklog(TimePoint now) const;
+
   bool IsAvoided(TimePoint now) const { return now < avoid_until_; }
   bool IsRefusing(TimePoint now) const { return now < refusing_until_; }
   int in_flight() const { return in_flight_; }
-  int64_t prefill_backlog() const { return prefill_backlog_; }
+  int64_t own_backlog() const { return prefill_backlog_; }
   double failure_share() const { return failure_share_; }
 
   /// How long the target has answered nothing while requests waited there.
@@ -105,6 +110,11 @@
   TimePoint refusing_until_{};
   TimePoint reported_at_{};
   LoadReport report_;
+  struct PeerBacklog {
+    int64_t tokens = 0;
+    TimePoint heard{};
+  };
+  std::unordered_map<uint64_t, PeerBacklog> peer_backlogs_;  ///< by router
   std::unordered_map<uint64_t, TimePoint> parts_;
 };
 
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -43,6 +43,9 @@
   return std::to_string(duration.count() / 1000);
 }
 
+// Routers named in one datagram, which is to fit into one packet.
+constexpr size_t kMaxNamedRouters = 40;
+
 constexpr int kAccepted = 202;
 
 }  // namespace
@@ -295,15 +298,19 @@
 void Agent::TellNews(TimePoint now) {
   const auto own = OwnTarget();
   if (!own || !report_ || !link_) return;
-  const TargetNews news{.target_id = own->record.id,
+  TargetNews news{.target_id = own->record.id,
                         .weights = report_->weights,
                         .phase = phase_,
                         .queued = report_->queued,
                         .active = report_->active,
                         .prefilling = report_->prefilling,
-                        .routers = static_cast<int>(subscribers_.size())};
-  const bool is_urgent =
-      news.weights != last_told_.weights || news.phase != last_told_.phase;
+                        .routers = {}};
+  for (const auto& [subscriber, heard] : subscribers_) {
+    if (news.routers.size() >= kMaxNamedRouters) break;
+    news.routers.push_back(subscriber.address().to_string() + ":" +
+                           std::to_string(subscriber.port()));
+  }
+  const bool is_urgent = news.weights != last_told_.weights || news.phase != last_told_.phase;
   if (!is_urgent && now < next_news_) return;
   next_news_ = now + kNewsPeriod;
   last_told_ = news;
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -58,6 +58,40 @@
   return news;
 }
 
+std::vector<uint8_t> Encode(const RouterNews& news) {
+  json targets = json::array();
+  for (const RouterNews::AtTarget& target : news.targets) {
+    targets.push_back(
+        {target.target_id, target.prefill_backlog, target.parts_used});
+  }
+  return json::to_cbor(json{{"v", kProtocolVersion}, {"sent", targets}});
+}
+
+Result<RouterNews> DecodeRouterNews(std::span<const uint8_t> bytes) {
+  const json message = DecodeAny(bytes);
+  if (!message.is_object()) return Error{ErrorCode::kBadMessage, "sent", ""};
+  if (!HasVersion(message)) return Error{ErrorCode::kBadVersion, "sent", ""};
+  RouterNews news;
+  // The JSON library reports wrong types by exception only.
+  try {
+    for (const json& entry : message.at("sent")) {
+      RouterNews::AtTarget target;
+      entry.at(0).get_to(target.target_id);
+      entry.at(1).get_to(target.prefill_backlog);
+      entry.at(2).get_to(target.parts_used);
+      news.targets.push_back(std::move(target));
+    }
+  } catch (const json::exception& fault) {
+    return Error{ErrorCode::kBadMessage, "sent", fault.what()};
+  }
+  return news;
+}
+
+bool IsRouterNews(std::span<const uint8_t> bytes) {
+  const json message = DecodeAny(bytes);
+  return HasVersion(message) && message.contains("sent");
+}
+
 std::vector<uint8_t> EncodeSubscription() {
   return json::to_cbor(json{{"v", kProtocolVersion}, {"subscribe", true}});
 }
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -319,6 +319,7 @@
   target_->signals.OnSent(now, placement_.missing_tokens);
   for (const uint64_t part : shared_parts) {
     target_->signals.OnPartUsed(part, now);
+    context_.parts_sent[target_->record.id].push_back(part);
   }
   const auto age = context_.view.freshness().Age(BootNow());
   LogEvent(EventId::kAttemptSent,
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -34,7 +34,7 @@
 constexpr double kRetryCaution = 0.85;
 
 // Routers that share the bound until agents have told how many there are.
-constexpr int kAssumedRouters = 8;
+constexpr size_t kAssumedRouters = 8;
 
 // The balancer asks once a second and takes a VM out after two misses.
 constexpr milliseconds kOutOfRotation{2600};
@@ -42,6 +42,15 @@
 // Left of the time between SIGTERM and SIGKILL when the process ends anyway.
 constexpr milliseconds kStopMargin{600};
 
+// Other routers learn of sends within the time of a few requests.
+constexpr milliseconds kRouterNewsPeriod{50};
+constexpr Duration kRouterLifetime = std::chrono::seconds(3);
+
+// A datagram is to stay within a few packets, and the cost of telling others
+// bounded where there are many.
+constexpr size_t kTargetsInNews = 16;
+constexpr size_t kMaxRoutersTold = 32;
+
 constexpr milliseconds kSubscriptionPeriod{1000};
 constexpr milliseconds kSweepPeriod{500};
 constexpr milliseconds kAcceptPause{20};
@@ -53,8 +62,9 @@
 // What is saved and what comes in during one window add up to this process's
 // part of the extra retries.
 RetryBudgetLimits RetryLimits(const platform::PromisedBounds& bounds,
-                              int routers) {
-  const double extra = bounds.retry_extra * kRetryCaution / routers;
+                              size_t routers) {
+  const double extra =
+      bounds.retry_extra * kRetryCaution / static_cast<double>(routers);
   const double window_s =
       std::chrono::duration<double>(bounds.retry_window).count();
   return {.share = bounds.retry_share * kRetryCaution,
@@ -217,8 +227,8 @@
 void Router::OpenAgentLink() {
   auto link = AgentLink::Open(
       io_, settings_.ip, settings_.first_own_port,
-      [this](const asio::ip::udp::endpoint& /*from*/,
-             std::span<const uint8_t> bytes) { OnNews(bytes); });
+      [this](const asio::ip::udp::endpoint& from,
+             std::span<const uint8_t> bytes) { OnDatagram(from, bytes); });
   if (!link) {
     LogEvent(EventId::kListenFailed, {{"fault", ToString(link.error())}});
     return;
@@ -237,28 +247,93 @@
   }
 }
 
-void Router::OnNews(std::span<const uint8_t> bytes) {
-  const Result<TargetNews> news = DecodeNews(bytes);
-  if (!news) {
-    LogEvent(EventId::kBadMessage, {{"fault", ToString(news.error())}});
+void Router::OnDatagram(const asio::ip::udp::endpoint& from,
+                        std::span<const uint8_t> bytes) {
+  const auto complain = [](const Error& fault) {
+    LogEvent(EventId::kBadMessage, {{"fault", ToString(fault)}});
+  };
+  if (IsRouterNews(bytes)) {
+    const Result<RouterNews> news = DecodeRouterNews(bytes);
+    if (!news) return complain(news.error());
+    const uint64_t router =
+        (uint64_t{from.address().to_v4().to_uint()} << 16) | from.port();
+    OnRouterNews(router, news.value());
     return;
   }
-  const auto target = view_.fleet().Find(news.value().target_id);
+  const Result<TargetNews> news = DecodeNews(bytes);
+  if (!news) return complain(news.error());
+  OnTargetNews(news.value());
+}
+
+void Router::OnTargetNews(const TargetNews& news) {
+  const TimePoint now = SteadyNow();
+  for (const std::string& address : news.routers) {
+    const auto endpoint = dataplane::ParseEndpoint(address);
+    if (!endpoint || endpoint->address().to_string() == settings_.ip) continue;
+    routers_[{endpoint->address(), endpoint->port()}] = now;
+  }
+  const auto target = view_.fleet().Find(news.target_id);
   if (!target) return;
-  target->RaiseWeights(news.value().weights);
-  ShareRetries(news.value().routers);
+  target->RaiseWeights(news.weights);
   target->signals.OnReport(
-      {.is_draining = news.value().phase == serving::RolloutPhase::kDraining,
-       .is_loading = news.value().phase == serving::RolloutPhase::kLoading,
-       .queued = news.value().queued,
-       .active = news.value().active,
-       .prefilling = news.value().prefilling,
-       .routers = news.value().routers},
-      SteadyNow());
+      {.is_draining = news.phase == serving::RolloutPhase::kDraining,
+       .is_loading = news.phase == serving::RolloutPhase::kLoading,
+       .queued = news.queued,
+       .active = news.active,
+       .prefilling = news.prefilling},
+      now);
+}
+
+void Router::OnRouterNews(uint64_t router, const RouterNews& news) {
+  const TimePoint now = SteadyNow();
+  for (const RouterNews::AtTarget& told : news.targets) {
+    const auto target = view_.fleet().Find(told.target_id);
+    if (!target) continue;
+    target->signals.OnPeerBacklog(router, told.prefill_backlog, now);
+    for (const uint64_t part : told.parts_used) {
+      target->signals.OnPartUsed(part, now);
+    }
+  }
+}
+
+// Tells what is new, and repeats backlogs that last.
+void Router::TellRouters(TimePoint now) {
+  if (!link_ || now < next_news_) return;
+  next_news_ = now + kRouterNewsPeriod;
+  std::erase_if(routers_, [&](const auto& entry) {
+    return now - entry.second > kRouterLifetime;
+  });
+  ShareRetries(routers_.size() + 1);
+  auto parts_sent = std::exchange(context_.parts_sent, {});
+  RouterNews news;
+  for (const auto& [id, target] : view_.fleet().targets()) {
+    if (!IsModelTarget(*target)) continue;
+    const int64_t backlog = target->signals.own_backlog();
+    int64_t& told = told_backlogs_[id];
+    auto parts = parts_sent.find(id);
+    const bool has_parts = parts != parts_sent.end();
+    if (backlog == 0 && told == 0 && !has_parts) continue;
+    told = backlog;
+    news.targets.push_back({id, backlog,
+                            has_parts ? std::move(parts->second)
+                                      : std::vector<uint64_t>{}});
+    if (news.targets.size() < kTargetsInNews) continue;
+    SendNews(std::exchange(news, {}));
+  }
+  if (!news.targets.empty()) SendNews(news);
+}
+
+void Router::SendNews(const RouterNews& news) {
+  const std::vector<uint8_t> datagram = Encode(news);
+  size_t sent = 0;
+  for (const auto& [router, named] : routers_) {
+    if (++sent > kMaxRoutersTold) return;
+    link_->Send(router, datagram);
+  }
 }
 
-void Router::ShareRetries(int routers) {
-  if (routers <= 0 || routers == sharing_routers_) return;
+void Router::ShareRetries(size_t routers) {
+  if (routers == sharing_routers_) return;
   sharing_routers_ = routers;
   context_.retry_limits = RetryLimits(settings_.bounds, routers);
   for (auto& [service, budget] : context_.retry_budgets) {
@@ -278,6 +353,7 @@
   const TimePoint now = SteadyNow();
   view_.Tick(now);
   Subscribe(now);
+  TellRouters(now);
   if (now >= next_sweep_) {
     pool_.Sweep(now);
     next_sweep_ = now + kSweepPeriod;
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -23,11 +23,14 @@
 // A target that refuses is full or loads weights, which takes about a second.
 constexpr Duration kRefusalPause = std::chrono::milliseconds(250);
 
+// Routers repeat a backlog that lasts several times in this span.
+constexpr Duration kBacklogLifetime = std::chrono::milliseconds(400);
+
 // Agents repeat their news several times a second.
 constexpr Duration kReportLifetime = std::chrono::milliseconds(800);
 
 // Cached parts that nobody uses yield after several seconds under load.
-constexpr Duration kPartLifetime = std::chrono::seconds(5);
+constexpr Duration kPartLifetime = std::chrono::seconds(8);
 constexpr size_t kMaxKnownParts = 4096;
 
 }  // namespace
@@ -65,6 +68,19 @@
   refusing_until_ = now + kRefusalPause;
 }
 
+void TargetSignals::OnPeerBacklog(uint64_t router, int64_t tokens,
+                                  TimePoint now) {
+  peer_backlogs_[router] = {tokens, now};
+}
+
+int64_t TargetSignals::TotalBacklog(TimePoint now) const {
+  int64_t total = prefill_backlog_;
+  for (const auto& [router, backlog] : peer_backlogs_) {
+    if (now - backlog.heard < kBacklogLifetime) total += backlog.tokens;
+  }
+  return total;
+}
+
 void TargetSignals::OnReport(const LoadReport& report, TimePoint now) {
   reported_at_ = now;
   report_ = report;
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -228,12 +228,11 @@
       const TargetSignals& signals = target->signals;
       const LoadReport report = signals.Report(now);
       const bool is_home = target == group.ranked.front();
-      const double own_backlog_ms =
-          static_cast<double>(signals.prefill_backlog()) *
-          std::max(1, report.routers) / kPrefillTokensPerMs;
+      const double backlog_ms =
+          static_cast<double>(signals.TotalBacklog(now)) / kPrefillTokensPerMs;
       const double reported_ms =
           kTypicalPrefillMs * (report.prefilling + report.queued);
-      const double wait_ms = std::max(own_backlog_ms, reported_ms) +
+      const double wait_ms = std::max(backlog_ms, reported_ms) +
                              PrefillMs(missing, prompt.input_tokens) +
                              kBatchSlotMs * report.active;
       const double cost_ms = wait_ms + PenaltyOf(!is_home, kHomeMs) +
