Save parts once for all routers and fetch from the store what peers may drop

Cause: every router saved every part, with the requests' own parts, which made the cache store drop shared parts after about four seconds; peers were asked for parts that had yielded already.

Change: requests with a small own part save, once for all routers; a part that no peer used within three seconds is fetched from the store if it was saved.

--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -49,6 +49,7 @@
     bool operator==(const AtTarget&) const = default;
   };
   std::vector<AtTarget> targets;
+  std::vector<uint64_t> parts_saved;  ///< in the cache store
 
   bool operator==(const RouterNews&) const = default;
 };
--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -97,6 +97,9 @@
   /// Part ids of prompts sent there, with the time of the last use.
   void OnPartUsed(uint64_t part, TimePoint now);
   bool HoldsPart(uint64_t part, TimePoint now) const;
+
+  /// When the part was last used there; none when that is too long ago.
+  std::optional<TimePoint> LastUse(uint64_t part, TimePoint now) const;
   void ForgetParts() { parts_.clear(); }
 
  private:
--- a/src/include/dogwoodlatch/serving/placement.h
+++ b/src/include/dogwoodlatch/serving/placement.h
@@ -10,6 +10,7 @@
 
 #include "dogwoodlatch/serving/fleet.h"
 #include "dogwoodlatch/serving/prompt.h"
+#include "dogwoodlatch/serving/saved_parts.h"
 
 namespace dogwoodlatch::serving {
 
@@ -22,6 +23,7 @@
   uint64_t oldest_weights = 0;         ///< older ones must not run any more
   bool weights_overdue = false;        ///< older weights cost credit by now
   std::string_view kept_cache;         ///< address of the cache store, or empty
+  const SavedParts* saved_parts = nullptr;  ///< what that store keeps
 };
 
 /// The chosen target and why.
--- a/src/include/dogwoodlatch/serving/saved_parts.h
+++ b/src/include/dogwoodlatch/serving/saved_parts.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "dogwoodlatch/time.h"
 
@@ -12,12 +14,25 @@
 /// a part is saved again after some time.
 class SavedParts {
  public:
-  /// True when the parts up to `deepest` should be saved now; they count as
-  /// saved from then on.
-  bool ShouldSave(uint64_t deepest, TimePoint now);
+  /// True when a request should save its parts now. `deepest` is its deepest
+  /// shared part, which counts as saved from then on. Requests whose own part is
+  /// large beside the shared ones leave it to others, as the store keeps their
+  /// own part too.
+  bool ShouldSave(uint64_t deepest, uint32_t shared_tokens, uint32_t own_tokens,
+                  TimePoint now);
+
+  /// True when the store is likely to have the part.
+  bool IsSaved(uint64_t deepest, TimePoint now) const;
+
+  /// Another router has had the part saved.
+  void OnSaved(uint64_t deepest, TimePoint now) { saved_[deepest] = now; }
+
+  /// The parts that ShouldSave has granted since the last call.
+  std::vector<uint64_t> TakeGranted() { return std::exchange(granted_, {}); }
 
  private:
-  std::unordered_map<uint64_t, TimePoint> saved_;
+  std::unordered_map<uint64_t, TimePoint> saved_;  ///< last time of a save
+  std::vector<uint64_t> granted_;
 };
 
 }  // namespace dogwoodlatch::serving
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -64,7 +64,9 @@
     targets.push_back(
         {target.target_id, target.prefill_backlog, target.parts_used});
   }
-  return json::to_cbor(json{{"v", kProtocolVersion}, {"sent", targets}});
+  return json::to_cbor(json{{"v", kProtocolVersion},
+                            {"sent", targets},
+                            {"saved", news.parts_saved}});
 }
 
 Result<RouterNews> DecodeRouterNews(std::span<const uint8_t> bytes) {
@@ -81,6 +83,7 @@
       entry.at(2).get_to(target.parts_used);
       news.targets.push_back(std::move(target));
     }
+    message.at("saved").get_to(news.parts_saved);
   } catch (const json::exception& fault) {
     return Error{ErrorCode::kBadMessage, "sent", fault.what()};
   }
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -206,7 +206,9 @@
     }
     wanted.oldest_weights =
         context_.view.OldestWeights(facts_.prompt.model, now);
-    wanted.kept_cache = configuration_->KeptCacheFor(context_.failure_domain);
+    wanted.kept_cache =
+        configuration_->KeptCacheFor(context_.failure_domain);
+    wanted.saved_parts = &context_.saved_parts;
   }
   const auto serving = context_.view.fleet().Serving(service_, now);
   const auto placement = context_.placement.Choose(serving, wanted, now);
@@ -298,7 +300,10 @@
   const std::vector<uint64_t> shared_parts =
       serving::SharedPartKeys(facts_.prompt, placement_.cache_group);
   if (!shared_parts.empty() &&
-      context_.saved_parts.ShouldSave(shared_parts.back(), now)) {
+      context_.saved_parts.ShouldSave(
+          shared_parts.back(),
+          facts_.prompt.input_tokens - facts_.prompt.parts.back().tokens,
+          facts_.prompt.parts.back().tokens, now)) {
     forwarding.save_to = configuration_->KeptCacheFor(context_.failure_domain);
   }
   if (cutter_.last_id()) forwarding.last_event_id = cutter_.last_id();
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -294,6 +294,9 @@
       target->signals.OnPartUsed(part, now);
     }
   }
+  for (const uint64_t part : news.parts_saved) {
+    context_.saved_parts.OnSaved(part, now);
+  }
 }
 
 // Tells what is new, and repeats backlogs that last.
@@ -306,6 +309,7 @@
   ShareRetries(routers_.size() + 1);
   auto parts_sent = std::exchange(context_.parts_sent, {});
   RouterNews news;
+  news.parts_saved = context_.saved_parts.TakeGranted();
   for (const auto& [id, target] : view_.fleet().targets()) {
     if (!IsModelTarget(*target)) continue;
     const int64_t backlog = target->signals.own_backlog();
@@ -320,7 +324,7 @@
     if (news.targets.size() < kTargetsInNews) continue;
     SendNews(std::exchange(news, {}));
   }
-  if (!news.targets.empty()) SendNews(news);
+  if (!news.targets.empty() || !news.parts_saved.empty()) SendNews(news);
 }
 
 void Router::SendNews(const RouterNews& news) {
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -106,8 +106,16 @@
 }
 
 bool TargetSignals::HoldsPart(uint64_t part, TimePoint now) const {
+  return LastUse(part, now).has_value();
+}
+
+std::optional<TimePoint> TargetSignals::LastUse(uint64_t part,
+                                                TimePoint now) const {
   const auto found = parts_.find(part);
-  return found != parts_.end() && now - found->second <= kPartLifetime;
+  if (found == parts_.end() || now - found->second > kPartLifetime) {
+    return std::nullopt;
+  }
+  return found->second;
 }
 
 uint64_t Target::WeightsOf(std::string_view model) const {
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -51,6 +51,9 @@
 constexpr double kSilentMs = 800.0;
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(350);
 
+// Cached parts that were used so recently have not yielded yet.
+constexpr Duration kSafelyCached = std::chrono::seconds(3);
+
 uint64_t Hash(std::string_view text, uint64_t seed) {
   return XXH64(text.data(), text.size(), seed);
 }
@@ -102,6 +105,10 @@
         group.cached_anywhere, LeadingParts(*target, group.shared_parts, now));
   }
   group.ranked = std::move(targets);
+  const bool is_saved =
+      request.saved_parts != nullptr && !group.shared_parts.empty() &&
+      request.saved_parts->IsSaved(group.shared_parts.back(), now);
+  if (is_saved) group.cached_anywhere = group.shared_parts.size();
   return group;
 }
 
@@ -112,12 +119,19 @@
                       const PlacementRequest& request, TimePoint now) {
   if (group.shared_parts.empty()) return {};
   const auto is_other = [&](const TargetPtr& other) { return other != target; };
-  const auto holder =
-      std::ranges::find_if(group.ranked, [&](const TargetPtr& other) {
-        return is_other(other) &&
-               other->signals.HoldsPart(group.shared_parts.back(), now);
-      });
-  if (holder != group.ranked.end()) return (*holder)->record.address;
+  const uint64_t deepest = group.shared_parts.back();
+  const auto last_use = [&](const TargetPtr& other) {
+    return is_other(other) ? other->signals.LastUse(deepest, now)
+                           : std::nullopt;
+  };
+  const TargetPtr& holder =
+      *std::ranges::max_element(group.ranked, {}, last_use);
+  const std::optional<TimePoint> used = last_use(holder);
+  const bool is_saved = request.saved_parts != nullptr &&
+                        !request.kept_cache.empty() &&
+                        request.saved_parts->IsSaved(deepest, now);
+  const bool is_recent = used && now - *used <= kSafelyCached;
+  if (used && (is_recent || !is_saved)) return holder->record.address;
   if (!request.kept_cache.empty()) return std::string(request.kept_cache);
   const auto next = std::ranges::find_if(group.ranked, is_other);
   return next == group.ranked.end() ? std::string() : (*next)->record.address;
