Estimate waits by the engine's time rather than by prompt tokens

Cause: an engine makes a token of each running request between two chunks of a prompt, so prompts of the same tokens take unequal time.

Change: backlogs are kept and told as time: chunks, steps and pairs of tokens.

--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -16,6 +16,7 @@
 
 #include "dogwoodlatch/error.h"
 #include "dogwoodlatch/serving/rollout.h"
+#include "dogwoodlatch/time.h"
 
 namespace dogwoodlatch::daemon {
 
@@ -39,11 +40,11 @@
 Result<TargetNews> DecodeNews(std::span<const uint8_t> bytes);
 
 /// What a router tells the others: where it sent prompt parts since its last
-/// news, and how much prompt its requests still have to read there.
+/// news, and how long its requests' prompts still take to be read there.
 struct RouterNews {
   struct AtTarget {
     std::string target_id;
-    int64_t prefill_backlog = 0;         ///< tokens
+    Duration prefill_backlog{0};         ///< time to read prompts sent there
     std::vector<uint64_t> parts_used{};  ///< keys inside their cache groups
 
     bool operator==(const AtTarget&) const = default;
--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -138,6 +138,7 @@
   int connect_failures_ = 0;
   bool may_have_run_ = false;
   bool stream_started_ = false;
+  std::optional<TimePoint> first_event_at_;
   serving::EventStreamCutter cutter_;
   bool is_finished_ = false;
 };
--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -43,15 +43,14 @@
 /// What the process has learned of a target from its own requests.
 class TargetSignals {
  public:
-  /// A request was written to the target; `prefill_tokens` are to be read
-  /// before its first event.
-  void OnSent(TimePoint now, uint32_t prefill_tokens);
+  /// A request was written to the target; reading its prompt takes `prefill`.
+  void OnSent(TimePoint now, Duration prefill);
 
   /// Bytes of any answer have arrived.
   void OnHeard(TimePoint now) { last_heard_ = now; }
 
   /// The prompt of a request has been read: its first event is here.
-  void OnFirstEvent(uint32_t prefill_tokens);
+  void OnFirstEvent(Duration prefill);
 
   /// A request has left the target, for whatever reason.
   void OnEnded(TimePoint now);
@@ -79,16 +78,16 @@
   /// The last report; an empty one when it is outdated.
   LoadReport Report(TimePoint now) const;
 
-  /// Another router's requests still have so many prompt tokens to read there.
-  void OnPeerBacklog(uint64_t router, int64_t tokens, TimePoint now);
+  /// Another router's prompts still take so long to read there.
+  void OnPeerBacklog(uint64_t router, Duration backlog, TimePoint now);
 
-  /// Prompt tokens that requests of all routers still have to read there.
-  int64_t TotalBacklog(TimePoint now) const;
+  /// The time to read the prompts that all routers have sent there.
+  Duration TotalBacklog(TimePoint now) const;
 
   bool IsAvoided(TimePoint now) const { return now < avoid_until_; }
   bool IsRefusing(TimePoint now) const { return now < refusing_until_; }
   int in_flight() const { return in_flight_; }
-  int64_t own_backlog() const { return prefill_backlog_; }
+  Duration own_backlog() const { return prefill_backlog_; }
   double failure_share() const { return failure_share_; }
 
   /// How long the target has answered nothing while requests waited there.
@@ -104,7 +103,7 @@
 
  private:
   int in_flight_ = 0;
-  int64_t prefill_backlog_ = 0;
+  Duration prefill_backlog_{0};
   double failure_share_ = 0;
   int unreachable_streak_ = 0;
   TimePoint waiting_since_{};
@@ -114,7 +113,7 @@
   TimePoint reported_at_{};
   LoadReport report_;
   struct PeerBacklog {
-    int64_t tokens = 0;
+    Duration backlog{0};
     TimePoint heard{};
   };
   std::unordered_map<uint64_t, PeerBacklog> peer_backlogs_;  ///< by router
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -62,7 +62,7 @@
   json targets = json::array();
   for (const RouterNews::AtTarget& target : news.targets) {
     targets.push_back(
-        {target.target_id, target.prefill_backlog, target.parts_used});
+        {target.target_id, target.prefill_backlog.count(), target.parts_used});
   }
   return json::to_cbor(json{{"v", kProtocolVersion},
                             {"sent", targets},
@@ -79,7 +79,7 @@
     for (const json& entry : message.at("sent")) {
       RouterNews::AtTarget target;
       entry.at(0).get_to(target.target_id);
-      entry.at(1).get_to(target.prefill_backlog);
+      target.prefill_backlog = Duration(entry.at(1).get<int64_t>());
       entry.at(2).get_to(target.parts_used);
       news.targets.push_back(std::move(target));
     }
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -321,7 +321,7 @@
   is_event_stream_ = false;
   answer_body_.clear();
   sent_at_ = now;
-  target_->signals.OnSent(now, placement_.missing_tokens);
+  target_->signals.OnSent(now, placement_.prefill);
   for (const uint64_t part : shared_parts) {
     target_->signals.OnPartUsed(part, now);
     context_.parts_sent[target_->record.id].push_back(part);
@@ -388,7 +388,7 @@
   is_sent_ = false;
   const TimePoint now = SteadyNow();
   if (!has_first_event_) {
-    target_->signals.OnFirstEvent(placement_.missing_tokens);
+    target_->signals.OnFirstEvent(placement_.prefill);
   }
   target_->signals.OnEnded(now);
 }
@@ -431,7 +431,8 @@
   if (events.empty()) return;
   if (!has_first_event_) {
     has_first_event_ = true;
-    target_->signals.OnFirstEvent(placement_.missing_tokens);
+    if (!first_event_at_) first_event_at_ = SteadyNow();
+    target_->signals.OnFirstEvent(placement_.prefill);
     context_.metrics.Observe("dogwoodlatch_first_event_ms",
                              "service=\"" + service_ + "\"",
                              SteadyNow() - arrived_);
@@ -658,6 +659,8 @@
             {"status", std::to_string(status)},
             {"sends", std::to_string(sends_)},
             {"events", std::to_string(cutter_.events())},
+            {"first_event_ms",
+             first_event_at_ ? Millis(*first_event_at_ - arrived_) : "none"},
             {"took_ms", Millis(took)}});
   session_->NotifyGone(nullptr);
   session_.reset();
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -312,11 +312,11 @@
   news.parts_saved = context_.saved_parts.TakeGranted();
   for (const auto& [id, target] : view_.fleet().targets()) {
     if (!IsModelTarget(*target)) continue;
-    const int64_t backlog = target->signals.own_backlog();
-    int64_t& told = told_backlogs_[id];
+    const Duration backlog = target->signals.own_backlog();
+    Duration& told = told_backlogs_[id];
     auto parts = parts_sent.find(id);
     const bool has_parts = parts != parts_sent.end();
-    if (backlog == 0 && told == 0 && !has_parts) continue;
+    if (backlog + told == Duration{0} && !has_parts) continue;
     told = backlog;
     news.targets.push_back({id, backlog,
                             has_parts ? std::move(parts->second)
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -35,14 +35,14 @@
 
 }  // namespace
 
-void TargetSignals::OnSent(TimePoint now, uint32_t prefill_tokens) {
+void TargetSignals::OnSent(TimePoint now, Duration prefill) {
   if (in_flight_ == 0) waiting_since_ = now;
   ++in_flight_;
-  prefill_backlog_ += prefill_tokens;
+  prefill_backlog_ += prefill;
 }
 
-void TargetSignals::OnFirstEvent(uint32_t prefill_tokens) {
-  prefill_backlog_ = std::max<int64_t>(0, prefill_backlog_ - prefill_tokens);
+void TargetSignals::OnFirstEvent(Duration prefill) {
+  prefill_backlog_ = std::max(Duration{0}, prefill_backlog_ - prefill);
 }
 
 void TargetSignals::OnEnded(TimePoint now) {
@@ -68,15 +68,15 @@
   refusing_until_ = now + kRefusalPause;
 }
 
-void TargetSignals::OnPeerBacklog(uint64_t router, int64_t tokens,
+void TargetSignals::OnPeerBacklog(uint64_t router, Duration backlog,
                                   TimePoint now) {
-  peer_backlogs_[router] = {tokens, now};
+  peer_backlogs_[router] = {backlog, now};
 }
 
-int64_t TargetSignals::TotalBacklog(TimePoint now) const {
-  int64_t total = prefill_backlog_;
-  for (const auto& [router, backlog] : peer_backlogs_) {
-    if (now - backlog.heard < kBacklogLifetime) total += backlog.tokens;
+Duration TargetSignals::TotalBacklog(TimePoint now) const {
+  Duration total = prefill_backlog_;
+  for (const auto& [router, peer] : peer_backlogs_) {
+    if (now - peer.heard < kBacklogLifetime) total += peer.backlog;
   }
   return total;
 }
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <map>
 #include <ranges>
@@ -18,12 +19,15 @@
 constexpr double kPrefillTokensPerMs = 157.0;
 constexpr double kPairsMsPerMillion = 0.109;
 
-// Time of a running request in the way of others, from the same source: each
-// slot lengthens a step of decoding.
-constexpr double kBatchSlotMs = 0.05;
+constexpr double kChunkTokens = 2048;
+constexpr double kStepMs = 3.55;
+constexpr double kStepSlotMs = 0.0462;
+
+// Fixed time from a request's arrival to its first event.
+constexpr double kFirstEventMs = 26.0;
 
 // Mean time to read a prompt of which shared parts are cached.
-constexpr double kTypicalPrefillMs = 16.0;
+constexpr double kTypicalPrefillMs = 20.0;
 
 // Work of a plain request, by which a busy slot is charged.
 constexpr double kPlainWorkMs = 15.0;
@@ -60,10 +64,22 @@
 
 double PenaltyOf(bool applies, double charge) { return applies ? charge : 0.0; }
 
-double PrefillMs(uint32_t missing, uint32_t prompt_tokens) {
+// The engine reads a prompt in chunks and makes a token of every running request
+// between two of them.
+double PrefillMs(uint32_t missing, uint32_t prompt_tokens, int running) {
   const double tokens = missing;
   const double pairs = tokens * (prompt_tokens - tokens / 2) / 1e6;
-  return tokens / kPrefillTokensPerMs + pairs * kPairsMsPerMillion;
+  const double steps = std::ceil(tokens / kChunkTokens);
+  return tokens / kPrefillTokensPerMs + pairs * kPairsMsPerMillion +
+         steps * (kStepMs + kStepSlotMs * running);
+}
+
+Duration FromMs(double ms) {
+  return Duration(static_cast<int64_t>(ms * 1000));
+}
+
+double ToMs(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
 }
 
 double LeastFailing(std::span<const TargetPtr> targets) {
@@ -212,8 +228,7 @@
   };
   Placement placement;
   placement.target = *std::ranges::min_element(usable, {}, cost_ms);
-  placement.estimate =
-      Duration(static_cast<int64_t>(cost_ms(placement.target) * 1000));
+  placement.estimate = FromMs(cost_ms(placement.target));
   return placement;
 }
 
@@ -242,20 +257,21 @@
       const TargetSignals& signals = target->signals;
       const LoadReport report = signals.Report(now);
       const bool is_home = target == group.ranked.front();
-      const double backlog_ms =
-          static_cast<double>(signals.TotalBacklog(now)) / kPrefillTokensPerMs;
+      const double backlog_ms = ToMs(signals.TotalBacklog(now));
+      const double prefill_ms =
+          PrefillMs(missing, prompt.input_tokens, report.active);
       const double reported_ms =
           kTypicalPrefillMs * (report.prefilling + report.queued);
       const double wait_ms = std::max(backlog_ms, reported_ms) +
-                             PrefillMs(missing, prompt.input_tokens) +
-                             kBatchSlotMs * report.active;
+                             prefill_ms + kFirstEventMs;
       const double cost_ms = wait_ms + PenaltyOf(!is_home, kHomeMs) +
                              PenaltyOf(is_behind, kOldWeightsMs) +
                              PenaltyMs(*target, least_failing, now);
       if (best.target && cost_ms >= best_ms) continue;
       best_ms = cost_ms;
       best.target = target;
-      best.estimate = Duration(static_cast<int64_t>(wait_ms * 1000));
+      best.estimate = FromMs(wait_ms);
+      best.prefill = FromMs(prefill_ms);
       best.missing_tokens = missing;
       best.weights = weights;
       best.cache_group = group.cache_group;
