Refuse at once what would come too late

Pattern: overload with a quarter of the replicas dark. Cause: with six of nine replicas left, every request waited about a second, so all of them were late.

Change: a request whose wait at its best target exceeds six tenths of its objective, or that could not be begun before its caller leaves, is refused with a time to come back that follows from the backlog.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -99,6 +99,7 @@
   void Finish(Outcome outcome, int status);
 
   Duration LongestAnswer() const;
+  std::optional<Duration> IsTooLate() const;
   std::chrono::milliseconds TimeLeft() const;
   std::chrono::milliseconds RetryDelay(std::chrono::milliseconds base);
 
--- a/src/include/dogwoodlatch/serving/placement.h
+++ b/src/include/dogwoodlatch/serving/placement.h
@@ -32,6 +32,7 @@
   Duration estimate{0};         ///< expected time until the first event
   uint32_t missing_tokens = 0;  ///< prompt tokens expected to be read there
   Duration prefill{0};          ///< expected time to read them
+  Duration backlog{0};          ///< expected wait before that
   size_t usable = 0;            ///< targets that were weighed
   uint64_t weights = 0;         ///< the target's version; 0 for plain services
   std::string cache_group;      ///< requests of other groups share no part
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -44,6 +44,7 @@
   kAttemptRefused = 402,
   kAttemptLost = 403,
   kAnswerSkipped = 404,
+  kRequestTooLate = 405,
   kTargetCrashed = 500,
   kCrashSuspects = 501,
   kQuarantined = 502,
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "dogwoodlatch/daemon/boot_clock.h"
+#include "dogwoodlatch/serving/admission.h"
 #include "dogwoodlatch/util/log.h"
 
 namespace dogwoodlatch::daemon {
@@ -172,6 +173,18 @@
   return std::min<Duration>(route_->timeout, kLongestUsualStream);
 }
 
+// Only before the first send: what has begun is worth finishing.
+std::optional<Duration> Exchange::IsTooLate() const {
+  const bool is_fresh = sends_ == 0 && connect_failures_ == 0;
+  if (!is_fresh || placement_.weights == 0) return std::nullopt;
+  return serving::RefuseAsTooLate(
+      {.objective = route_->objective,
+       .time_left = TimeLeft(),
+       .backlog = placement_.backlog,
+       .prefill = placement_.prefill,
+       .is_stream = route_->kind == RouteKind::kStream});
+}
+
 milliseconds Exchange::TimeLeft() const {
   return std::chrono::duration_cast<milliseconds>(answer_by_ - SteadyNow());
 }
@@ -231,6 +244,17 @@
     }
     return;
   }
+  if (const auto again = IsTooLate()) {
+    LogEvent(EventId::kRequestTooLate,
+             {{"request", facts_.id},
+              {"target", target_->record.id},
+              {"backlog_ms", Millis(placement_.backlog)},
+              {"prefill_ms", Millis(placement_.prefill)},
+              {"objective_ms", std::to_string(route_->objective.count())}});
+    Refuse(Outcome::kRefused, kServiceUnavailable,
+           std::chrono::duration_cast<milliseconds>(*again));
+    return;
+  }
   const Duration longest_idle =
       route_->MayRepeat() ? kLongestIdleRepeatable : kLongestIdleOnce;
   if (auto kept = context_.pool.TakeIdle(target_->record.id, SteadyNow(),
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -272,6 +272,7 @@
       best.target = target;
       best.estimate = FromMs(wait_ms);
       best.prefill = FromMs(prefill_ms);
+      best.backlog = FromMs(std::max(backlog_ms, reported_ms));
       best.missing_tokens = missing;
       best.weights = weights;
       best.cache_group = group.cache_group;
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -88,6 +88,8 @@
               "The answer is lost or unusable; the request may have run."},
     EventSpec{EventId::kAnswerSkipped, Severity::kWarning, "answer_skipped",
               "An answer to another request came and was left out."},
+    EventSpec{EventId::kRequestTooLate, Severity::kInfo, "request_too_late",
+              "A request is refused because its answer would come too late."},
     EventSpec{EventId::kTargetCrashed, Severity::kWarning, "target_crashed",
               "A run broke and the target's life has ended."},
     EventSpec{EventId::kCrashSuspects, Severity::kWarning, "crash_suspects",
