--- a/src/include/dogwoodlatch/serving/configuration.h
+++ b/src/include/dogwoodlatch/serving/configuration.h
@@ -129,7 +129,8 @@
 
   /// Requests need a key from now on, even if no workspace was added.
   Builder& NeedKeys();
-  Configuration Build() &&;
+  /// Ends the building; the builder is empty afterwards.
+  Configuration Build();
 
  private:
   Configuration built_;
--- a/src/include/dogwoodlatch/serving/prompt.h
+++ b/src/include/dogwoodlatch/serving/prompt.h
@@ -17,7 +17,7 @@
   std::string model;
   uint32_t input_tokens = 0;
   uint32_t max_output_tokens = 0;
-  std::vector<PromptPart> parts;  ///< in order; the last is the request's own
+  std::vector<PromptPart> parts{};  ///< in order; the last is the request's own
 };
 
 }  // namespace dogwoodlatch::serving
--- a/src/libdataplane/upstream_connection.cc
+++ b/src/libdataplane/upstream_connection.cc
@@ -68,7 +68,9 @@
   std::error_code error;
   const auto ip =
       asio::ip::make_address_v4(std::string(address.substr(0, colon)), error);
-  if (error || parsed.ec != std::errc{} || port == 0) return std::nullopt;
+  const bool is_whole =
+      parsed.ec == std::errc{} && parsed.ptr == digits.data() + digits.size();
+  if (error || !is_whole || port == 0) return std::nullopt;
   return asio::ip::tcp::endpoint(ip, port);
 }
 
--- /dev/null
+++ b/src/libserving/admission_test.cc
@@ -0,0 +1,92 @@
+#include "dogwoodlatch/serving/admission.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <random>
+
+namespace dogwoodlatch::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kObjective = milliseconds(500);
+constexpr Duration kDeadline = milliseconds(15000);
+
+struct Tally {
+  int on_time = 0;
+  int late = 0;
+  int refused = 0;
+};
+
+// Engines that read one prompt after the other, in virtual time. Requests go to
+// the shortest backlog. `load` is the share of the capacity that is asked for.
+Tally Serve(int engines, double load, bool admits_all) {
+  constexpr Duration kWork = milliseconds(70);
+  constexpr int kRequests = 4000;
+  std::minstd_rand random(20261204);
+  std::exponential_distribution<double> gap(load * engines /
+                                            static_cast<double>(kWork.count()));
+  std::vector<TimePoint> free_at(static_cast<size_t>(engines));
+  TimePoint now{};
+  Tally tally;
+  for (int i = 0; i < kRequests; ++i) {
+    now += Duration(static_cast<int64_t>(gap(random)));
+    TimePoint& best = *std::ranges::min_element(free_at);
+    const Duration backlog = std::max(Duration{0}, best - now);
+    const auto again = RefuseAsTooLate({.objective = kObjective,
+                                        .time_left = kDeadline,
+                                        .backlog = backlog,
+                                        .prefill = kWork});
+    if (again && !admits_all) {
+      ++tally.refused;
+      continue;
+    }
+    best = std::max(best, now) + kWork;
+    ++(best - now <= kObjective ? tally.on_time : tally.late);
+  }
+  return tally;
+}
+
+}  // namespace
+
+// Pattern: a quarter of the replicas is dark, the rest gets 1.2 times what it
+// can carry.
+TEST_CASE("under overload those that are taken come on time") {
+  const Tally short_queue = Serve(6, 1.2, false);
+  CHECK(short_queue.late == 0);
+  CHECK(short_queue.on_time > 3100);
+  const Tally long_queue = Serve(6, 1.2, true);
+  CHECK(long_queue.on_time < short_queue.on_time / 4);
+}
+
+TEST_CASE("below capacity nearly nothing is refused") {
+  CHECK(Serve(9, 0.8, false).refused < 40);
+}
+
+TEST_CASE(
+    "a request that cannot be begun before its caller leaves is refused") {
+  CHECK(RefuseAsTooLate({.objective = kObjective,
+                         .time_left = milliseconds(100),
+                         .backlog = milliseconds(60),
+                         .prefill = milliseconds(70)}));
+  CHECK(RefuseAsTooLate({.objective = kObjective,
+                         .time_left = kDeadline,
+                         .backlog = milliseconds(0),
+                         .prefill = milliseconds(2100)}));
+  CHECK_FALSE(RefuseAsTooLate({.objective = kObjective,
+                               .time_left = kDeadline,
+                               .backlog = milliseconds(250),
+                               .prefill = milliseconds(400)}));
+}
+
+TEST_CASE("the caller comes back when the backlog should have gone") {
+  const auto again = RefuseAsTooLate({.objective = kObjective,
+                                      .time_left = kDeadline,
+                                      .backlog = milliseconds(1300),
+                                      .prefill = milliseconds(70)});
+  REQUIRE(again);
+  CHECK(*again == milliseconds(1000));
+}
+
+}  // namespace dogwoodlatch::serving
--- a/src/libserving/configuration.cc
+++ b/src/libserving/configuration.cc
@@ -93,7 +93,7 @@
   return *this;
 }
 
-Configuration Builder::Build() && {
+Configuration Builder::Build() {
   for (size_t i = 0; i < built_.routes_.size(); ++i) {
     built_.routes_by_host_[built_.routes_[i].host].push_back(i);
   }
@@ -102,7 +102,7 @@
       return built_.routes_[i].path_prefix.size();
     });
   }
-  return std::move(built_);
+  return std::exchange(built_, {});
 }
 
 }  // namespace dogwoodlatch::serving
--- /dev/null
+++ b/src/libserving/event_stream_test.cc
@@ -0,0 +1,66 @@
+#include "dogwoodlatch/serving/event_stream.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace dogwoodlatch::serving {
+namespace {
+
+std::string Event(uint64_t id) {
+  return "id: " + std::to_string(id) + "\ndata: token " + std::to_string(id) +
+         "\n\n";
+}
+
+}  // namespace
+
+TEST_CASE("only whole events are handed out, however the bytes are cut") {
+  rc::prop("cuts do not matter", [] {
+    const auto count = *rc::gen::inRange<uint64_t>(1, 30);
+    std::string stream;
+    for (uint64_t id = 1; id <= count; ++id) stream += Event(id);
+    const auto length = *rc::gen::inRange<size_t>(0, stream.size() + 1);
+    EventStreamCutter cutter;
+    std::string passed;
+    size_t at = 0;
+    while (at < length) {
+      const auto step = *rc::gen::inRange<size_t>(1, 40);
+      passed += cutter.Feed(
+          std::string_view(stream).substr(at, std::min(step, length - at)));
+      at += step;
+    }
+    RC_ASSERT(stream.starts_with(passed));
+    RC_ASSERT(passed.empty() || passed.ends_with("\n\n"));
+    RC_ASSERT(cutter.in_sequence());
+    RC_ASSERT(cutter.has_partial() == (passed.size() < length));
+    if (!passed.empty()) RC_ASSERT(*cutter.last_id() == cutter.events());
+  });
+}
+
+TEST_CASE("a stream goes on at another target after its last whole event") {
+  EventStreamCutter cutter;
+  CHECK(cutter.Feed(Event(1) + "id: 2\nda") == Event(1));
+  cutter.DropPartial();
+  CHECK(cutter.Feed(Event(2)) == Event(2));
+  CHECK(cutter.in_sequence());
+}
+
+TEST_CASE("a gap or a doubled event is noticed") {
+  EventStreamCutter gap;
+  gap.Feed(Event(1) + Event(3));
+  CHECK_FALSE(gap.in_sequence());
+  EventStreamCutter doubled;
+  doubled.Feed(Event(1) + Event(1));
+  CHECK_FALSE(doubled.in_sequence());
+}
+
+TEST_CASE("lines may end with CRLF and events may lack ids") {
+  EventStreamCutter cutter;
+  CHECK(cutter.Feed("id:7\r\ndata: x\r\n\r\ndata: y\r\n\r\nid") ==
+        "id:7\r\ndata: x\r\n\r\ndata: y\r\n\r\n");
+  CHECK(*cutter.last_id() == 7);
+  CHECK(cutter.events() == 2);
+}
+
+}  // namespace dogwoodlatch::serving
--- /dev/null
+++ b/src/libserving/fleet_test.cc
@@ -0,0 +1,130 @@
+#include "dogwoodlatch/serving/fleet.h"
+
+#include <catch2/catch.hpp>
+
+namespace dogwoodlatch::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+TargetRecord Record(std::string id, int64_t started_ms = 1) {
+  TargetRecord record;
+  record.id = std::move(id);
+  record.service = "model";
+  record.address = "10.0.0.1:80";
+  record.started = WallTime(milliseconds(started_ms));
+  return record;
+}
+
+size_t CountServing(const Fleet& fleet, int64_t ms) {
+  return fleet.Serving("model", At(ms)).size();
+}
+
+}  // namespace
+
+TEST_CASE("a draining or removed target gets nothing new") {
+  Fleet fleet;
+  fleet.Upsert(Record("a"));
+  fleet.Upsert(Record("b"));
+  CHECK(CountServing(fleet, 0) == 2);
+  TargetRecord draining = Record("a");
+  draining.draining = true;
+  fleet.Upsert(draining);
+  CHECK(CountServing(fleet, 0) == 1);
+  fleet.Remove("b", At(0), true);
+  CHECK(CountServing(fleet, 0) == 0);
+}
+
+TEST_CASE("entries that lapsed during an outage stay for the grace") {
+  Fleet fleet;
+  fleet.Replace({Record("a"), Record("b")}, At(0), true);
+  fleet.Replace({Record("a")}, At(1000), false);
+  CHECK(CountServing(fleet, 1000) == 2);
+  CHECK(CountServing(fleet, 3400) == 2);
+  CHECK(CountServing(fleet, 3600) == 1);
+  CHECK(fleet.DropExpired(At(3600)) == std::vector<std::string>{"b"});
+
+  fleet.Replace({Record("a")}, At(4000), false);
+  fleet.Replace({Record("a"), Record("b")}, At(5000), false);
+  CHECK(CountServing(fleet, 9000) == 2);
+}
+
+TEST_CASE("a target that drained before it lapsed gets no grace") {
+  Fleet fleet;
+  TargetRecord draining = Record("a");
+  draining.draining = true;
+  fleet.Upsert(draining);
+  fleet.Remove("a", At(0), false);
+  CHECK(fleet.Find("a") == nullptr);
+}
+
+TEST_CASE("the same id with a later start is another target") {
+  Fleet fleet;
+  fleet.Upsert(Record("a", 1));
+  fleet.Find("a")->signals.OnPartUsed(7, At(0));
+  const Fleet::TargetPtr before = fleet.Find("a");
+  fleet.Upsert(Record("a", 1));
+  CHECK(fleet.Find("a") == before);
+  fleet.Upsert(Record("a", 2));
+  CHECK(fleet.Find("a") != before);
+  CHECK_FALSE(fleet.Find("a")->signals.HoldsPart(7, At(0)));
+}
+
+TEST_CASE("news of weights are not taken back by an older list") {
+  Fleet fleet;
+  TargetRecord record = Record("a");
+  record.weights["m"] = 1;
+  fleet.Upsert(record);
+  fleet.Find("a")->signals.OnPartUsed(7, At(0));
+  fleet.Find("a")->RaiseWeights({{"m", 2}});
+  CHECK_FALSE(fleet.Find("a")->signals.HoldsPart(7, At(0)));
+  fleet.Upsert(record);
+  CHECK(fleet.Find("a")->WeightsOf("m") == 2);
+  CHECK(fleet.Find("a")->WeightsOf("other") == 0);
+}
+
+TEST_CASE("failed connections lengthen the pause and success ends it") {
+  TargetSignals signals;
+  signals.OnUnreachable(At(0));
+  CHECK(signals.IsAvoided(At(249)));
+  CHECK_FALSE(signals.IsAvoided(At(251)));
+  signals.OnUnreachable(At(300));
+  CHECK(signals.IsAvoided(At(700)));
+  signals.OnReachable();
+  CHECK_FALSE(signals.IsAvoided(At(300)));
+}
+
+// A target that had crashed was tried again every 250 ms until its entry
+// lapsed, which used up the retries after a loss of power.
+TEST_CASE("a replaced target is avoided until its entry has lapsed") {
+  TargetSignals signals;
+  signals.OnReplaced(At(0));
+  CHECK(signals.IsAvoided(At(3600)));
+}
+
+TEST_CASE("silence counts only while requests wait") {
+  TargetSignals signals;
+  CHECK(signals.Silence(At(500)) == milliseconds(0));
+  signals.OnSent(At(1000), milliseconds(10));
+  CHECK(signals.Silence(At(1400)) == milliseconds(400));
+  signals.OnHeard(At(1500));
+  CHECK(signals.Silence(At(1600)) == milliseconds(100));
+  signals.OnEnded(At(1700));
+  CHECK(signals.Silence(At(3000)) == milliseconds(0));
+}
+
+TEST_CASE("the backlog adds up over routers while their news are recent") {
+  TargetSignals signals;
+  signals.OnSent(At(0), milliseconds(40));
+  signals.OnPeerBacklog(1, milliseconds(30), At(0));
+  signals.OnPeerBacklog(2, milliseconds(20), At(0));
+  signals.OnPeerBacklog(2, milliseconds(5), At(50));
+  CHECK(signals.TotalBacklog(At(100)) == milliseconds(75));
+  CHECK(signals.TotalBacklog(At(1000)) == milliseconds(40));
+  signals.OnFirstEvent(milliseconds(40));
+  CHECK(signals.TotalBacklog(At(1000)) == milliseconds(0));
+}
+
+}  // namespace dogwoodlatch::serving
--- /dev/null
+++ b/src/libserving/freshness_test.cc
@@ -0,0 +1,29 @@
+#include "dogwoodlatch/serving/freshness.h"
+
+#include <catch2/catch.hpp>
+
+namespace dogwoodlatch::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+}  // namespace
+
+TEST_CASE("keys hold until the bound after the proof was sent") {
+  FreshnessGuard guard(milliseconds(4750));
+  CHECK_FALSE(guard.Holds(At(0)));
+  guard.OnProof(At(1000));
+  CHECK(guard.Holds(At(5750)));
+  CHECK_FALSE(guard.Holds(At(5751)));
+}
+
+TEST_CASE("an answer that was delayed proves nothing newer") {
+  FreshnessGuard guard(milliseconds(1000));
+  guard.OnProof(At(2000));
+  guard.OnProof(At(500));
+  CHECK(*guard.Age(At(2100)) == milliseconds(100));
+}
+
+}  // namespace dogwoodlatch::serving
--- /dev/null
+++ b/src/libserving/placement_test.cc
@@ -0,0 +1,157 @@
+#include "dogwoodlatch/serving/placement.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+namespace dogwoodlatch::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(int64_t ms) { return TimePoint(milliseconds(ms)); }
+
+Fleet::TargetPtr MakeTarget(int number, uint64_t weights = 1,
+                            std::string domain = "a") {
+  auto target = std::make_shared<Target>();
+  target->record.id = "t" + std::to_string(number);
+  target->record.address = "10.0.0." + std::to_string(number) + ":80";
+  target->record.failure_domain = std::move(domain);
+  target->record.slots = 6;
+  if (weights > 0) target->record.weights["m"] = weights;
+  return target;
+}
+
+std::vector<Fleet::TargetPtr> MakeTargets(int count, uint64_t weights = 1) {
+  std::vector<Fleet::TargetPtr> targets;
+  for (int i = 1; i <= count; ++i) targets.push_back(MakeTarget(i, weights));
+  return targets;
+}
+
+Prompt MakePrompt(uint64_t subject, uint64_t request) {
+  return {.model = "m",
+          .input_tokens = 12000,
+          .max_output_tokens = 80,
+          .parts = {{1, 500}, {subject, 4900}, {request, 6600}}};
+}
+
+}  // namespace
+
+TEST_CASE("every router sends a subject to the same home") {
+  const auto targets = MakeTargets(9);
+  const PlacementPolicy here("a");
+  const PlacementPolicy there("a");
+  std::set<std::string> homes;
+  for (uint64_t subject = 100; subject < 200; ++subject) {
+    const Prompt first = MakePrompt(subject, 1);
+    const Prompt second = MakePrompt(subject, 2);
+    const auto home = here.Choose(targets, {.prompt = &first}, At(0));
+    const auto again = there.Choose(targets, {.prompt = &second}, At(0));
+    CHECK(home->target == again->target);
+    homes.insert(home->target->record.id);
+  }
+  CHECK(homes.size() == 9);
+}
+
+// Pattern: one subject gets much of the traffic.
+TEST_CASE("a hot subject spreads and the others fetch from its home") {
+  const auto targets = MakeTargets(4);
+  const PlacementPolicy policy("a");
+  std::map<std::string, int> sent;
+  for (uint64_t request = 1; request <= 40; ++request) {
+    const Prompt prompt = MakePrompt(7, 1000 + request);
+    const auto placement = policy.Choose(targets, {.prompt = &prompt}, At(0));
+    REQUIRE(placement);
+    CHECK(placement->fetch_from != placement->target->record.address);
+    CHECK_FALSE(placement->fetch_from.empty());
+    if (request > 1) CHECK(placement->missing_tokens == 6600);
+    ++sent[placement->target->record.id];
+    placement->target->signals.OnSent(At(0), placement->prefill);
+    for (const uint64_t part : SharedPartKeys(prompt, placement->cache_group)) {
+      placement->target->signals.OnPartUsed(part, At(0));
+    }
+  }
+  CHECK(sent.size() == 4);
+  for (const auto& [id, count] : sent) CHECK(count <= 13);
+}
+
+// Pattern: weights change in the middle of the traffic.
+TEST_CASE("targets on new weights are preferred once the old ones cost") {
+  auto targets = MakeTargets(3, 1);
+  targets.push_back(MakeTarget(4, 2));
+  const PlacementPolicy policy("a");
+  const Prompt prompt = MakePrompt(7, 1);
+  const PlacementRequest overdue{
+      .prompt = &prompt, .newest_weights = 2, .weights_overdue = true};
+  const auto preferred = policy.Choose(targets, overdue, At(0));
+  CHECK(preferred->weights == 2);
+  CHECK(preferred->cache_group == CacheGroup(2, ""));
+  CHECK(preferred->fetch_from.empty());
+
+  targets[3]->signals.OnSent(At(0), milliseconds(900));
+  CHECK(policy.Choose(targets, overdue, At(0))->weights == 1);
+
+  const PlacementRequest expired{
+      .prompt = &prompt, .newest_weights = 2, .oldest_weights = 2};
+  CHECK(policy.Choose(targets, expired, At(0))->weights == 2);
+  targets.pop_back();
+  CHECK_FALSE(policy.Choose(targets, expired, At(0)).has_value());
+}
+
+TEST_CASE("isolated workspaces and versions share no cache group") {
+  CHECK(CacheGroup(1, "") != CacheGroup(2, ""));
+  CHECK(CacheGroup(1, "") != CacheGroup(1, "north"));
+  CHECK(CacheGroup(1, "north") != CacheGroup(1, "south"));
+  const PromptPart part{9, 100};
+  CHECK(PartKey(part, "w1") != PartKey(part, "w2"));
+}
+
+TEST_CASE("parts that peers may have dropped come from the store") {
+  const auto targets = MakeTargets(2);
+  const PlacementPolicy policy("a");
+  const Prompt prompt = MakePrompt(7, 1);
+  const auto keys = SharedPartKeys(prompt, CacheGroup(1, ""));
+  SavedParts saved;
+  const PlacementRequest request{
+      .prompt = &prompt, .kept_cache = "10.9.9.9:1", .saved_parts = &saved};
+  const Fleet::TargetPtr home = policy.Choose(targets, request, At(0))->target;
+  const Fleet::TargetPtr other = home == targets[0] ? targets[1] : targets[0];
+  saved.OnSaved(keys.back(), At(0));
+  other->signals.OnPartUsed(keys.back(), At(0));
+  CHECK(policy.Choose(targets, request, At(1000))->fetch_from ==
+        other->record.address);
+  CHECK(policy.Choose(targets, request, At(5000))->fetch_from == "10.9.9.9:1");
+  CHECK(policy.Choose(targets, request, At(5000))->missing_tokens == 6600);
+}
+
+TEST_CASE("targets that load or are avoided are a last resort") {
+  const auto targets = MakeTargets(2, 0);
+  const PlacementPolicy policy("a");
+  targets[0]->signals.OnReport({.is_loading = true}, At(0));
+  CHECK(policy.Choose(targets, {}, At(0))->target == targets[1]);
+  targets[1]->signals.OnUnreachable(At(0));
+  CHECK(policy.Choose(targets, {}, At(0)).has_value());
+  const std::vector<std::string> tried = {"t1", "t2"};
+  CHECK_FALSE(policy.Choose(targets, {.tried = tried}, At(0)).has_value());
+}
+
+TEST_CASE("plain requests stay in their failure domain until it is busy") {
+  const std::vector<Fleet::TargetPtr> targets = {MakeTarget(1, 0, "a"),
+                                                 MakeTarget(2, 0, "b")};
+  const PlacementPolicy policy("b");
+  CHECK(policy.Choose(targets, {}, At(0))->target == targets[1]);
+  for (int i = 0; i < 6; ++i) {
+    targets[1]->signals.OnSent(At(0), milliseconds(0));
+  }
+  CHECK(policy.Choose(targets, {}, At(0))->target == targets[0]);
+}
+
+TEST_CASE("a target that fails more than its peers gets less") {
+  const auto targets = MakeTargets(2, 0);
+  const PlacementPolicy policy("a");
+  const Fleet::TargetPtr first = policy.Choose(targets, {}, At(0))->target;
+  for (int i = 0; i < 20; ++i) first->signals.OnOutcome(true);
+  CHECK(policy.Choose(targets, {}, At(0))->target != first);
+}
+
+}  // namespace dogwoodlatch::serving
