Refuse streams that come after a stopping router has left the rotation

Cause: a stream taken 3.4 s after SIGTERM lasted 4.6 s, longer than the four seconds that a usual stream was given, and was cut when the process ended.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -20,6 +20,7 @@
 #include "dogwoodlatch/serving/placement.h"
 #include "dogwoodlatch/serving/poison_guard.h"
 #include "dogwoodlatch/serving/saved_parts.h"
+#include "dogwoodlatch/serving/stop_plan.h"
 #include "platform/requests.h"
 
 namespace dogwoodlatch::daemon {
@@ -34,7 +35,7 @@
   RetryBudgetLimits retry_limits;
   Duration configuration_bound;        ///< age up to which a miss is certain
   std::string failure_domain;          ///< of this VM
-  std::optional<TimePoint> stop_by{};  ///< when the process ends, if it does
+  std::optional<serving::StopPlan> stop{};  ///< set once it was told to stop
   serving::SavedParts saved_parts{};
   /// Parts sent to each target since the last news to other routers.
   std::map<std::string, std::vector<uint64_t>> parts_sent{};
@@ -98,7 +99,6 @@
   void OnCallerGone();
   void Finish(Outcome outcome, int status);
 
-  Duration LongestAnswer() const;
   std::optional<Duration> IsTooLate() const;
   std::chrono::milliseconds TimeLeft() const;
   std::chrono::milliseconds RetryDelay(std::chrono::milliseconds base);
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -76,7 +76,6 @@
   TimePoint next_news_{};
   size_t sharing_routers_ = 0;
   bool is_stopping_ = false;
-  TimePoint stop_began_{};
 };
 
 }  // namespace dogwoodlatch::daemon
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -48,7 +48,6 @@
 constexpr milliseconds kStartingDelay{400};  // until a configuration is known
 constexpr milliseconds kStaleDelay{800};     // until the store may be back
 constexpr milliseconds kStoppingDelay{50};   // other routers take it
-constexpr Duration kLongestUsualStream = std::chrono::seconds(4);
 constexpr milliseconds kBusyDelay{300};  // until a loading target is back
 
 constexpr int kFirstFailureStatus = 400;
@@ -102,7 +101,7 @@
 void Exchange::Start() {
   session_->NotifyGone([self = shared_from_this()] { self->OnCallerGone(); });
   if (!FindRoute() || !CheckKey()) return;
-  if (context_.stop_by && arrived_ + LongestAnswer() > *context_.stop_by) {
+  if (context_.stop && !context_.stop->Accepts(*route_, arrived_)) {
     Refuse(Outcome::kRefused, kServiceUnavailable, kStoppingDelay);
     return;
   }
@@ -167,12 +166,6 @@
   return true;
 }
 
-// Plain requests end with their route's time-out, and few streams last longer
-// than some seconds.
-Duration Exchange::LongestAnswer() const {
-  return std::min<Duration>(route_->timeout, kLongestUsualStream);
-}
-
 // Only before the first send: what has begun is worth finishing.
 std::optional<Duration> Exchange::IsTooLate() const {
   const bool is_fresh = sends_ == 0 && connect_failures_ == 0;
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -36,12 +36,6 @@
 // Routers that share the bound until agents have told how many there are.
 constexpr size_t kAssumedRouters = 8;
 
-// The balancer asks once a second and takes a VM out after two misses.
-constexpr milliseconds kOutOfRotation{2600};
-
-// Left of the time between SIGTERM and SIGKILL when the process ends anyway.
-constexpr milliseconds kStopMargin{600};
-
 // Other routers learn of sends within the time of a few requests.
 constexpr milliseconds kRouterNewsPeriod{50};
 constexpr Duration kRouterLifetime = std::chrono::seconds(3);
@@ -373,9 +367,8 @@
 void Router::Stop() {
   if (is_stopping_) return;
   is_stopping_ = true;
-  stop_began_ = SteadyNow();
   door_.policy.is_closing = true;
-  context_.stop_by = stop_began_ + settings_.bounds.graceful_stop - kStopMargin;
+  context_.stop.emplace(SteadyNow(), settings_.bounds.graceful_stop);
   LogEvent(EventId::kStopping,
            {{"in_progress", std::to_string(context_.in_progress)},
             {"connections", std::to_string(door_.policy.sessions)}});
@@ -384,14 +377,12 @@
 // New connections come until the balancer has taken the VM out, and kept ones
 // are closed with their next answer, or once that time is over.
 void Router::TickStop(TimePoint now) {
-  const Duration stopping = now - stop_began_;
-  if (stopping < kOutOfRotation) return;
+  if (context_.stop->IsInRotation(now)) return;
   for (const auto& weak : door_.sessions) {
     if (const auto session = weak.lock()) session->CloseIfIdle();
   }
   const bool is_done = context_.in_progress == 0;
-  const bool is_over = now >= *context_.stop_by;
-  if (!is_done && !is_over) return;
+  if (!is_done && !context_.stop->IsOver(now)) return;
   LogEvent(EventId::kStopped,
            {{"in_progress", std::to_string(context_.in_progress)}});
   FlushLog();
