--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -25,9 +25,9 @@
   std::string target_id;
   std::map<std::string, uint64_t> weights;  ///< version loaded, by model
   serving::RolloutPhase phase = serving::RolloutPhase::kServing;
-  int queued = 0;      ///< requests that wait to run
-  int active = 0;      ///< requests that run
-  int prefilling = 0;  ///< of these, without a first token yet
+  int queued = 0;                    ///< requests that wait to run
+  int active = 0;                    ///< requests that run
+  int prefilling = 0;                ///< of these, without a first token yet
   std::vector<std::string> routers;  ///< "ip:port" that ask for these news
 
   bool operator==(const TargetNews&) const = default;
--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -33,8 +33,8 @@
   Metrics& metrics;
   serving::PlacementPolicy placement;
   RetryBudgetLimits retry_limits;
-  Duration configuration_bound;        ///< age up to which a miss is certain
-  std::string failure_domain;          ///< of this VM
+  Duration configuration_bound;  ///< age up to which a miss is certain
+  std::string failure_domain;    ///< of this VM
   std::optional<serving::StopPlan> stop{};  ///< set once it was told to stop
   serving::SavedParts saved_parts{};
   /// Parts sent to each target since the last news to other routers.
@@ -91,7 +91,7 @@
   void OnAnswerLost(std::string_view why);
   bool MayTryAgain() const;
   bool TakeRetry();
-  void Relay(std::string events);
+  void Relay(std::string_view events);
   void Refuse(Outcome outcome, int status, std::chrono::milliseconds again);
   void Fail(Outcome outcome, int status);
   void PassOn();
--- a/src/include/dogwoodlatch/daemon/object_feed.h
+++ b/src/include/dogwoodlatch/daemon/object_feed.h
@@ -50,7 +50,7 @@
   void Hurry();
 
  private:
-  void ListFrom(std::string after);
+  void ListFrom(std::string_view after);
   void Watch();
   void FollowUp(bool has_changed);
   void Pause(std::chrono::milliseconds pause);
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -72,7 +72,7 @@
   TimePoint next_subscription_{};
   TimePoint next_sweep_{};
   std::map<asio::ip::udp::endpoint, TimePoint> routers_;  ///< last named
-  std::map<std::string, Duration> told_backlogs_;  ///< by target
+  std::map<std::string, Duration> told_backlogs_;         ///< by target
   TimePoint next_news_{};
   size_t sharing_routers_ = 0;
   bool is_stopping_ = false;
--- a/src/include/dogwoodlatch/dataplane/door_session.h
+++ b/src/include/dogwoodlatch/dataplane/door_session.h
@@ -67,7 +67,7 @@
   void OnBytes(std::error_code error, size_t count);
   void ParseNext();
   void RefuseUnread(int status);
-  void Write(std::string bytes);
+  void Write(std::string_view bytes);
   void Flush();
   void FinishAnswer();
   void Linger();
@@ -88,7 +88,6 @@
   bool is_writing_ = false;
   bool is_lingering_ = false;
   bool is_closed_ = false;
-  bool is_draining_ = false;  ///< congested, and somebody waits for the end
   std::string outgoing_;
   std::string in_writing_;
   std::function<void()> gone_;
--- a/src/include/dogwoodlatch/dataplane/http_reader.h
+++ b/src/include/dogwoodlatch/dataplane/http_reader.h
@@ -26,7 +26,7 @@
 
 struct ReaderLimits {
   uint32_t header_bytes = 16 * 1024;
-  uint64_t body_bytes = 4 * 1024 * 1024;
+  uint64_t body_bytes = 4UL * 1024 * 1024;
 };
 
 enum class ReadState {
--- a/src/include/dogwoodlatch/serving/admission.h
+++ b/src/include/dogwoodlatch/serving/admission.h
@@ -1,4 +1,5 @@
-/// Whether a request is sent, or refused at once because it would come too late.
+/// Whether a request is sent, or refused at once because it would come too
+/// late.
 #pragma once
 
 #include <chrono>
--- a/src/include/dogwoodlatch/serving/configuration.h
+++ b/src/include/dogwoodlatch/serving/configuration.h
@@ -63,7 +63,7 @@
 
 struct DoorLimits {
   uint32_t header_bytes = 16 * 1024;
-  uint64_t body_bytes = 4 * 1024 * 1024;
+  uint64_t body_bytes = 4UL * 1024 * 1024;
   std::chrono::milliseconds header_timeout{3000};
   std::chrono::milliseconds idle_timeout{15000};
 };
--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -35,9 +35,9 @@
 struct LoadReport {
   bool is_draining = false;  ///< it makes ready to load weights
   bool is_loading = false;   ///< it runs nothing until weights are loaded
-  int queued = 0;           ///< requests that wait to run
-  int active = 0;           ///< requests that run
-  int prefilling = 0;       ///< of these, without a first token yet
+  int queued = 0;            ///< requests that wait to run
+  int active = 0;            ///< requests that run
+  int prefilling = 0;        ///< of these, without a first token yet
 };
 
 /// What the process has learned of a target from its own requests.
--- a/src/include/dogwoodlatch/serving/placement.h
+++ b/src/include/dogwoodlatch/serving/placement.h
@@ -16,13 +16,13 @@
 
 /// What the choice depends on, besides the targets.
 struct PlacementRequest {
-  const Prompt* prompt = nullptr;      ///< null for a plain service
+  const Prompt* prompt = nullptr;        ///< null for a plain service
   std::string_view workspace{};          ///< set if it shares no cached part
   std::span<const std::string> tried{};  ///< ids of targets that are left out
-  uint64_t newest_weights = 0;         ///< newest named version of the model
-  uint64_t oldest_weights = 0;         ///< older ones must not run any more
-  bool weights_overdue = false;        ///< older weights cost credit by now
-  std::string_view kept_cache{};         ///< address of the cache store, or empty
+  uint64_t newest_weights = 0;           ///< newest named version of the model
+  uint64_t oldest_weights = 0;           ///< older ones must not run any more
+  bool weights_overdue = false;          ///< older weights cost credit by now
+  std::string_view kept_cache{};  ///< address of the cache store, or empty
   const SavedParts* saved_parts = nullptr;  ///< what that store keeps
 };
 
--- a/src/include/dogwoodlatch/serving/rollout.h
+++ b/src/include/dogwoodlatch/serving/rollout.h
@@ -30,8 +30,8 @@
 struct RolloutLimits {
   size_t concurrent_loads = 2;   ///< beyond it every load takes longer
   size_t concurrent_drains = 2;  ///< that make ready for the next loads
-  double busy_requests = 4;  ///< mean of waiting requests from which the
-                             ///< targets in service can spare no other
+  double busy_requests = 4;      ///< mean of waiting requests from which the
+                                 ///< targets in service can spare no other
   Duration turn{0};              ///< longest wait for the peers of one turn
 };
 
--- a/src/include/dogwoodlatch/serving/saved_parts.h
+++ b/src/include/dogwoodlatch/serving/saved_parts.h
@@ -15,9 +15,9 @@
 class SavedParts {
  public:
   /// True when a request should save its parts now. `deepest` is its deepest
-  /// shared part, which counts as saved from then on. Requests whose own part is
-  /// large beside the shared ones leave it to others, as the store keeps their
-  /// own part too.
+  /// shared part, which counts as saved from then on. Requests whose own part
+  /// is large beside the shared ones leave it to others, as the store keeps
+  /// their own part too.
   bool ShouldSave(uint64_t deepest, uint32_t shared_tokens, uint32_t own_tokens,
                   TimePoint now);
 
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -148,8 +148,9 @@
   is_asking_ = false;
   const bool is_answered = answer && answer.value().status == 200;
   if (!is_answered) {
-    if (report_)
+    if (report_) {
       LogEvent(EventId::kTargetDown, {{"target", settings_.target_address}});
+    }
     report_.reset();
     return;
   }
@@ -299,18 +300,19 @@
   const auto own = OwnTarget();
   if (!own || !report_ || !link_) return;
   TargetNews news{.target_id = own->record.id,
-                        .weights = report_->weights,
-                        .phase = phase_,
-                        .queued = report_->queued,
-                        .active = report_->active,
-                        .prefilling = report_->prefilling,
-                        .routers = {}};
+                  .weights = report_->weights,
+                  .phase = phase_,
+                  .queued = report_->queued,
+                  .active = report_->active,
+                  .prefilling = report_->prefilling,
+                  .routers = {}};
   for (const auto& [subscriber, heard] : subscribers_) {
     if (news.routers.size() >= kMaxNamedRouters) break;
     news.routers.push_back(subscriber.address().to_string() + ":" +
                            std::to_string(subscriber.port()));
   }
-  const bool is_urgent = news.weights != last_told_.weights || news.phase != last_told_.phase;
+  const bool is_urgent =
+      news.weights != last_told_.weights || news.phase != last_told_.phase;
   if (!is_urgent && now < next_news_) return;
   next_news_ = now + kNewsPeriod;
   last_told_ = news;
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -64,9 +64,8 @@
     targets.push_back(
         {target.target_id, target.prefill_backlog.count(), target.parts_used});
   }
-  return json::to_cbor(json{{"v", kProtocolVersion},
-                            {"sent", targets},
-                            {"saved", news.parts_saved}});
+  return json::to_cbor(json{
+      {"v", kProtocolVersion}, {"sent", targets}, {"saved", news.parts_saved}});
 }
 
 Result<RouterNews> DecodeRouterNews(std::span<const uint8_t> bytes) {
@@ -135,11 +134,13 @@
 void AgentLink::Receive() {
   socket_.async_receive_from(asio::buffer(buffer_), from_,
                              [this](std::error_code error, size_t count) {
-                               if (error == asio::error::operation_aborted)
+                               if (error == asio::error::operation_aborted) {
                                  return;
-                               if (!error)
+                               }
+                               if (!error) {
                                  receiver_(from_,
                                            std::span(buffer_).first(count));
+                               }
                                Receive();
                              });
 }
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -48,7 +48,7 @@
 constexpr milliseconds kStartingDelay{400};  // until a configuration is known
 constexpr milliseconds kStaleDelay{800};     // until the store may be back
 constexpr milliseconds kStoppingDelay{50};   // other routers take it
-constexpr milliseconds kBusyDelay{300};  // until a loading target is back
+constexpr milliseconds kBusyDelay{300};      // until a loading target is back
 
 constexpr int kFirstFailureStatus = 400;
 constexpr int kServiceUnavailable = 503;
@@ -212,8 +212,7 @@
     }
     wanted.oldest_weights =
         context_.view.OldestWeights(facts_.prompt.model, now);
-    wanted.kept_cache =
-        configuration_->KeptCacheFor(context_.failure_domain);
+    wanted.kept_cache = configuration_->KeptCacheFor(context_.failure_domain);
     wanted.saved_parts = &context_.saved_parts;
   }
   const auto serving = context_.view.fleet().Serving(service_, now);
@@ -444,7 +443,7 @@
   Relay(cutter_.Feed(bytes));
 }
 
-void Exchange::Relay(std::string events) {
+void Exchange::Relay(std::string_view events) {
   if (events.empty()) return;
   if (!has_first_event_) {
     has_first_event_ = true;
--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -49,7 +49,7 @@
   }
 }
 
-void ObjectFeed::ListFrom(std::string after) {
+void ObjectFeed::ListFrom(std::string_view after) {
   call_sent_ = BootNow();
   if (after.empty()) {
     listed_.clear();
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -132,7 +132,7 @@
   for (const auto& [listener, address] :
        {std::pair{&door_, settings_.door_address},
         std::pair{&operations_, settings_.readiness_address}}) {
-    const Result<void> listening = Listen(*listener, address);
+    Result<void> listening = Listen(*listener, address);
     if (!listening) return listening;
   }
   const Result<void> scraping =
@@ -312,9 +312,9 @@
     const bool has_parts = parts != parts_sent.end();
     if (backlog + told == Duration{0} && !has_parts) continue;
     told = backlog;
-    news.targets.push_back({id, backlog,
-                            has_parts ? std::move(parts->second)
-                                      : std::vector<uint64_t>{}});
+    news.targets.push_back(
+        {id, backlog,
+         has_parts ? std::move(parts->second) : std::vector<uint64_t>{}});
     if (news.targets.size() < kTargetsInNews) continue;
     SendNews(std::exchange(news, {}));
   }
--- a/src/libdataplane/door_session.cc
+++ b/src/libdataplane/door_session.cc
@@ -6,14 +6,14 @@
 namespace dogwoodlatch::dataplane {
 namespace {
 
-constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kReadBytes = 16UL * 1024;
 
 // Bytes of later requests that are read ahead while one is served; beyond it
 // reading stops until the request has ended.
-constexpr size_t kReadAheadBytes = 64 * 1024;
+constexpr size_t kReadAheadBytes = 64UL * 1024;
 
 // Unsent bytes at which an answer counts as congested.
-constexpr size_t kCongestedBytes = 128 * 1024;
+constexpr size_t kCongestedBytes = 128UL * 1024;
 
 // How long the caller's close is awaited after the last answer.
 constexpr std::chrono::milliseconds kLinger{1000};
@@ -151,7 +151,7 @@
   bytes.append("Content-Length: ").append(std::to_string(body.size()));
   bytes.append("\r\n\r\n");
   if (method_ != "HEAD") bytes.append(body);
-  Write(std::move(bytes));
+  Write(bytes);
   FinishAnswer();
 }
 
@@ -162,7 +162,7 @@
   AppendHeaders(headers, bytes);
   if (!keeps_alive_) bytes.append("Connection: close\r\n");
   bytes.append("Transfer-Encoding: chunked\r\n\r\n");
-  Write(std::move(bytes));
+  Write(bytes);
 }
 
 void DoorSession::SendPiece(std::string_view bytes) {
@@ -190,7 +190,7 @@
   if (!is_serving_ && !has_begun && !is_writing_ && input_.empty()) Close();
 }
 
-void DoorSession::Write(std::string bytes) {
+void DoorSession::Write(std::string_view bytes) {
   outgoing_.append(bytes);
   Flush();
 }
--- a/src/libdataplane/http_reader.cc
+++ b/src/libdataplane/http_reader.cc
@@ -35,7 +35,8 @@
 }  // namespace
 
 std::string_view Request::path() const {
-  return std::string_view(target).substr(0, target.find('?'));
+  const std::string_view whole = target;
+  return whole.substr(0, whole.find('?'));
 }
 
 class RequestReader::Parser final : public http::basic_parser<true> {
--- a/src/libdataplane/upstream_connection.cc
+++ b/src/libdataplane/upstream_connection.cc
@@ -7,13 +7,12 @@
 #include <array>
 #include <charconv>
 #include <numeric>
-#include <ranges>
 #include <utility>
 
 namespace dogwoodlatch::dataplane {
 namespace {
 
-constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kReadBytes = 16UL * 1024;
 
 // Unacknowledged bytes end a connection after this time: links answer within
 // milliseconds, and lost packets are sent again after some hundred.
@@ -90,8 +89,9 @@
                         [self = shared_from_this(),
                          done = std::move(done)](std::error_code error) {
                           self->connect_timer_.cancel();
-                          if (!error && !self->socket_.is_open())
+                          if (!error && !self->socket_.is_open()) {
                             error = asio::error::timed_out;
+                          }
                           if (!error) {
                             self->is_open_ = true;
                             SetUpSocket(self->socket_);
@@ -265,10 +265,9 @@
 }
 
 size_t ConnectionPool::idle_count() const {
-  const auto sizes =
-      idle_ | std::views::values |
-      std::views::transform([](const auto& kept) { return kept.size(); });
-  return std::accumulate(sizes.begin(), sizes.end(), size_t{0});
+  return std::accumulate(
+      idle_.begin(), idle_.end(), size_t{0},
+      [](size_t sum, const auto& entry) { return sum + entry.second.size(); });
 }
 
 }  // namespace dogwoodlatch::dataplane
--- a/src/libserving/admission.cc
+++ b/src/libserving/admission.cc
@@ -22,13 +22,13 @@
 
 std::optional<Duration> RefuseAsTooLate(const AdmissionRequest& request) {
   if (request.objective == Duration{0}) return std::nullopt;
-  const Duration allowed = std::chrono::duration_cast<Duration>(
-      request.objective * kWaitShare);
+  const Duration allowed =
+      std::chrono::duration_cast<Duration>(request.objective * kWaitShare);
   const Duration patience =
       std::max(kLeastPatience, request.objective * kPatienceObjectives);
-  const Duration limit =
-      request.is_stream ? std::min(patience, request.time_left)
-                        : request.time_left;
+  const Duration limit = request.is_stream
+                             ? std::min(patience, request.time_left)
+                             : request.time_left;
   const bool is_hopeless = request.backlog + request.prefill > limit;
   const bool is_late = request.backlog > allowed;
   if (!is_hopeless && !is_late) return std::nullopt;
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -1,8 +1,6 @@
 #include "dogwoodlatch/serving/fleet.h"
 
 #include <algorithm>
-#include <iterator>
-#include <ranges>
 #include <set>
 
 namespace dogwoodlatch::serving {
@@ -17,7 +15,8 @@
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(250);
 constexpr int kMaxAvoidanceDoublings = 3;
 
-// The platform drops the entry of a dead target after three heartbeats of 1.2 s.
+// The platform drops the entry of a dead target after three heartbeats of 1.2
+// s.
 constexpr Duration kReplacedAvoidance = std::chrono::seconds(4);
 
 // A target that refuses is full or loads weights, which takes about a second.
@@ -164,9 +163,9 @@
     Upsert(record);
   }
   std::vector<std::string> missing;
-  std::ranges::copy_if(
-      std::views::keys(targets_), std::back_inserter(missing),
-      [&](const std::string& id) { return !present.contains(id); });
+  for (const auto& [id, target] : targets_) {
+    if (!present.contains(id)) missing.push_back(id);
+  }
   for (const std::string& id : missing) Remove(id, now, platform_settled);
 }
 
@@ -196,8 +195,9 @@
     return target->record.service == service && !target->record.draining &&
            !expired;
   };
-  std::ranges::copy_if(std::views::values(targets_),
-                       std::back_inserter(serving), usable);
+  for (const auto& [id, target] : targets_) {
+    if (usable(target)) serving.push_back(target);
+  }
   return serving;
 }
 
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -6,7 +6,6 @@
 #include <cmath>
 #include <iterator>
 #include <map>
-#include <ranges>
 
 namespace dogwoodlatch::serving {
 namespace {
@@ -64,8 +63,8 @@
 
 double PenaltyOf(bool applies, double charge) { return applies ? charge : 0.0; }
 
-// The engine reads a prompt in chunks and makes a token of every running request
-// between two of them.
+// The engine reads a prompt in chunks and makes a token of every running
+// request between two of them.
 double PrefillMs(uint32_t missing, uint32_t prompt_tokens, int running) {
   const double tokens = missing;
   const double pairs = tokens * (prompt_tokens - tokens / 2) / 1e6;
@@ -74,19 +73,17 @@
          steps * (kStepMs + kStepSlotMs * running);
 }
 
-Duration FromMs(double ms) {
-  return Duration(static_cast<int64_t>(ms * 1000));
-}
+Duration FromMs(double ms) { return Duration(static_cast<int64_t>(ms * 1000)); }
 
 double ToMs(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
 double LeastFailing(std::span<const TargetPtr> targets) {
-  return std::ranges::min(targets |
-                          std::views::transform([](const TargetPtr& target) {
-                            return target->signals.failure_share();
-                          }));
+  const auto share = [](const TargetPtr& target) {
+    return target->signals.failure_share();
+  };
+  return share(*std::ranges::min_element(targets, {}, share));
 }
 
 // The targets on the same weights, and where a prompt's parts lie among them.
@@ -262,8 +259,8 @@
           PrefillMs(missing, prompt.input_tokens, report.active);
       const double reported_ms =
           kTypicalPrefillMs * (report.prefilling + report.queued);
-      const double wait_ms = std::max(backlog_ms, reported_ms) +
-                             prefill_ms + kFirstEventMs;
+      const double wait_ms =
+          std::max(backlog_ms, reported_ms) + prefill_ms + kFirstEventMs;
       const double cost_ms = wait_ms + PenaltyOf(!is_home, kHomeMs) +
                              PenaltyOf(is_behind, kOldWeightsMs) +
                              PenaltyMs(*target, least_failing, now);
--- a/src/libserving/stop_plan.cc
+++ b/src/libserving/stop_plan.cc
@@ -15,9 +15,9 @@
   return now - began_ < kRotation;
 }
 
-// Callers that come while the balancer sends them have nowhere else to go; their
-// streams get the rest of the grace. Later ones are served elsewhere, and a
-// stream may last longer than what is left.
+// Callers that come while the balancer sends them have nowhere else to go;
+// their streams get the rest of the grace. Later ones are served elsewhere, and
+// a stream may last longer than what is left.
 bool StopPlan::Accepts(const Route& route, TimePoint now) const {
   if (IsInRotation(now)) return true;
   return route.kind != RouteKind::kStream && now + route.timeout <= End();
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -107,7 +107,7 @@
 };
 
 // Bytes that wait for a reader of standard output; some seconds of lines.
-constexpr size_t kBufferBytes = 256 * 1024;
+constexpr size_t kBufferBytes = 256UL * 1024;
 
 // A pipe takes this many bytes at once without blocking when it is writable.
 constexpr size_t kAtomicPipeBytes = 4096;
@@ -202,7 +202,7 @@
 
 namespace {
 
-void UseAppender(log4cplus::SharedAppenderPtr appender,
+void UseAppender(const log4cplus::SharedAppenderPtr& appender,
                  std::string_view process, Severity threshold) {
   const std::string pattern =
       "%D{%Y-%m-%dT%H:%M:%S.%q} " + std::string(process) + " %p %m%n";
