--- a/testsuite/fleet_path/run.py
+++ b/testsuite/fleet_path/run.py
@@ -40,10 +40,10 @@
 
 def play(store, models, plains, router):
     print("ready", fleet.wait_until(lambda: fleet.is_ready(ROUTER)))
-    status, headers, body = fleet.request(ROUTER, "/read/x?q=1", headers={"X-Dogwoodlatch-Tenant": "forged"}.items())
-    print("read", status, headers["X-Dogwoodlatch-Response-Seal"].startswith("seal-p"), body)
+    status, headers, body = fleet.request(ROUTER, "/read/x?q=1", headers=fleet.FORGED_WORKSPACE)
+    print("read", status, fleet.seal_of(headers).startswith("seal-p"), body)
     seen = [headers for plain in plains for headers in plain.seen_headers][0]
-    print("workspace", seen["x-dogwoodlatch-tenant"], "key passed on", "x-api-key" in seen)
+    print("workspace", fleet.workspace_of(seen), "key passed on", fleet.has_key(seen))
     print("write", fleet.request(ROUTER, "/write/x", "POST", b"body")[2])
     print("stream", fleet.stream(ROUTER))
     print("unknown key", fleet.request(ROUTER, "/read/x", key="k9")[0])
