Lift a quarantine also where its object came and went unseen

Cause: only the watch told of deletions, and an object that was never seen is not missed.

Change: the router that wrote a quarantine asks for the object's history every two seconds while it holds, and a lift is told to the peers.

--- a/src/dogwoodlatch-router/crash_guard.cc
+++ b/src/dogwoodlatch-router/crash_guard.cc
@@ -17,6 +17,13 @@
 constexpr std::string_view kPrefix = "quarantine/";
 constexpr milliseconds kPeerTimeout{300};
 
+// A lift reaches every router within a few seconds, also one whose watch paused
+// while the object was written and deleted.
+constexpr milliseconds kWrittenCheckPeriod{2000};
+
+// Tells peers that an operator has lifted a quarantine.
+constexpr std::string_view kLifted = "lifted";
+
 milliseconds ToMillis(Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration);
 }
@@ -131,7 +138,9 @@
         *digest, SuspicionOf(body.at("state").get<std::string>()),
         now + milliseconds(body.at("left_ms"))};
     const std::lock_guard lock(mutex_);
-    if (entry.suspicion == Suspicion::kNone) {
+    if (body.at("state") == kLifted) {
+      table_.Lift(*digest);
+    } else if (entry.suspicion == Suspicion::kNone) {
       table_.Clear(*digest);
     } else if (table_.Adopt(entry, now)) {
       LogEntries({entry});
@@ -177,10 +186,20 @@
     QuarantineEntry entry;
     {
       std::unique_lock lock(mutex_);
-      changed_.wait(lock,
-                    [this] { return stopping_ || !for_platform_.empty(); });
+      const auto is_awaited = [this] {
+        return stopping_ || !for_platform_.empty();
+      };
+      if (written_.empty()) {
+        changed_.wait(lock, is_awaited);
+      } else {
+        changed_.wait_for(lock, kWrittenCheckPeriod, is_awaited);
+      }
       if (stopping_) return;
-      entry = for_platform_.front();
+      if (!for_platform_.empty()) entry = for_platform_.front();
+    }
+    if (entry.suspicion == Suspicion::kNone) {
+      CheckWritten();
+      continue;
     }
     if (!Write(entry)) {
       LogEvent(EventId::kQuarantineUnwritten,
@@ -190,6 +209,26 @@
     }
     const std::lock_guard lock(mutex_);
     for_platform_.pop_front();
+    written_.insert(entry.digest);
+  }
+}
+
+// Only a deletion with a version proves a lift: a platform that was restored
+// may lack the object without that.
+void CrashGuard::CheckWritten() {
+  std::set<uint64_t> written;
+  {
+    const std::lock_guard lock(mutex_);
+    std::erase_if(written_, [this](uint64_t digest) {
+      return table_.Find(digest, SteadyNow()) != Suspicion::kQuarantined;
+    });
+    written = written_;
+  }
+  for (const uint64_t digest : written) {
+    const Result<ObjectHistory> history = platform_.History(PathOf(digest));
+    const bool is_deleted =
+        history && !history.value().empty() && history.value().back().deleted;
+    if (is_deleted) Lift(digest);
   }
 }
 
@@ -226,9 +265,21 @@
 void CrashGuard::LiftPath(const std::string& path) {
   const std::optional<uint64_t> digest = DigestOfPath(path);
   if (!digest) return;
-  LogEvent(EventId::kQuarantineLifted, {{"digest", DigestHex(*digest)}});
-  const std::lock_guard lock(mutex_);
-  table_.Lift(*digest);
+  Lift(*digest);
+}
+
+void CrashGuard::Lift(uint64_t digest) {
+  LogEvent(EventId::kQuarantineLifted, {{"digest", DigestHex(digest)}});
+  {
+    const std::lock_guard lock(mutex_);
+    table_.Lift(digest);
+    written_.erase(digest);
+    for_peers_.push_back(Json{
+        {"digest", DigestHex(digest)},
+        {"state", kLifted},
+        {"left_ms", 0}}.dump());
+  }
+  changed_.notify_all();
 }
 
 void CrashGuard::Pause() {
--- a/src/dogwoodlatch-router/crash_guard.h
+++ b/src/dogwoodlatch-router/crash_guard.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -69,6 +70,9 @@
   void AdoptObject(const PlatformObject& object);
   void LiftPath(const std::string& path);
   bool Write(const QuarantineEntry& entry);
+  // Lifts the written quarantines whose objects were deleted unseen.
+  void CheckWritten();
+  void Lift(uint64_t digest);
   void Pause();
 
   const RouterSettings& settings_;
@@ -78,6 +82,7 @@
   QuarantineTable table_;
   std::deque<std::string> for_peers_;
   std::deque<QuarantineEntry> for_platform_;
+  std::set<uint64_t> written_;  // their objects are in the platform
   bool stopping_ = false;
   std::thread peer_thread_;
   std::thread write_thread_;
