--- a/src/libserving/event_stream_test.cc
+++ b/src/libserving/event_stream_test.cc
@@ -22,12 +22,12 @@
     for (uint64_t id = 1; id <= count; ++id) stream += Event(id);
     const auto length = *rc::gen::inRange<size_t>(0, stream.size() + 1);
     EventStreamCutter cutter;
+    const std::string_view bytes = stream;
     std::string passed;
     size_t at = 0;
     while (at < length) {
       const auto step = *rc::gen::inRange<size_t>(1, 40);
-      passed += cutter.Feed(
-          std::string_view(stream).substr(at, std::min(step, length - at)));
+      passed += cutter.Feed(bytes.substr(at, std::min(step, length - at)));
       at += step;
     }
     RC_ASSERT(stream.starts_with(passed));
