Name the settings variable in platform/ alone

Cause: the landing list found the platform's variable in the help text of dogwoodlatchd. Ruled out: the header in the old router's http_answers.cc is the product's own door, not the platform's.

--- a/src/dogwoodlatchd/main.cc
+++ b/src/dogwoodlatchd/main.cc
@@ -33,8 +33,9 @@
   options.add_options()("role", "router or agent",
                         cxxopts::value<std::string>()->default_value(""))(
       "settings",
-      "settings file of the platform; the default is the path in "
-      "DOGWOODLATCH_BOOT",
+      std::string(
+          "settings file of the platform; the default is the path in ") +
+          platform::kSettingsVariable,
       cxxopts::value<std::string>()->default_value(platform::SettingsPath()))(
       "check-config", "check the settings file and exit")(
       "help", "print this text")("version", "print the version");
