Split the exchange into rules, attempts and itself, and end broken streams alone

Cause of the split: exchange.cc held the door's decision, what an answer means, one send to a target and the whole request. Reading it again showed a fault: when a stream had broken off and its second target refused, or none was left, the router wrote a 502 or 503 into the middle of the body.

Change: serving/door_check and serving/attempt_rules decide, without network and with properties over any answers; TargetAttempt is one send with its part in the target's signals; one place says how a request without targets ends. A connection calls its listener no more once that has cancelled.

Test that failed first: fleet_path, "stream nobody finishes" (two heads, complete; now one head, cut). Ruled out as changes: bounds, waits and admission are the same.

--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "dogwoodlatch/error.h"
@@ -36,9 +37,6 @@
 /// CBOR, with the protocol's version first.
 std::vector<uint8_t> Encode(const TargetNews& news);
 
-/// Fails with kBadMessage or kBadVersion.
-Result<TargetNews> DecodeNews(std::span<const uint8_t> bytes);
-
 /// What a router tells the others: where it sent prompt parts since its last
 /// news, and how long its requests' prompts still take to be read there.
 struct RouterNews {
@@ -57,15 +55,17 @@
 
 std::vector<uint8_t> Encode(const RouterNews& news);
 
-/// Fails with kBadMessage or kBadVersion.
-Result<RouterNews> DecodeRouterNews(std::span<const uint8_t> bytes);
+/// A router asks an agent for its news.
+struct Subscription {
+  bool operator==(const Subscription&) const = default;
+};
+
+std::vector<uint8_t> Encode(Subscription subscription);
 
-/// True for a datagram of a router, false for one of an agent.
-bool IsRouterNews(std::span<const uint8_t> bytes);
+using Datagram = std::variant<TargetNews, RouterNews, Subscription>;
 
-/// The datagram with which a router asks an agent for its news.
-std::vector<uint8_t> EncodeSubscription();
-bool IsSubscription(std::span<const uint8_t> bytes);
+/// Fails with kBadMessage or kBadVersion.
+Result<Datagram> DecodeDatagram(std::span<const uint8_t> bytes);
 
 /// A UDP socket on the port of our own processes.
 class AgentLink {
--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -4,6 +4,7 @@
 #include <asio.hpp>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -13,9 +14,11 @@
 
 #include "dogwoodlatch/daemon/metrics.h"
 #include "dogwoodlatch/daemon/platform_view.h"
+#include "dogwoodlatch/daemon/target_attempt.h"
 #include "dogwoodlatch/dataplane/door_session.h"
 #include "dogwoodlatch/dataplane/upstream_connection.h"
 #include "dogwoodlatch/retry_budget.h"
+#include "dogwoodlatch/serving/attempt_rules.h"
 #include "dogwoodlatch/serving/event_stream.h"
 #include "dogwoodlatch/serving/placement.h"
 #include "dogwoodlatch/serving/poison_guard.h"
@@ -61,7 +64,9 @@
 
 std::string_view ToString(Outcome outcome);
 
-class Exchange final : public dataplane::AnswerListener,
+/// Decides which targets are tried and what the caller gets; what is sent to
+/// one of them is the attempt's.
+class Exchange final : public AttemptOwner,
                        public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(ExchangeContext& context, dataplane::DoorSession::Pointer session,
@@ -73,35 +78,36 @@
   void Start();
 
  private:
-  bool OnHead(const dataplane::AnswerHead& head) override;
-  void OnBody(std::string_view bytes) override;
-  void OnEnd() override;
-  void OnBroken() override;
+  void OnNoConnection(const std::string& reason) override;
+  void OnConnected() override;
+  void OnStreamBytes(std::string_view bytes) override;
+  void OnStreamEnd() override;
+  void OnAnswer() override;
+  void OnLost() override;
+  void OnSilent() override;
 
-  bool FindRoute();
-  bool CheckKey();
-  void StartAttempt();
-  bool ChooseTarget();
-  void SendOn(dataplane::UpstreamConnection::Pointer connection);
-  void ArmAttemptTimer(std::chrono::milliseconds wait);
-  void OnAttemptTimer();
-  void LeaveTarget();
-  void OnWholeAnswer();
-  void OnRefusedByTarget();
+  bool PassDoor();
+  void StartDeadline();
+  void TryTarget();
+  std::optional<serving::Placement> Place() const;
+  std::optional<Duration> IsTooLate(const serving::Placement& placement) const;
+  platform::ForwardingFacts MakeForwarding(
+      const std::vector<uint64_t>& shared_parts);
+  void NoteSend(const std::vector<uint64_t>& shared_parts);
+  void RelayEvents(std::string_view events);
+  void OnNotRun();
   void OnAnswerLost(std::string_view why);
-  bool MayTryAgain() const;
+  void LeaveAttempt();
+  bool MayRunAgain() const;
   bool TakeRetry();
-  void Relay(std::string_view events);
-  void Refuse(Outcome outcome, int status, std::chrono::milliseconds again);
+  void GiveUp();
+  void Refuse(Outcome outcome, std::chrono::milliseconds again);
   void Fail(Outcome outcome, int status);
-  void PassOn();
+  void Deliver();
   void OnDeadline();
   void OnCallerGone();
   void Finish(Outcome outcome, int status);
-
-  std::optional<Duration> IsTooLate() const;
   std::chrono::milliseconds TimeLeft() const;
-  std::chrono::milliseconds RetryDelay(std::chrono::milliseconds base);
 
   ExchangeContext& context_;
   dataplane::DoorSession::Pointer session_;
@@ -116,31 +122,12 @@
   TimePoint arrived_;
   TimePoint answer_by_;
   asio::steady_timer deadline_timer_;
-  asio::steady_timer attempt_timer_;
-
-  // The attempt in progress.
-  serving::Fleet::TargetPtr target_;
-  serving::Placement placement_;
-  dataplane::UpstreamConnection::Pointer connection_;
-  bool is_first_on_connection_ = false;
-  bool is_sent_ = false;
-  bool has_first_event_ = false;
-  TimePoint sent_at_;
-  dataplane::AnswerHead head_;
-  platform::AnswerFacts answer_;
-  std::string answer_body_;
-  bool is_event_stream_ = false;
-  bool has_answer_head_ = false;
 
-  // What earlier attempts left.
+  std::shared_ptr<TargetAttempt> attempt_;
   std::vector<std::string> tried_;
-  int sends_ = 0;
-  int runs_ = 0;  ///< sends that may have run
-  int connect_failures_ = 0;
-  bool may_have_run_ = false;
-  bool stream_started_ = false;
-  std::optional<TimePoint> first_event_at_;
+  serving::RequestProgress progress_;
   serving::EventStreamCutter cutter_;
+  std::optional<TimePoint> first_event_at_;
   bool is_finished_ = false;
 };
 
--- a/src/include/dogwoodlatch/daemon/platform_view.h
+++ b/src/include/dogwoodlatch/daemon/platform_view.h
@@ -58,6 +58,7 @@
   const ConfigurationPtr& configuration() const { return configuration_; }
   const serving::FreshnessGuard& freshness() const { return freshness_; }
   serving::Fleet& fleet() { return fleet_; }
+  const serving::Fleet& fleet() const { return fleet_; }
   const std::map<std::string, serving::NamedVersions>& weights() const {
     return weights_;
   }
--- a/src/include/dogwoodlatch/dataplane/upstream_connection.h
+++ b/src/include/dogwoodlatch/dataplane/upstream_connection.h
@@ -24,12 +24,16 @@
 /// "ip:port" as an endpoint; none when it is not written so.
 std::optional<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view address);
 
-class UpstreamConnection
-    : public std::enable_shared_from_this<UpstreamConnection> {
+class UpstreamConnection final
+    : private AnswerListener,
+      public std::enable_shared_from_this<UpstreamConnection> {
  public:
   using Pointer = std::shared_ptr<UpstreamConnection>;
 
   explicit UpstreamConnection(asio::io_context& context);
+  ~UpstreamConnection() override = default;
+  UpstreamConnection(const UpstreamConnection&) = delete;
+  UpstreamConnection& operator=(const UpstreamConnection&) = delete;
 
   /// Calls `done` once, with an error when no connection was made in time.
   void Connect(const asio::ip::tcp::endpoint& endpoint,
@@ -59,6 +63,12 @@
   bool is_used() const { return is_used_; }
 
  private:
+  // The reader's calls reach the listener until it has cancelled.
+  bool OnHead(const AnswerHead& head) override;
+  void OnBody(std::string_view bytes) override;
+  void OnEnd() override {}
+  void OnBroken() override {}
+
   void ReadMore();
   void OnBytes(std::error_code error, size_t count);
   void Consume();
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -109,17 +109,17 @@
 void Agent::OnDatagram(const asio::ip::udp::endpoint& from,
                        std::span<const uint8_t> bytes) {
   const TimePoint now = SteadyNow();
-  if (IsSubscription(bytes)) {
-    subscribers_[from] = now;
+  Result<Datagram> datagram = DecodeDatagram(bytes);
+  if (!datagram) {
+    LogEvent(EventId::kBadMessage, {{"fault", ToString(datagram.error())}});
     return;
   }
-  Result<TargetNews> news = DecodeNews(bytes);
-  if (!news) {
-    LogEvent(EventId::kBadMessage, {{"fault", ToString(news.error())}});
-    return;
+  if (std::holds_alternative<Subscription>(datagram.value())) {
+    subscribers_[from] = now;
+  } else if (auto* news = std::get_if<TargetNews>(&datagram.value())) {
+    const std::string id = news->target_id;
+    peers_[id] = {std::move(*news), now};
   }
-  const std::string id = news.value().target_id;
-  peers_[id] = {std::move(news).value(), now};
 }
 
 void Agent::Tick() {
@@ -183,8 +183,7 @@
 std::vector<serving::RolloutPeer> Agent::PeersOf(const std::string& model,
                                                  TimePoint now) const {
   std::vector<serving::RolloutPeer> peers;
-  for (const auto& [id, target] :
-       const_cast<PlatformView&>(view_).fleet().targets()) {
+  for (const auto& [id, target] : view_.fleet().targets()) {
     if (!target->record.weights.contains(model) || target->record.draining) {
       continue;
     }
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -11,14 +11,34 @@
 // Raised when a field changes its meaning.
 constexpr int kProtocolVersion = 1;
 
-json DecodeAny(std::span<const uint8_t> bytes) {
-  return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+// The readers below throw the JSON library's exceptions.
+Result<Datagram> ReadTargetNews(const json& message) {
+  TargetNews news;
+  message.at("target").get_to(news.target_id);
+  message.at("weights").get_to(news.weights);
+  const int phase = message.at("phase").get<int>();
+  if (phase < 0 || phase >= serving::kRolloutPhases) {
+    return Error{ErrorCode::kBadMessage, "phase", std::to_string(phase)};
+  }
+  news.phase = static_cast<serving::RolloutPhase>(phase);
+  message.at("queued").get_to(news.queued);
+  message.at("active").get_to(news.active);
+  message.at("prefilling").get_to(news.prefilling);
+  message.at("routers").get_to(news.routers);
+  return Datagram(std::move(news));
 }
 
-bool HasVersion(const json& message) {
-  return message.is_object() && message.contains("v") &&
-         message["v"].is_number_integer() &&
-         message["v"].get<int>() == kProtocolVersion;
+RouterNews ReadRouterNews(const json& message) {
+  RouterNews news;
+  for (const json& entry : message.at("sent")) {
+    RouterNews::AtTarget target;
+    entry.at(0).get_to(target.target_id);
+    target.prefill_backlog = Duration(entry.at(1).get<int64_t>());
+    entry.at(2).get_to(target.parts_used);
+    news.targets.push_back(std::move(target));
+  }
+  message.at("saved").get_to(news.parts_saved);
+  return news;
 }
 
 }  // namespace
@@ -34,30 +54,6 @@
                             {"routers", news.routers}});
 }
 
-Result<TargetNews> DecodeNews(std::span<const uint8_t> bytes) {
-  const json message = DecodeAny(bytes);
-  if (!message.is_object()) return Error{ErrorCode::kBadMessage, "news", ""};
-  if (!HasVersion(message)) return Error{ErrorCode::kBadVersion, "news", ""};
-  TargetNews news;
-  // The JSON library reports wrong types by exception only.
-  try {
-    message.at("target").get_to(news.target_id);
-    message.at("weights").get_to(news.weights);
-    const int phase = message.at("phase").get<int>();
-    if (phase < 0 || phase >= serving::kRolloutPhases) {
-      return Error{ErrorCode::kBadMessage, "news.phase", std::to_string(phase)};
-    }
-    news.phase = static_cast<serving::RolloutPhase>(phase);
-    message.at("queued").get_to(news.queued);
-    message.at("active").get_to(news.active);
-    message.at("prefilling").get_to(news.prefilling);
-    message.at("routers").get_to(news.routers);
-  } catch (const json::exception& fault) {
-    return Error{ErrorCode::kBadMessage, "news", fault.what()};
-  }
-  return news;
-}
-
 std::vector<uint8_t> Encode(const RouterNews& news) {
   json targets = json::array();
   for (const RouterNews::AtTarget& target : news.targets) {
@@ -68,39 +64,26 @@
       {"v", kProtocolVersion}, {"sent", targets}, {"saved", news.parts_saved}});
 }
 
-Result<RouterNews> DecodeRouterNews(std::span<const uint8_t> bytes) {
-  const json message = DecodeAny(bytes);
-  if (!message.is_object()) return Error{ErrorCode::kBadMessage, "sent", ""};
-  if (!HasVersion(message)) return Error{ErrorCode::kBadVersion, "sent", ""};
-  RouterNews news;
+std::vector<uint8_t> Encode(Subscription /*subscription*/) {
+  return json::to_cbor(json{{"v", kProtocolVersion}, {"subscribe", true}});
+}
+
+Result<Datagram> DecodeDatagram(std::span<const uint8_t> bytes) {
+  const json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  if (!message.is_object()) {
+    return Error{ErrorCode::kBadMessage, "datagram", "not a table"};
+  }
+  if (message.value("v", json()) != kProtocolVersion) {
+    return Error{ErrorCode::kBadVersion, "datagram", ""};
+  }
   // The JSON library reports wrong types by exception only.
   try {
-    for (const json& entry : message.at("sent")) {
-      RouterNews::AtTarget target;
-      entry.at(0).get_to(target.target_id);
-      target.prefill_backlog = Duration(entry.at(1).get<int64_t>());
-      entry.at(2).get_to(target.parts_used);
-      news.targets.push_back(std::move(target));
-    }
-    message.at("saved").get_to(news.parts_saved);
+    if (message.contains("subscribe")) return Datagram(Subscription{});
+    if (message.contains("sent")) return Datagram(ReadRouterNews(message));
+    return ReadTargetNews(message);
   } catch (const json::exception& fault) {
-    return Error{ErrorCode::kBadMessage, "sent", fault.what()};
+    return Error{ErrorCode::kBadMessage, "datagram", fault.what()};
   }
-  return news;
-}
-
-bool IsRouterNews(std::span<const uint8_t> bytes) {
-  const json message = DecodeAny(bytes);
-  return HasVersion(message) && message.contains("sent");
-}
-
-std::vector<uint8_t> EncodeSubscription() {
-  return json::to_cbor(json{{"v", kProtocolVersion}, {"subscribe", true}});
-}
-
-bool IsSubscription(std::span<const uint8_t> bytes) {
-  const json message = DecodeAny(bytes);
-  return HasVersion(message) && message.contains("subscribe");
 }
 
 AgentLink::AgentLink(asio::io_context& context, Receiver receiver)
--- a/src/libdaemon/platform_view_test.cc
+++ b/src/libdaemon/platform_view_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "dogwoodlatch/testing/virtual_time.h"
+
 namespace dogwoodlatch::daemon {
 namespace {
 
@@ -9,8 +11,6 @@
 using platform::StoredObject;
 using std::chrono::milliseconds;
 
-TimePoint At(int64_t ms) { return TimePoint(milliseconds(ms)); }
-
 StoredObject Object(std::string name, uint64_t revision,
                     nlohmann::json content) {
   StoredObject object;
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -233,7 +233,7 @@
 void Router::Subscribe(TimePoint now) {
   if (!link_ || now < next_subscription_) return;
   next_subscription_ = now + kSubscriptionPeriod;
-  const std::vector<uint8_t> datagram = EncodeSubscription();
+  const std::vector<uint8_t> datagram = Encode(Subscription{});
   for (const auto& [id, target] : view_.fleet().targets()) {
     const auto endpoint = dataplane::ParseEndpoint(target->record.address);
     if (!endpoint || !IsModelTarget(*target)) continue;
@@ -243,20 +243,18 @@
 
 void Router::OnDatagram(const asio::ip::udp::endpoint& from,
                         std::span<const uint8_t> bytes) {
-  const auto complain = [](const Error& fault) {
-    LogEvent(EventId::kBadMessage, {{"fault", ToString(fault)}});
-  };
-  if (IsRouterNews(bytes)) {
-    const Result<RouterNews> news = DecodeRouterNews(bytes);
-    if (!news) return complain(news.error());
+  const Result<Datagram> datagram = DecodeDatagram(bytes);
+  if (!datagram) {
+    LogEvent(EventId::kBadMessage, {{"fault", ToString(datagram.error())}});
+    return;
+  }
+  if (const auto* news = std::get_if<TargetNews>(&datagram.value())) {
+    OnTargetNews(*news);
+  } else if (const auto* sent = std::get_if<RouterNews>(&datagram.value())) {
     const uint64_t router =
         (uint64_t{from.address().to_v4().to_uint()} << 16) | from.port();
-    OnRouterNews(router, news.value());
-    return;
+    OnRouterNews(router, *sent);
   }
-  const Result<TargetNews> news = DecodeNews(bytes);
-  if (!news) return complain(news.error());
-  OnTargetNews(news.value());
 }
 
 void Router::OnTargetNews(const TargetNews& news) {
--- a/src/libdataplane/upstream_connection.cc
+++ b/src/libdataplane/upstream_connection.cc
@@ -141,6 +141,14 @@
          listener_ == nullptr;
 }
 
+bool UpstreamConnection::OnHead(const AnswerHead& head) {
+  return listener_ != nullptr && listener_->OnHead(head);
+}
+
+void UpstreamConnection::OnBody(std::string_view bytes) {
+  if (listener_ != nullptr) listener_->OnBody(bytes);
+}
+
 void UpstreamConnection::ReadMore() {
   if (is_reading_ || is_paused_) return;
   is_reading_ = true;
@@ -176,7 +184,7 @@
 void UpstreamConnection::Consume() {
   // Callbacks may cancel or drop this connection.
   const Pointer keep = shared_from_this();
-  const bool is_valid = reader_.Feed(input_, *listener_);
+  const bool is_valid = reader_.Feed(input_, *this);
   if (listener_ == nullptr) return;
   if (!is_valid) {
     Break();
--- a/src/libdataplane/upstream_connection_test.cc
+++ b/src/libdataplane/upstream_connection_test.cc
@@ -103,13 +103,17 @@
     context_.run_for(milliseconds(20));
   }
 
-  Recorder Ask(const std::string& id) {
-    Recorder recorder;
-    recorder.expected_id = id;
+  void Ask(AnswerListener& listener) {
     connection_->Send(RequestHead("GET", "/", {{"Host", "x"}}, 0), nullptr,
-                      &recorder);
+                      &listener);
     context_.restart();
     context_.run_for(milliseconds(100));
+  }
+
+  Recorder Ask(const std::string& id) {
+    Recorder recorder;
+    recorder.expected_id = id;
+    Ask(recorder);
     if (!recorder.has_ended && !recorder.is_broken) connection_->Cancel();
     return recorder;
   }
@@ -165,6 +169,33 @@
             .is_broken);
 }
 
+// Ends the exchange with the first part of the answer.
+class Quitter final : public AnswerListener {
+ public:
+  bool OnHead(const AnswerHead& /*head*/) override { return true; }
+  void OnBody(std::string_view /*bytes*/) override {
+    ++parts;
+    connection->Cancel();
+  }
+  void OnEnd() override { ++endings; }
+  void OnBroken() override { ++endings; }
+
+  UpstreamConnection* connection = nullptr;
+  int parts = 0;
+  int endings = 0;
+};
+
+TEST_CASE("a listener that has cancelled hears nothing more") {
+  Connected connected(
+      {{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\na\r\n1\r\nb\r\n1\r\nc\r\n0\r\n\r\n"}});
+  Quitter quitter;
+  quitter.connection = &connected.connection();
+  connected.Ask(quitter);
+  CHECK(quitter.parts == 1);
+  CHECK(quitter.endings == 0);
+}
+
 TEST_CASE("addresses are numbers and a port") {
   CHECK(ParseEndpoint("10.0.0.1:80")->port() == 80);
   CHECK_FALSE(ParseEndpoint("10.0.0.1"));
--- /dev/null
+++ b/src/libserving/attempt_rules_test.cc
@@ -0,0 +1,126 @@
+#include "dogwoodlatch/serving/attempt_rules.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+
+namespace dogwoodlatch::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kMuchTime = std::chrono::seconds(5);
+
+Route MakeRoute(RouteKind kind, int attempts, bool resumable = false) {
+  Route route;
+  route.kind = kind;
+  route.max_attempts = attempts;
+  route.resumable = resumable;
+  return route;
+}
+
+enum class Step { kConnectFails, kNotRun, kGood, kFailure, kUnusable };
+
+// A request's life over any answers, as the router plays it: the rules decide
+// whether it goes on and how it ends.
+struct Life {
+  RequestProgress progress;
+  int targets_that_may_have_run = 0;
+  bool has_ended = false;
+  LastWord last_word = LastWord::kRefuse;
+  bool is_delivered = false;
+
+  void Take(Step step, const Route& route) {
+    const auto end_unless = [this](bool goes_on) {
+      if (goes_on) return;
+      has_ended = true;
+      last_word = LastWordFor(progress);
+    };
+    switch (step) {
+      case Step::kConnectFails:
+        ++progress.connect_failures;
+        end_unless(MayConnectAgain(progress));
+        return;
+      case Step::kNotRun:
+        ++progress.sends;
+        end_unless(MaySendAgain(progress, kMuchTime));
+        return;
+      case Step::kGood:
+      case Step::kFailure:
+        ++progress.sends;
+        ++targets_that_may_have_run;
+        has_ended = is_delivered = true;
+        return;
+      case Step::kUnusable:
+        ++progress.sends;
+        ++progress.runs;
+        ++targets_that_may_have_run;
+        end_unless(MayRunAgain(route, progress, kMuchTime));
+        return;
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE("an answer is delivered only if its target vouches for it") {
+  CHECK(Judge({200, true, false}) == AnswerVerdict::kGood);
+  CHECK(Judge({200, false, false}) == AnswerVerdict::kUnusable);
+  CHECK(Judge({500, true, false}) == AnswerVerdict::kFailure);
+  CHECK(Judge({500, false, false}) == AnswerVerdict::kUnusable);
+}
+
+TEST_CASE("a promise of not run is believed from the target alone") {
+  for (const int status : {408, 421, 429, 503}) {
+    CHECK(Judge({status, true, false}) == AnswerVerdict::kUnusable);
+    CHECK(Judge({status, true, true}) == AnswerVerdict::kNotRun);
+    CHECK(Judge({status, false, true}) == AnswerVerdict::kNotRun);
+  }
+}
+
+TEST_CASE("whatever targets do, nothing runs too often or is told untruly") {
+  rc::prop("any answers", [] {
+    const auto kind = *rc::gen::element(
+        RouteKind::kIdempotent, RouteKind::kNonIdempotent, RouteKind::kStream);
+    const Route route =
+        MakeRoute(kind, *rc::gen::inRange(1, 4), *rc::gen::arbitrary<bool>());
+    const bool breaks_midway =
+        kind == RouteKind::kStream && *rc::gen::arbitrary<bool>();
+    Life life;
+    for (int i = 0; i < 20 && !life.has_ended; ++i) {
+      const Step step =
+          *rc::gen::element(Step::kConnectFails, Step::kNotRun, Step::kGood,
+                            Step::kFailure, Step::kUnusable);
+      if (step == Step::kUnusable && breaks_midway) {
+        life.progress.stream_started = true;
+      }
+      life.Take(step, route);
+    }
+    RC_ASSERT(life.has_ended);
+    const int allowed = route.MayRepeat() ? route.max_attempts : 1;
+    RC_ASSERT(life.targets_that_may_have_run <= allowed);
+    if (life.is_delivered) return;
+    const bool has_run = life.targets_that_may_have_run > 0;
+    RC_ASSERT((life.last_word == LastWord::kRefuse) == !has_run);
+    RC_ASSERT((life.last_word == LastWord::kBreakOff) ==
+              life.progress.stream_started);
+  });
+}
+
+// A stream broke off, the second target refused the rest, and the failure's
+// head was written into the middle of the body.
+TEST_CASE("nothing but the stream itself may follow its beginning") {
+  RequestProgress progress{.sends = 2, .runs = 1, .stream_started = true};
+  CHECK(LastWordFor(progress) == LastWord::kBreakOff);
+  progress.stream_started = false;
+  CHECK(LastWordFor(progress) == LastWord::kFail);
+  CHECK(LastWordFor({.sends = 2}) == LastWord::kRefuse);
+}
+
+TEST_CASE("nothing is sent when too little time is left") {
+  const Route route = MakeRoute(RouteKind::kIdempotent, 2);
+  CHECK_FALSE(MayRunAgain(route, {.sends = 1, .runs = 1}, milliseconds(5)));
+  CHECK_FALSE(MaySendAgain({.sends = 1}, milliseconds(5)));
+}
+
+}  // namespace dogwoodlatch::serving
--- a/src/libserving/fleet_test.cc
+++ b/src/libserving/fleet_test.cc
@@ -2,13 +2,13 @@
 
 #include <catch2/catch.hpp>
 
+#include "dogwoodlatch/testing/virtual_time.h"
+
 namespace dogwoodlatch::serving {
 namespace {
 
 using std::chrono::milliseconds;
 
-TimePoint At(int64_t ms) { return TimePoint(milliseconds(ms)); }
-
 TargetRecord Record(std::string id, int64_t started_ms = 1) {
   TargetRecord record;
   record.id = std::move(id);
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -109,10 +109,16 @@
   group.shared_parts = SharedPartKeys(*request.prompt, group.cache_group);
   const uint64_t affinity =
       group.shared_parts.empty() ? 0 : group.shared_parts.back();
-  std::ranges::sort(targets, std::ranges::greater{},
-                    [&](const TargetPtr& target) {
-                      return Hash(target->record.id, affinity);
-                    });
+  std::vector<std::pair<uint64_t, TargetPtr>> by_rank;
+  by_rank.reserve(targets.size());
+  for (TargetPtr& target : targets) {
+    const uint64_t rank = Hash(target->record.id, affinity);
+    by_rank.emplace_back(rank, std::move(target));
+  }
+  std::ranges::sort(by_rank, std::ranges::greater{},
+                    [](const auto& entry) { return entry.first; });
+  targets.clear();
+  for (auto& [rank, target] : by_rank) targets.push_back(std::move(target));
   for (const TargetPtr& target : targets) {
     group.cached_anywhere = std::max(
         group.cached_anywhere, LeadingParts(*target, group.shared_parts, now));
--- a/src/libserving/placement_test.cc
+++ b/src/libserving/placement_test.cc
@@ -4,13 +4,13 @@
 #include <map>
 #include <set>
 
+#include "dogwoodlatch/testing/virtual_time.h"
+
 namespace dogwoodlatch::serving {
 namespace {
 
 using std::chrono::milliseconds;
 
-TimePoint At(int64_t ms) { return TimePoint(milliseconds(ms)); }
-
 Fleet::TargetPtr MakeTarget(int number, uint64_t weights = 1,
                             std::string domain = "a") {
   auto target = std::make_shared<Target>();
--- a/src/libserving/saved_parts_test.cc
+++ b/src/libserving/saved_parts_test.cc
@@ -2,13 +2,9 @@
 
 #include <catch2/catch.hpp>
 
-namespace dogwoodlatch::serving {
-namespace {
-
-TimePoint At(int64_t ms) { return TimePoint(std::chrono::milliseconds(ms)); }
-
-}  // namespace
+#include "dogwoodlatch/testing/virtual_time.h"
 
+namespace dogwoodlatch::serving {
 TEST_CASE(
     "a part is saved once, and again when the store may have dropped it") {
   SavedParts parts;
--- a/src/libserving/stop_plan_test.cc
+++ b/src/libserving/stop_plan_test.cc
@@ -2,13 +2,13 @@
 
 #include <catch2/catch.hpp>
 
+#include "dogwoodlatch/testing/virtual_time.h"
+
 namespace dogwoodlatch::serving {
 namespace {
 
 using std::chrono::milliseconds;
 
-TimePoint At(int64_t ms) { return TimePoint(milliseconds(ms)); }
-
 Route MakeRoute(RouteKind kind, int64_t timeout_ms) {
   Route route;
   route.kind = kind;
--- a/testsuite/fleet_path/run.py
+++ b/testsuite/fleet_path/run.py
@@ -56,6 +56,13 @@
     print("stream resumed", status, ids, "runs", sum(len(model.ran) for model in models))
     clear(models)
 
+    # The stream breaks in the middle and nobody takes the rest: it ends, and nothing else may follow in its place.
+    models[0].behaviour = models[1].behaviour = ["broken", "full", "full"]
+    received = fleet.raw_stream(ROUTER)
+    print("stream nobody finishes", received.count("id: "), "events", received.count("HTTP/1.1"), "head, complete",
+          received.endswith("0\r\n\r\n"))
+    clear(models)
+
     clear(plains)
     both(plains, "lost")
     print("write lost", fleet.request(ROUTER, "/write/x", "POST", b"1")[0], "runs",
