Give routed requests, outcomes and milliseconds one place each

Cause: the newcomer's reading.

Change: RoutedRequest with what goes with it to a target, Outcome in its own unit, the fingerprint beside the poison guard, LogMillis and MillisOf once. No behaviour changes.

--- a/src/dogwoodlatch-agent/agent_settings.cc
+++ b/src/dogwoodlatch-agent/agent_settings.cc
@@ -5,8 +5,6 @@
 namespace dogwoodlatch::agent {
 namespace {
 
-using std::chrono::milliseconds;
-
 constexpr std::array kSchema = {
     KeySpec{"id", ValueType::kString, "characters", 1, 64, "",
             "Name of this process."},
@@ -49,10 +47,6 @@
             "to other targets."},
 };
 
-milliseconds Millis(const nlohmann::json& value) {
-  return milliseconds(value.get<int64_t>());
-}
-
 }  // namespace
 
 std::span<const KeySpec> AgentSchema() { return kSchema; }
@@ -67,17 +61,17 @@
       target["kind"] == "engine" ? RequestKind::kChat : RequestKind::kService;
   settings.target_id.value = target["id"];
   settings.platform = {document["platform"]["address"],
-                       Millis(document["platform"]["timeout_ms"])};
+                       MillisOf(document["platform"]["timeout_ms"])};
   settings.target_address = target["address"];
-  settings.health_interval = Millis(target["health_interval_ms"]);
-  settings.target_timeout = Millis(target["timeout_ms"]);
+  settings.health_interval = MillisOf(target["health_interval_ms"]);
+  settings.target_timeout = MillisOf(target["timeout_ms"]);
   settings.limits.max_running = document["limits"]["max_running"];
   settings.admission.max_queued_tokens =
       document["limits"]["max_queued_tokens"];
   settings.admission.max_engine_tokens =
       document["limits"]["max_engine_tokens"];
-  settings.drain_timeout = Millis(document["drain_timeout_ms"]);
-  settings.handover_after = Millis(document["handover_after_ms"]);
+  settings.drain_timeout = MillisOf(document["drain_timeout_ms"]);
+  settings.handover_after = MillisOf(document["handover_after_ms"]);
   return settings;
 }
 
--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -13,7 +13,9 @@
 #include <vector>
 
 #include "dogwoodlatch/daemon/metrics.h"
+#include "dogwoodlatch/daemon/outcome.h"
 #include "dogwoodlatch/daemon/platform_view.h"
+#include "dogwoodlatch/daemon/routed_request.h"
 #include "dogwoodlatch/daemon/target_attempt.h"
 #include "dogwoodlatch/dataplane/door_session.h"
 #include "dogwoodlatch/dataplane/upstream_connection.h"
@@ -48,22 +50,6 @@
   size_t in_progress = 0;
 };
 
-/// How a request ended, for logs and metrics.
-enum class Outcome {
-  kServed,        ///< a target's good answer, complete
-  kTargetFailed,  ///< a target's own failure, passed on
-  kRefused,       ///< not run: no target could take it
-  kRefusedStale,  ///< not run: the configuration's age is over the bound
-  kDenied,        ///< no such route or key
-  kUnknown,       ///< it may have run; its answer is lost
-  kTimedOut,      ///< its deadline or the route's time-out has passed
-  kStreamBroken,  ///< its stream ended early
-  kCallerGone,    ///< the caller has left
-  kPoisoned       ///< it broke targets and is not sent again
-};
-
-std::string_view ToString(Outcome outcome);
-
 /// Decides which targets are tried and what the caller gets; what is sent to
 /// one of them is the attempt's.
 class Exchange final : public AttemptOwner,
@@ -89,10 +75,6 @@
   bool PassDoor();
   void StartDeadline();
   void TryTarget();
-  std::optional<serving::Placement> Place() const;
-  std::optional<Duration> IsTooLate(const serving::Placement& placement) const;
-  platform::ForwardingFacts MakeForwarding(
-      const std::vector<uint64_t>& shared_parts);
   void NoteSend(const std::vector<uint64_t>& shared_parts);
   void RelayEvents(std::string_view events);
   void OnNotRun();
@@ -113,11 +95,7 @@
   dataplane::DoorSession::Pointer session_;
   dataplane::Request request_;
   std::shared_ptr<const std::string> body_;
-  platform::RequestFacts facts_;
-  PlatformView::ConfigurationPtr configuration_;
-  const serving::Route* route_ = nullptr;
-  const serving::Workspace* workspace_ = nullptr;
-  std::string service_;
+  RoutedRequest routed_;
   uint64_t fingerprint_ = 0;
   TimePoint arrived_;
   TimePoint answer_by_;
--- a/src/include/dogwoodlatch/schema.h
+++ b/src/include/dogwoodlatch/schema.h
@@ -3,6 +3,7 @@
 /// same table.
 #pragma once
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <span>
 #include <string>
@@ -43,6 +44,9 @@
 nlohmann::json FillDefaults(const nlohmann::json& document,
                             std::span<const KeySpec> schema);
 
+/// The value of a checked key that holds whole milliseconds.
+std::chrono::milliseconds MillisOf(const nlohmann::json& value);
+
 /// The reference of a table, a line a key, for `settings explain`.
 std::string Explain(std::span<const KeySpec> schema);
 
--- a/src/include/dogwoodlatch/serving/poison_guard.h
+++ b/src/include/dogwoodlatch/serving/poison_guard.h
@@ -2,12 +2,17 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 #include <unordered_map>
 
 #include "dogwoodlatch/time.h"
 
 namespace dogwoodlatch::serving {
 
+/// The same for every repetition of a request by its caller.
+uint64_t RequestFingerprint(std::string_view path, std::string_view workspace,
+                            std::string_view body);
+
 /// Counts, by fingerprint, how often a connection broke while a target ran the
 /// request. A caller's repetition bears another id but the same fingerprint.
 class PoisonGuard {
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "dogwoodlatch/time.h"
+
 namespace dogwoodlatch {
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
@@ -66,6 +68,9 @@
 using EventFields =
     std::initializer_list<std::pair<std::string_view, std::string>>;
 
+/// A span in whole milliseconds, as log fields give it.
+std::string LogMillis(Duration span);
+
 /// Writes "E<number> <name> key=value ..." at the event's severity.
 void LogEvent(EventId id, EventFields fields);
 
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -40,10 +40,6 @@
 // Targets are listed at this period for the sake of newcomers.
 constexpr milliseconds kTargetPoll{4000};
 
-std::string Millis(Duration duration) {
-  return std::to_string(duration.count() / 1000);
-}
-
 // Routers named in one datagram, which is to fit into one packet.
 constexpr size_t kMaxNamedRouters = 40;
 
@@ -173,8 +169,8 @@
       LogEvent(EventId::kWeightsLoaded,
                {{"model", model},
                 {"version", std::to_string(version)},
-                {"took_ms", Millis(now - ordered_at_)},
-                {"after_runs_ms", Millis(now - runs_ended_at_)}});
+                {"took_ms", LogMillis(now - ordered_at_)},
+                {"after_runs_ms", LogMillis(now - runs_ended_at_)}});
     }
   }
   report_ = report.value();
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -3,11 +3,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "dogwoodlatch/daemon/boot_clock.h"
-#include "dogwoodlatch/serving/admission.h"
 #include "dogwoodlatch/serving/door_check.h"
 #include "dogwoodlatch/util/log.h"
 
@@ -30,9 +28,6 @@
 constexpr milliseconds kLeastPlainPatience{150};
 constexpr milliseconds kStreamPatience{900};
 
-// Weights are overdue from here on: their answers earn less.
-constexpr Duration kWeightsGrace = milliseconds(1500);
-
 constexpr milliseconds kStartingDelay{400};  // until a configuration is known
 constexpr milliseconds kStaleDelay{800};     // until the store may be back
 constexpr milliseconds kStoppingDelay{50};   // other routers take it
@@ -47,17 +42,6 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-uint64_t Fingerprint(std::string_view path, std::string_view workspace,
-                     std::string_view body) {
-  uint64_t hash = XXH64(path.data(), path.size(), 0);
-  hash = XXH64(workspace.data(), workspace.size(), hash);
-  return XXH64(body.data(), body.size(), hash);
-}
-
-std::string Millis(Duration duration) {
-  return std::to_string(duration.count() / 1000);
-}
-
 milliseconds PatienceOf(const serving::Route& route) {
   if (!route.MayRepeat()) return milliseconds(0);
   return route.kind == RouteKind::kStream
@@ -67,21 +51,14 @@
 
 }  // namespace
 
-std::string_view ToString(Outcome outcome) {
-  static constexpr std::array<std::string_view, 10> kNames = {
-      "served",  "target_failed", "refused",       "refused_stale", "denied",
-      "unknown", "timed_out",     "stream_broken", "caller_gone",   "poisoned"};
-  return kNames.at(static_cast<size_t>(outcome));
-}
-
 Exchange::Exchange(ExchangeContext& context,
                    dataplane::DoorSession::Pointer session,
                    dataplane::Request request)
     : context_(context),
       session_(std::move(session)),
       request_(std::move(request)),
-      facts_(platform::DecodeRequest(request_.headers)),
-      configuration_(context.view.configuration()),
+      routed_{.facts = platform::DecodeRequest(request_.headers),
+              .configuration = context.view.configuration()},
       arrived_(SteadyNow()),
       answer_by_(arrived_),
       deadline_timer_(context.io) {
@@ -93,30 +70,32 @@
 void Exchange::Start() {
   session_->NotifyGone([self = shared_from_this()] { self->OnCallerGone(); });
   if (!PassDoor()) return;
-  fingerprint_ =
-      Fingerprint(request_.target,
-                  workspace_ ? workspace_->name : std::string(), request_.body);
+  fingerprint_ = serving::RequestFingerprint(
+      request_.target,
+      routed_.workspace ? routed_.workspace->name : std::string(),
+      request_.body);
   if (context_.poison.IsBlocked(fingerprint_, arrived_)) {
     Fail(Outcome::kPoisoned, kBadGateway);
     return;
   }
   body_ = std::make_shared<const std::string>(std::move(request_.body));
-  service_ = serving::Configuration::PickService(
-      *route_, XXH64(facts_.id.data(), facts_.id.size(), 0));
+  routed_.service = serving::Configuration::PickService(
+      *routed_.route,
+      XXH64(routed_.facts.id.data(), routed_.facts.id.size(), 0));
   StartDeadline();
   TryTarget();
 }
 
 bool Exchange::PassDoor() {
   const serving::DoorDecision decision = serving::CheckAtDoor(
-      configuration_.get(), context_.view.freshness(),
-      {.id = facts_.id,
+      routed_.configuration.get(), context_.view.freshness(),
+      {.id = routed_.facts.id,
        .host = dataplane::FindHeader(request_.headers, "host"),
        .path = request_.path(),
-       .key = facts_.key},
+       .key = routed_.facts.key},
       context_.configuration_bound, BootNow());
-  route_ = decision.route;
-  workspace_ = decision.workspace;
+  routed_.route = decision.route;
+  routed_.workspace = decision.workspace;
   switch (decision.verdict) {
     case DoorVerdict::kStarting:
       Refuse(Outcome::kRefused, kStartingDelay);
@@ -136,7 +115,7 @@
     case DoorVerdict::kAllowed:
       break;
   }
-  if (context_.stop && !context_.stop->Accepts(*route_, arrived_)) {
+  if (context_.stop && !context_.stop->Accepts(*routed_.route, arrived_)) {
     Refuse(Outcome::kRefused, kStoppingDelay);
     return false;
   }
@@ -144,8 +123,10 @@
 }
 
 void Exchange::StartDeadline() {
-  milliseconds allowed = route_->timeout;
-  if (facts_.time_left) allowed = std::min(allowed, *facts_.time_left);
+  milliseconds allowed = routed_.route->timeout;
+  if (routed_.facts.time_left) {
+    allowed = std::min(allowed, *routed_.facts.time_left);
+  }
   answer_by_ = arrived_ + allowed;
   deadline_timer_.expires_after(allowed);
   deadline_timer_.async_wait(
@@ -158,76 +139,50 @@
   return std::chrono::duration_cast<milliseconds>(answer_by_ - SteadyNow());
 }
 
-std::optional<serving::Placement> Exchange::Place() const {
-  const TimePoint now = SteadyNow();
-  serving::PlacementRequest wanted;
-  wanted.tried = tried_;
-  if (workspace_ != nullptr && workspace_->isolated) {
-    wanted.workspace = workspace_->name;
-  }
-  if (route_->carries_prompt && !facts_.prompt.model.empty()) {
-    wanted.prompt = &facts_.prompt;
-    const auto named = context_.view.weights().find(facts_.prompt.model);
-    if (named != context_.view.weights().end()) {
-      wanted.newest_weights = named->second.newest();
-      wanted.weights_overdue =
-          now - named->second.newest_since() > kWeightsGrace;
-    }
-    wanted.oldest_weights =
-        context_.view.OldestWeights(facts_.prompt.model, now);
-    wanted.kept_cache = configuration_->KeptCacheFor(context_.failure_domain);
-    wanted.saved_parts = &context_.saved_parts;
-  }
-  return context_.placement.Choose(context_.view.fleet().Serving(service_, now),
-                                   wanted, now);
-}
-
-// Only before the first send: what has begun is worth finishing.
-std::optional<Duration> Exchange::IsTooLate(
-    const serving::Placement& placement) const {
-  const bool is_fresh = progress_.sends == 0 && progress_.connect_failures == 0;
-  if (!is_fresh || placement.weights == 0) return std::nullopt;
-  return serving::RefuseAsTooLate(
-      {.objective = route_->objective,
-       .time_left = TimeLeft(),
-       .backlog = placement.backlog,
-       .prefill = placement.prefill,
-       .is_stream = route_->kind == RouteKind::kStream});
-}
-
 void Exchange::TryTarget() {
   if (TimeLeft() < serving::LeastTimeToSend()) {
     OnDeadline();
     return;
   }
-  std::optional<serving::Placement> placement = Place();
+  std::optional<serving::Placement> placement =
+      PlaceRequest(routed_,
+                   {.view = context_.view,
+                    .policy = context_.placement,
+                    .saved_parts = context_.saved_parts,
+                    .failure_domain = context_.failure_domain},
+                   tried_, SteadyNow());
   if (!placement) {
     GiveUp();
     return;
   }
   const std::string target_id = placement->target->record.id;
-  if (const auto again = IsTooLate(*placement)) {
-    LogEvent(EventId::kRequestTooLate,
-             {{"request", facts_.id},
-              {"target", target_id},
-              {"backlog_ms", Millis(placement->backlog)},
-              {"prefill_ms", Millis(placement->prefill)},
-              {"objective_ms", std::to_string(route_->objective.count())}});
+  // What has begun is worth finishing.
+  const bool is_fresh = progress_.sends == 0 && progress_.connect_failures == 0;
+  const auto again = is_fresh ? RefuseAsTooLate(routed_, *placement, TimeLeft())
+                              : std::nullopt;
+  if (again) {
+    LogEvent(
+        EventId::kRequestTooLate,
+        {{"request", routed_.facts.id},
+         {"target", target_id},
+         {"backlog_ms", LogMillis(placement->backlog)},
+         {"prefill_ms", LogMillis(placement->prefill)},
+         {"objective_ms", std::to_string(routed_.route->objective.count())}});
     Refuse(Outcome::kRefused, std::chrono::duration_cast<milliseconds>(*again));
     return;
   }
   attempt_ = std::make_shared<TargetAttempt>(
       context_.io, context_.pool, *this, *std::move(placement),
-      AttemptRequest{.id = facts_.id,
-                     .is_stream = route_->kind == RouteKind::kStream,
-                     .patience = PatienceOf(*route_)});
+      AttemptRequest{.id = routed_.facts.id,
+                     .is_stream = routed_.route->kind == RouteKind::kStream,
+                     .patience = PatienceOf(*routed_.route)});
   const Duration longest_idle =
-      route_->MayRepeat() ? kLongestIdleRepeatable : kLongestIdleOnce;
+      routed_.route->MayRepeat() ? kLongestIdleRepeatable : kLongestIdleOnce;
   if (!attempt_->Connect(longest_idle)) OnNoConnection("no address");
 }
 
 void Exchange::OnNoConnection(const std::string& reason) {
-  LogEvent(EventId::kTargetAvoided, {{"request", facts_.id},
+  LogEvent(EventId::kTargetAvoided, {{"request", routed_.facts.id},
                                      {"target", attempt_->target_id()},
                                      {"reason", reason}});
   LeaveAttempt();
@@ -253,48 +208,26 @@
     TryTarget();
     return;
   }
-  const std::vector<uint64_t> shared_parts =
-      serving::SharedPartKeys(facts_.prompt, attempt_->placement().cache_group);
+  const std::vector<uint64_t> shared_parts = serving::SharedPartKeys(
+      routed_.facts.prompt, attempt_->placement().cache_group);
+  const bool saves =
+      ShouldSave(routed_, shared_parts, context_.saved_parts, SteadyNow());
+  platform::ForwardingFacts forwarding = MakeForwarding(
+      routed_, attempt_->placement(), saves, context_.failure_domain);
+  forwarding.time_left = TimeLeft();
+  forwarding.last_event_id = cutter_.last_id();
   const dataplane::HeaderList headers =
-      platform::ForwardHeaders(request_.headers, MakeForwarding(shared_parts));
+      platform::ForwardHeaders(request_.headers, forwarding);
   NoteSend(shared_parts);
   attempt_->Send(dataplane::RequestHead(request_.method, request_.target,
                                         headers, body_->size()),
                  body_);
 }
 
-platform::ForwardingFacts Exchange::MakeForwarding(
-    const std::vector<uint64_t>& shared_parts) {
-  const serving::Placement& placement = attempt_->placement();
-  platform::ForwardingFacts forwarding;
-  forwarding.target_id = attempt_->target_id();
-  forwarding.cache_group = placement.cache_group;
-  forwarding.weights = placement.weights;
-  forwarding.fetch_from = placement.fetch_from;
-  forwarding.time_left = TimeLeft();
-  forwarding.priority = route_->priority;
-  if (workspace_ != nullptr) {
-    forwarding.workspace = workspace_->name;
-    forwarding.priority = workspace_->priority.value_or(route_->priority);
-  }
-  if (cutter_.last_id()) forwarding.last_event_id = cutter_.last_id();
-  if (!shared_parts.empty()) {
-    const uint32_t own_tokens = facts_.prompt.parts.back().tokens;
-    const bool saves = context_.saved_parts.ShouldSave(
-        shared_parts.back(), facts_.prompt.input_tokens - own_tokens,
-        own_tokens, SteadyNow());
-    if (saves) {
-      forwarding.save_to =
-          configuration_->KeptCacheFor(context_.failure_domain);
-    }
-  }
-  return forwarding;
-}
-
 void Exchange::NoteSend(const std::vector<uint64_t>& shared_parts) {
   const TimePoint now = SteadyNow();
   auto& budget =
-      context_.retry_budgets.try_emplace(service_, context_.retry_limits)
+      context_.retry_budgets.try_emplace(routed_.service, context_.retry_limits)
           .first->second;
   if (progress_.sends == 0) budget.OnFirstAttempt(now);
   ++progress_.sends;
@@ -305,17 +238,17 @@
   const serving::Placement& placement = attempt_->placement();
   const auto age = context_.view.freshness().Age(BootNow());
   LogEvent(EventId::kAttemptSent,
-           {{"request", facts_.id},
-            {"route", route_->name},
+           {{"request", routed_.facts.id},
+            {"route", routed_.route->name},
             {"target", attempt_->target_id()},
             {"send", std::to_string(progress_.sends)},
-            {"estimate_ms", Millis(placement.estimate)},
+            {"estimate_ms", LogMillis(placement.estimate)},
             {"missing_tokens", std::to_string(placement.missing_tokens)},
             {"weights", std::to_string(placement.weights)},
             {"fetch_from", placement.fetch_from},
             {"weighed", std::to_string(placement.usable)},
-            {"configuration", std::to_string(configuration_->version())},
-            {"age_ms", age ? Millis(*age) : "none"},
+            {"configuration", std::to_string(routed_.configuration->version())},
+            {"age_ms", age ? LogMillis(*age) : "none"},
             {"left_ms", std::to_string(TimeLeft().count())}});
 }
 
@@ -329,7 +262,7 @@
   if (!first_event_at_) {
     first_event_at_ = SteadyNow();
     context_.metrics.Observe("dogwoodlatch_first_event_ms",
-                             "service=\"" + service_ + "\"",
+                             "service=\"" + routed_.service + "\"",
                              *first_event_at_ - arrived_);
   }
   if (!cutter_.in_sequence()) {
@@ -421,17 +354,17 @@
     context_.pool.Drop(target.record.id);
   } else {
     if (is_misdirected) {
-      target.RaiseWeights({{facts_.prompt.model, answer.weights}});
+      target.RaiseWeights({{routed_.facts.prompt.model, answer.weights}});
     }
     target.signals.OnRefused(now);
   }
   LogEvent(EventId::kAttemptRefused,
-           {{"request", facts_.id},
+           {{"request", routed_.facts.id},
             {"target", target.record.id},
             {"status", std::to_string(attempt_->head().status)},
             {"instance", answer.instance},
             {"weights", std::to_string(answer.weights)},
-            {"after_ms", Millis(now - attempt_->sent_at())}});
+            {"after_ms", LogMillis(now - attempt_->sent_at())}});
   LeaveAttempt();
   if (serving::MaySendAgain(progress_, TimeLeft()) && TakeRetry()) {
     TryTarget();
@@ -453,7 +386,7 @@
   serving::TargetSignals& signals = attempt_->target().signals;
   if (signals.Silence(now) >= kStreamPatience) signals.OnUnreachable(now);
   const bool has_others =
-      context_.view.fleet().Serving(service_, now).size() > 1;
+      context_.view.fleet().Serving(routed_.service, now).size() > 1;
   if (has_others && MayRunAgain()) OnAnswerLost("silent");
 }
 
@@ -462,10 +395,10 @@
   ++progress_.runs;
   cutter_.DropPartial();
   LogEvent(EventId::kAttemptLost,
-           {{"request", facts_.id},
+           {{"request", routed_.facts.id},
             {"target", attempt_->target_id()},
             {"why", std::string(why)},
-            {"after_ms", Millis(SteadyNow() - attempt_->sent_at())},
+            {"after_ms", LogMillis(SteadyNow() - attempt_->sent_at())},
             {"events", std::to_string(cutter_.events())}});
   LeaveAttempt();
   if (cutter_.in_sequence() && MayRunAgain() && TakeRetry()) {
@@ -482,12 +415,12 @@
 }
 
 bool Exchange::MayRunAgain() const {
-  return serving::MayRunAgain(*route_, progress_, TimeLeft()) &&
+  return serving::MayRunAgain(*routed_.route, progress_, TimeLeft()) &&
          !context_.poison.IsBlocked(fingerprint_, SteadyNow());
 }
 
 bool Exchange::TakeRetry() {
-  const auto budget = context_.retry_budgets.find(service_);
+  const auto budget = context_.retry_budgets.find(routed_.service);
   const bool granted = budget != context_.retry_budgets.end() &&
                        budget->second.Withdraw(SteadyNow());
   context_.metrics.Count(granted ? "dogwoodlatch_retries_total"
@@ -543,19 +476,19 @@
   deadline_timer_.cancel();
   const Duration took = SteadyNow() - arrived_;
   const std::string label = "outcome=\"" + std::string(ToString(outcome)) +
-                            "\",service=\"" + service_ + "\"";
+                            "\",service=\"" + routed_.service + "\"";
   context_.metrics.Count("dogwoodlatch_requests_total", label);
   context_.metrics.Observe("dogwoodlatch_request_ms", label, took);
   LogEvent(EventId::kRequestEnded,
-           {{"request", facts_.id},
-            {"route", route_ != nullptr ? route_->name : "none"},
+           {{"request", routed_.facts.id},
+            {"route", routed_.route != nullptr ? routed_.route->name : "none"},
             {"outcome", std::string(ToString(outcome))},
             {"status", std::to_string(status)},
             {"sends", std::to_string(progress_.sends)},
             {"events", std::to_string(cutter_.events())},
             {"first_event_ms",
-             first_event_at_ ? Millis(*first_event_at_ - arrived_) : "none"},
-            {"took_ms", Millis(took)}});
+             first_event_at_ ? LogMillis(*first_event_at_ - arrived_) : "none"},
+            {"took_ms", LogMillis(took)}});
   session_->NotifyGone(nullptr);
   session_.reset();
 }
--- /dev/null
+++ b/src/libdaemon/routed_request.cc
@@ -0,0 +1,84 @@
+#include "dogwoodlatch/daemon/routed_request.h"
+
+#include "dogwoodlatch/serving/admission.h"
+
+namespace dogwoodlatch::daemon {
+namespace {
+
+// Weights are overdue from here on: their answers earn less.
+constexpr Duration kWeightsGrace = std::chrono::milliseconds(1500);
+
+}  // namespace
+
+std::optional<serving::Placement> PlaceRequest(
+    const RoutedRequest& request, const PlacementKnowledge& knowledge,
+    std::span<const std::string> tried, TimePoint now) {
+  const PlatformView& view = knowledge.view;
+  const serving::Prompt& prompt = request.facts.prompt;
+  serving::PlacementRequest wanted;
+  wanted.tried = tried;
+  if (request.workspace != nullptr && request.workspace->isolated) {
+    wanted.workspace = request.workspace->name;
+  }
+  if (request.route->carries_prompt && !prompt.model.empty()) {
+    wanted.prompt = &prompt;
+    const auto named = view.weights().find(prompt.model);
+    if (named != view.weights().end()) {
+      wanted.newest_weights = named->second.newest();
+      wanted.weights_overdue =
+          now - named->second.newest_since() > kWeightsGrace;
+    }
+    wanted.oldest_weights = view.OldestWeights(prompt.model, now);
+    wanted.kept_cache =
+        request.configuration->KeptCacheFor(knowledge.failure_domain);
+    wanted.saved_parts = &knowledge.saved_parts;
+  }
+  return knowledge.policy.Choose(view.fleet().Serving(request.service, now),
+                                 wanted, now);
+}
+
+std::optional<Duration> RefuseAsTooLate(const RoutedRequest& request,
+                                        const serving::Placement& placement,
+                                        Duration left) {
+  const bool is_plain = placement.weights == 0;
+  if (is_plain) return std::nullopt;
+  return serving::RefuseAsTooLate(
+      {.objective = request.route->objective,
+       .time_left = left,
+       .backlog = placement.backlog,
+       .prefill = placement.prefill,
+       .is_stream = request.route->kind == serving::RouteKind::kStream});
+}
+
+platform::ForwardingFacts MakeForwarding(const RoutedRequest& request,
+                                         const serving::Placement& placement,
+                                         bool saves,
+                                         std::string_view failure_domain) {
+  platform::ForwardingFacts forwarding;
+  forwarding.target_id = placement.target->record.id;
+  forwarding.cache_group = placement.cache_group;
+  forwarding.weights = placement.weights;
+  forwarding.fetch_from = placement.fetch_from;
+  forwarding.priority = request.route->priority;
+  if (request.workspace != nullptr) {
+    forwarding.workspace = request.workspace->name;
+    forwarding.priority =
+        request.workspace->priority.value_or(request.route->priority);
+  }
+  if (saves) {
+    forwarding.save_to = request.configuration->KeptCacheFor(failure_domain);
+  }
+  return forwarding;
+}
+
+bool ShouldSave(const RoutedRequest& request,
+                std::span<const uint64_t> shared_parts,
+                serving::SavedParts& saved_parts, TimePoint now) {
+  if (shared_parts.empty()) return false;
+  const serving::Prompt& prompt = request.facts.prompt;
+  const uint32_t own_tokens = prompt.parts.back().tokens;
+  return saved_parts.ShouldSave(
+      shared_parts.back(), prompt.input_tokens - own_tokens, own_tokens, now);
+}
+
+}  // namespace dogwoodlatch::daemon
--- a/src/libdogwoodlatch/schema.cc
+++ b/src/libdogwoodlatch/schema.cc
@@ -209,6 +209,10 @@
   return filled;
 }
 
+std::chrono::milliseconds MillisOf(const nlohmann::json& value) {
+  return std::chrono::milliseconds(value.get<int64_t>());
+}
+
 std::string Explain(std::span<const KeySpec> schema) {
   std::ostringstream out;
   for (const KeySpec& spec : schema) {
--- a/src/libserving/poison_guard.cc
+++ b/src/libserving/poison_guard.cc
@@ -1,5 +1,7 @@
 #include "dogwoodlatch/serving/poison_guard.h"
 
+#include <xxhash.h>
+
 namespace dogwoodlatch::serving {
 namespace {
 
@@ -13,6 +15,13 @@
 
 }  // namespace
 
+uint64_t RequestFingerprint(std::string_view path, std::string_view workspace,
+                            std::string_view body) {
+  uint64_t hash = XXH64(path.data(), path.size(), 0);
+  hash = XXH64(workspace.data(), workspace.size(), hash);
+  return XXH64(body.data(), body.size(), hash);
+}
+
 void PoisonGuard::OnBroken(uint64_t fingerprint, TimePoint now) {
   if (broken_.size() >= kMaxRecords) {
     std::erase_if(broken_, [&](const auto& entry) {
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -185,6 +185,11 @@
 
 std::span<const EventSpec> EventCatalogue() { return kCatalogue; }
 
+std::string LogMillis(Duration span) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
 void LogEvent(EventId id, EventFields fields) {
   const auto spec = std::ranges::find(kCatalogue, id, &EventSpec::id);
   log4cplus::Logger logger = log4cplus::Logger::getRoot();
