Give every process of a case its own port, and report what failed cases logged

A router whose port is taken ends at start, which is what platform_down_restart waits for. Stand-ins even shared a taken port, since cpp-httplib sets SO_REUSEPORT.

--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -12,12 +13,25 @@
 
 HOST = "127.0.0.1"
 WAIT_SECONDS = 10.0
+REPORTED_LINES = 60
+
+
+# Below the ports that the kernel gives to outgoing connections, so that no connection takes a port between its choice
+# and the daemon's start.
+PORTS = list(range(10000, 32000))
+random.shuffle(PORTS)
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """A port that nobody listens on and that this process has not given out before."""
+    while True:
+        port = PORTS.pop()
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+                return port
+            except OSError:
+                continue
 
 
 def request(port, method, path, body=None, headers=None, timeout=30.0):
@@ -117,6 +131,9 @@
 class Cluster:
     """A platform, targets with agents, and routers. Use it in a with statement."""
 
+    # How the processes of the last cluster ended and what they logged, for a case that fails.
+    last_report = []
+
     def __init__(self, bin_dir):
         self.bin_dir = bin_dir
         self.directory = tempfile.TemporaryDirectory()
@@ -131,8 +148,12 @@
         return self
 
     def __exit__(self, *_):
+        ended_early = {process.name: process.child.poll() for process in self.processes}
         for process in reversed(self.processes):
             process.stop(3.0)
+        Cluster.last_report = [f"--- {process.name}, exit code before the end {ended_early[process.name]}\n"
+                               + "".join(process.log().splitlines(True)[-REPORTED_LINES:])
+                               for process in self.processes]
         self.directory.cleanup()
 
     def path(self, name):
--- /dev/null
+++ b/testsuite/cluster_test.py
@@ -0,0 +1,36 @@
+"""The harness itself: ports are given out once, and a case that fails reports what its processes logged."""
+
+import sys
+import unittest
+
+import cluster
+from cluster import Cluster, free_port
+
+PORTS_OF_MANY_CASES = 2000
+FIRST_OUTGOING_PORT = 32768
+
+
+class FreePort(unittest.TestCase):
+    # Two daemons that got the same port: the second ended at once, and the first answered its health checks too.
+    def test_gives_every_port_once(self):
+        ports = [free_port() for _ in range(PORTS_OF_MANY_CASES)]
+        self.assertEqual(len(ports), len(set(ports)))
+
+    def test_leaves_the_ports_of_outgoing_connections(self):
+        self.assertLess(max(free_port() for _ in range(PORTS_OF_MANY_CASES)), FIRST_OUTGOING_PORT)
+
+
+class Report(unittest.TestCase):
+    def test_names_a_process_that_ended_early(self):
+        with Cluster(BIN_DIR) as started:
+            taken = started.platform_port
+            started.spawn("second", started.standin("platform", taken)).child.wait(cluster.WAIT_SECONDS)
+        second = [report for report in Cluster.last_report if "second" in report]
+        self.assertEqual(len(second), 1)
+        self.assertIn("exit code before the end 1", second[0])
+        self.assertIn("cannot listen", second[0])
+
+
+if __name__ == "__main__":
+    BIN_DIR = sys.argv.pop()
+    unittest.main()
