Keep the ports of a daemon that is down for its own case

With the logs of failed cases printed, two loops of cases side by side showed what a run of one cannot: agent_drained 1 time in 42 and platform_down_restart 1 time in 50 ended with "Address already in use" when a daemon started again.

Cause: between the stop and the start again the port is free, and another case may draw it. Some 24 draws fall into the 1.7 s for which agent_drained has its agent down, out of 22,000 ports.

Each process now owns a block of ports, held by a bound socket, so cases on one machine never share a port; the routers' and agents' listen_failed line gives the system's reason. cluster_test draws 2,000 ports in two processes and compares them; it fails on the harness before.

--- a/src/dogwoodlatch-agent/main.cc
+++ b/src/dogwoodlatch-agent/main.cc
@@ -1,6 +1,10 @@
 // dogwoodlatch-agent: stands beside one target, admits orders from routers and
 // runs them there.
 
+#include <cerrno>
+#include <cstring>
+#include <string>
+
 #include "agent.h"
 #include "agent_settings.h"
 #include "dogwoodlatch/util/log.h"
@@ -23,8 +27,10 @@
   };
   OpsServer ops(settings.ops_address, handlers);
   if (!agent.Start() || !ops.Start()) {
+    const std::string fault = std::strerror(errno);
     LogEvent(EventId::kListenFailed, {{"router", settings.router_address},
-                                      {"ops", settings.ops_address}});
+                                      {"ops", settings.ops_address},
+                                      {"fault", fault}});
     return ExitCode::kFailed;
   }
   LogEvent(EventId::kStarted, {{"address", settings.router_address}});
--- a/src/dogwoodlatch-router/main.cc
+++ b/src/dogwoodlatch-router/main.cc
@@ -1,7 +1,9 @@
 // dogwoodlatch-router: takes callers' requests and routes them to the agents
 // beside the targets.
 
-#include <iostream>
+#include <cerrno>
+#include <cstring>
+#include <string>
 
 #include "agent_links.h"
 #include "dogwoodlatch/util/log.h"
@@ -42,8 +44,10 @@
   OpsServer ops(settings.ops_address,
                 MakeOpsHandlers(settings, sync, front, crash_guard));
   if (!front.Start() || !ops.Start()) {
+    const std::string fault = std::strerror(errno);
     LogEvent(EventId::kListenFailed, {{"caller", settings.caller_address},
-                                      {"ops", settings.ops_address}});
+                                      {"ops", settings.ops_address},
+                                      {"fault", fault}});
     return ExitCode::kFailed;
   }
   sync.Start();
--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -18,20 +18,52 @@
 
 # Below the ports that the kernel gives to outgoing connections, so that no connection takes a port between its choice
 # and the daemon's start.
-PORTS = list(range(10000, 32000))
-random.shuffle(PORTS)
+FIRST_PORT, LAST_PORT, BLOCK_PORTS = 10000, 32000, 100
+
+
+class Ports:
+    """Gives out each port once. A block of ports belongs to one process, which holds the block's first port bound, so
+    that cases that run at the same time don't take the port of a daemon that is down for a moment."""
+
+    def __init__(self):
+        self.tokens = []
+        self.left = []
+
+    def take(self):
+        while True:
+            if not self.left:
+                self.left = self.claim_block()
+            port = self.left.pop()
+            with socket.socket() as probe:
+                if is_bound(probe, port):
+                    return port
+
+    def claim_block(self):
+        blocks = list(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+        random.shuffle(blocks)
+        for first in blocks:
+            token = socket.socket()
+            if is_bound(token, first):
+                self.tokens.append(token)
+                return list(range(first + 1, first + BLOCK_PORTS))
+            token.close()
+        raise RuntimeError("every block of ports is taken")
+
+
+def is_bound(probe, port):
+    try:
+        probe.bind((HOST, port))
+        return True
+    except OSError:
+        return False
+
+
+PORTS = Ports()
 
 
 def free_port():
-    """A port that nobody listens on and that this process has not given out before."""
-    while True:
-        port = PORTS.pop()
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-                return port
-            except OSError:
-                continue
+    """A port that nobody listens on and that no case has been given, in this process or another."""
+    return PORTS.take()
 
 
 def request(port, method, path, body=None, headers=None, timeout=30.0):
--- a/testsuite/cluster_test.py
+++ b/testsuite/cluster_test.py
@@ -1,5 +1,7 @@
 """The harness itself: ports are given out once, and a case that fails reports what its processes logged."""
 
+import os
+import subprocess
 import sys
 import unittest
 
@@ -19,6 +21,13 @@
     def test_leaves_the_ports_of_outgoing_connections(self):
         self.assertLess(max(free_port() for _ in range(PORTS_OF_MANY_CASES)), FIRST_OUTGOING_PORT)
 
+    # A daemon that was down for a moment lost its port to another case and could not start again.
+    def test_shares_no_port_with_another_process(self):
+        ours = {free_port() for _ in range(PORTS_OF_MANY_CASES)}
+        command = [sys.executable, "-c", "import cluster\nprint(*(cluster.free_port() for _ in range(2000)))"]
+        printed = subprocess.run(command, capture_output=True, check=True, text=True, cwd=os.path.dirname(os.path.abspath(__file__)))
+        self.assertEqual(ours & {int(port) for port in printed.stdout.split()}, set())
+
 
 class Report(unittest.TestCase):
     def test_names_a_process_that_ended_early(self):
