Tell the other routers which requests broke a target

The fault soak showed the opposite too: five copies of a popular request that met one crash were held back for a minute at a sound fleet.

Routers now tell one another, in the news they send anyway, which request broke which incarnation of a target. An incarnation counts once, three are the limit, and the memory is 20 s, past the longest deadline of a caller.

--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "dogwoodlatch/error.h"
+#include "dogwoodlatch/serving/poison_guard.h"
 #include "dogwoodlatch/serving/rollout.h"
 #include "dogwoodlatch/time.h"
 
@@ -38,7 +39,8 @@
 std::vector<uint8_t> Encode(const TargetNews& news);
 
 /// What a router tells the others: where it sent prompt parts since its last
-/// news, and how long its requests' prompts still take to be read there.
+/// news, how long its requests' prompts still take to be read there, and which
+/// requests broke a target.
 struct RouterNews {
   struct AtTarget {
     std::string target_id;
@@ -49,6 +51,7 @@
   };
   std::vector<AtTarget> targets;
   std::vector<uint64_t> parts_saved;  ///< in the cache store
+  std::vector<serving::BrokenRun> runs_broken{};
 
   bool operator==(const RouterNews&) const = default;
 };
--- a/src/include/dogwoodlatch/serving/poison_guard.h
+++ b/src/include/dogwoodlatch/serving/poison_guard.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "dogwoodlatch/time.h"
 
@@ -13,12 +14,28 @@
 uint64_t RequestFingerprint(std::string_view path, std::string_view workspace,
                             std::string_view body);
 
-/// Counts, by fingerprint, how often a connection broke while a target ran the
-/// request. A caller's repetition bears another id but the same fingerprint.
+/// A target broke off while it ran a request.
+struct BrokenRun {
+  uint64_t request = 0;  ///< its fingerprint
+  uint64_t target = 0;   ///< hash of its id and start
+
+  bool operator==(const BrokenRun&) const = default;
+};
+
+/// Counts, by fingerprint, the targets that broke off while they ran the
+/// request, at this router or another. A caller's repetition bears another id
+/// but the same fingerprint, and may reach any router.
 class PoisonGuard {
  public:
-  /// A target broke off while it ran the request.
-  void OnBroken(uint64_t fingerprint, TimePoint now);
+  /// Seen by this router. A target counts once, however many copies of the
+  /// request it ran when it broke off.
+  void OnBroken(const BrokenRun& run, TimePoint now);
+
+  /// The same, as another router saw it.
+  void OnBrokenElsewhere(const BrokenRun& run, TimePoint now);
+
+  /// What other routers have not been told yet.
+  std::vector<BrokenRun> TakeUntold();
 
   /// The request ended with an answer: it is harmless.
   void OnAnswered(uint64_t fingerprint) { broken_.erase(fingerprint); }
@@ -28,10 +45,13 @@
 
  private:
   struct Record {
-    int count = 0;
+    std::vector<uint64_t> targets;
     TimePoint last{};
   };
+  bool Note(const BrokenRun& run, TimePoint now);
+
   std::unordered_map<uint64_t, Record> broken_;
+  std::vector<BrokenRun> untold_;
 };
 
 }  // namespace dogwoodlatch::serving
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -9,7 +9,7 @@
 using nlohmann::json;
 
 // Raised when a field changes its meaning.
-constexpr int kProtocolVersion = 1;
+constexpr int kProtocolVersion = 2;
 
 // The readers below throw the JSON library's exceptions.
 Result<Datagram> ReadTargetNews(const json& message) {
@@ -38,6 +38,10 @@
     news.targets.push_back(std::move(target));
   }
   message.at("saved").get_to(news.parts_saved);
+  for (const json& entry : message.at("broken")) {
+    news.runs_broken.push_back(
+        {entry.at(0).get<uint64_t>(), entry.at(1).get<uint64_t>()});
+  }
   return news;
 }
 
@@ -60,8 +64,14 @@
     targets.push_back(
         {target.target_id, target.prefill_backlog.count(), target.parts_used});
   }
-  return json::to_cbor(json{
-      {"v", kProtocolVersion}, {"sent", targets}, {"saved", news.parts_saved}});
+  json broken = json::array();
+  for (const serving::BrokenRun& run : news.runs_broken) {
+    broken.push_back({run.request, run.target});
+  }
+  return json::to_cbor(json{{"v", kProtocolVersion},
+                            {"sent", targets},
+                            {"saved", news.parts_saved},
+                            {"broken", broken}});
 }
 
 std::vector<uint8_t> Encode(Subscription /*subscription*/) {
--- a/src/libdaemon/agent_link_test.cc
+++ b/src/libdaemon/agent_link_test.cc
@@ -17,6 +17,7 @@
   RouterNews sent;
   sent.targets.push_back({"i-1", std::chrono::milliseconds(12), {1, ~0ULL}});
   sent.parts_saved = {9};
+  sent.runs_broken = {{7, ~0ULL}};
   CHECK(DecodeDatagram(Encode(sent)).value() == Datagram(sent));
   CHECK(DecodeDatagram(Encode(Subscription{})).value() ==
         Datagram(Subscription{}));
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -375,7 +375,12 @@
 
 void Exchange::OnLost() {
   attempt_->target().signals.OnOutcome(true);
-  context_.poison.OnBroken(fingerprint_, SteadyNow());
+  const serving::TargetRecord& target = attempt_->target().record;
+  const auto started = target.started.time_since_epoch().count();
+  context_.poison.OnBroken({.request = fingerprint_,
+                            .target = XXH64(target.id.data(), target.id.size(),
+                                            static_cast<uint64_t>(started))},
+                           SteadyNow());
   OnAnswerLost("connection broke");
 }
 
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -289,6 +289,9 @@
   for (const uint64_t part : news.parts_saved) {
     context_.saved_parts.OnSaved(part, now);
   }
+  for (const serving::BrokenRun& run : news.runs_broken) {
+    context_.poison.OnBrokenElsewhere(run, now);
+  }
 }
 
 // Tells what is new, and repeats backlogs that last.
@@ -302,6 +305,7 @@
   auto parts_sent = std::exchange(context_.parts_sent, {});
   RouterNews news;
   news.parts_saved = context_.saved_parts.TakeGranted();
+  news.runs_broken = context_.poison.TakeUntold();
   for (const auto& [id, target] : view_.fleet().targets()) {
     if (!IsModelTarget(*target)) continue;
     const Duration backlog = target->signals.own_backlog();
@@ -316,7 +320,7 @@
     if (news.targets.size() < kTargetsInNews) continue;
     SendNews(std::exchange(news, {}));
   }
-  if (!news.targets.empty() || !news.parts_saved.empty()) SendNews(news);
+  if (news != RouterNews{}) SendNews(news);
 }
 
 void Router::SendNews(const RouterNews& news) {
--- a/src/libserving/poison_guard.cc
+++ b/src/libserving/poison_guard.cc
@@ -2,17 +2,23 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace dogwoodlatch::serving {
 namespace {
 
 // Two broken targets may be chance, as targets crash on their own.
-constexpr int kBrokenLimit = 2;
+constexpr size_t kBrokenLimit = 3;
 
-// Long enough to outlast a caller that repeats within its deadline of 15 s.
-constexpr Duration kMemory = std::chrono::seconds(60);
+// Outlasts a caller that repeats within its deadline of 15 s.
+constexpr Duration kMemory = std::chrono::seconds(20);
 
 constexpr size_t kMaxRecords = 4096;
 
+// Keeps the news of a fleet that loses power within one datagram.
+constexpr size_t kMaxUntold = 64;
+
 }  // namespace
 
 uint64_t RequestFingerprint(std::string_view path, std::string_view workspace,
@@ -22,21 +28,39 @@
   return XXH64(body.data(), body.size(), hash);
 }
 
-void PoisonGuard::OnBroken(uint64_t fingerprint, TimePoint now) {
+void PoisonGuard::OnBroken(const BrokenRun& run, TimePoint now) {
+  if (Note(run, now) && untold_.size() < kMaxUntold) untold_.push_back(run);
+}
+
+void PoisonGuard::OnBrokenElsewhere(const BrokenRun& run, TimePoint now) {
+  Note(run, now);
+}
+
+std::vector<BrokenRun> PoisonGuard::TakeUntold() {
+  return std::exchange(untold_, {});
+}
+
+// True if it was not known.
+bool PoisonGuard::Note(const BrokenRun& run, TimePoint now) {
   if (broken_.size() >= kMaxRecords) {
     std::erase_if(broken_, [&](const auto& entry) {
       return now - entry.second.last > kMemory;
     });
   }
-  Record& record = broken_[fingerprint];
-  if (now - record.last > kMemory) record.count = 0;
-  ++record.count;
+  Record& record = broken_[run.request];
+  if (now - record.last > kMemory) record.targets.clear();
   record.last = now;
+  if (std::ranges::find(record.targets, run.target) != record.targets.end()) {
+    return false;
+  }
+  record.targets.push_back(run.target);
+  return true;
 }
 
 bool PoisonGuard::IsBlocked(uint64_t fingerprint, TimePoint now) const {
   const auto found = broken_.find(fingerprint);
-  return found != broken_.end() && found->second.count >= kBrokenLimit &&
+  return found != broken_.end() &&
+         found->second.targets.size() >= kBrokenLimit &&
          now - found->second.last <= kMemory;
 }
 
