--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -3,6 +3,21 @@
 
 # Helpers that declare the project's libraries, programs and tests.
 
+# The sanitizer builds read the large headers once. The plain build does without, so that each
+# file is known to include what it uses.
+function(dogwoodlatch_precompile name)
+  if(DOGWOODLATCH_SANITIZE)
+    target_precompile_headers(${name} PRIVATE ${ARGN})
+  endif()
+endfunction()
+
+# Takes over the headers that another target has read.
+function(dogwoodlatch_reuse_headers name other)
+  if(DOGWOODLATCH_SANITIZE)
+    target_precompile_headers(${name} REUSE_FROM ${other})
+  endif()
+endfunction()
+
 # Adds a static library from the sources of the current folder that are not tests.
 function(dogwoodlatch_add_library name)
   file(GLOB sources CONFIGURE_DEPENDS "*.cc")
@@ -10,6 +25,9 @@
   add_library(${name} STATIC ${sources})
   target_include_directories(${name} PUBLIC "${CMAKE_SOURCE_DIR}/src/include")
   target_link_libraries(${name} PUBLIC ${ARGN})
+  if(NOT name STREQUAL dogwoodlatch_core)
+    dogwoodlatch_reuse_headers(${name} dogwoodlatch_core)
+  endif()
 endfunction()
 
 # Adds a program from the sources of the current folder.
@@ -30,6 +48,7 @@
     get_filename_component(name ${source} NAME_WE)
     add_executable(${name} ${source})
     target_link_libraries(${name} PRIVATE dogwoodlatch_test_main ${RAPIDCHECK_LIBRARY} ${ARGN})
+    dogwoodlatch_reuse_headers(${name} dogwoodlatch_test_headers)
     add_test(NAME ${name} COMMAND ${name})
     add_dependencies(dogwoodlatch_unit_tests ${name})
     # A fixed seed gives the same verdict on every run.
