--- a/src/include/dogwoodlatch/serving/attempt_rules.h
+++ b/src/include/dogwoodlatch/serving/attempt_rules.h
@@ -1,6 +1,8 @@
 /// What a target's answer means for a request, and what may follow.
 #pragma once
 
+#include <chrono>
+
 #include "dogwoodlatch/serving/configuration.h"
 #include "dogwoodlatch/time.h"
 
@@ -53,4 +55,14 @@
 /// The least time in which a target can answer.
 Duration LeastTimeToSend();
 
+/// The longest idle time of a kept connection that may take the request.
+Duration LongestIdleFor(const Route& route);
+
+/// A target that answers nothing for so long is silent for every request.
+inline constexpr std::chrono::milliseconds kLongestPatience{900};
+
+/// How long a request waits for the first byte of an answer before it goes to
+/// another target; 0 when it must not.
+std::chrono::milliseconds PatienceOf(const Route& route);
+
 }  // namespace dogwoodlatch::serving
--- a/src/include/dogwoodlatch/serving/poison_guard.h
+++ b/src/include/dogwoodlatch/serving/poison_guard.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dogwoodlatch/serving/fleet.h"
 #include "dogwoodlatch/time.h"
 
 namespace dogwoodlatch::serving {
@@ -14,10 +15,14 @@
 uint64_t RequestFingerprint(std::string_view path, std::string_view workspace,
                             std::string_view body);
 
+/// The same for all requests that meet one life of a target; another one when
+/// it starts again, also under its old id.
+uint64_t IncarnationKey(const TargetRecord& target);
+
 /// A target broke off while it ran a request.
 struct BrokenRun {
   uint64_t request = 0;  ///< its fingerprint
-  uint64_t target = 0;   ///< hash of its id and start
+  uint64_t target = 0;   ///< its IncarnationKey
 
   bool operator==(const BrokenRun&) const = default;
 };
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -16,18 +16,6 @@
 using serving::RouteKind;
 using std::chrono::milliseconds;
 
-// A kept connection that was idle for longer may be closed at the other end,
-// which a request that must not be repeated would not survive.
-constexpr Duration kLongestIdleOnce = std::chrono::seconds(2);
-constexpr Duration kLongestIdleRepeatable = std::chrono::seconds(60);
-
-// A target that says nothing for so long is given up by requests that may be
-// repeated: for plain requests a multiple of their objective, for streams the
-// time in which callers would leave, less the time of a second attempt.
-constexpr int kPlainPatience = 2;
-constexpr milliseconds kLeastPlainPatience{150};
-constexpr milliseconds kStreamPatience{900};
-
 constexpr milliseconds kStartingDelay{400};  // until a configuration is known
 constexpr milliseconds kStaleDelay{800};     // until the store may be back
 constexpr milliseconds kStoppingDelay{50};   // other routers take it
@@ -42,13 +30,6 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-milliseconds PatienceOf(const serving::Route& route) {
-  if (!route.MayRepeat()) return milliseconds(0);
-  return route.kind == RouteKind::kStream
-             ? kStreamPatience
-             : std::max(kLeastPlainPatience, kPlainPatience * route.objective);
-}
-
 }  // namespace
 
 Exchange::Exchange(ExchangeContext& context,
@@ -175,9 +156,8 @@
       context_.io, context_.pool, *this, *std::move(placement),
       AttemptRequest{.id = routed_.facts.id,
                      .is_stream = routed_.route->kind == RouteKind::kStream,
-                     .patience = PatienceOf(*routed_.route)});
-  const Duration longest_idle =
-      routed_.route->MayRepeat() ? kLongestIdleRepeatable : kLongestIdleOnce;
+                     .patience = serving::PatienceOf(*routed_.route)});
+  const Duration longest_idle = serving::LongestIdleFor(*routed_.route);
   if (!attempt_->Connect(longest_idle)) OnNoConnection("no address");
 }
 
@@ -375,12 +355,10 @@
 
 void Exchange::OnLost() {
   attempt_->target().signals.OnOutcome(true);
-  const serving::TargetRecord& target = attempt_->target().record;
-  const auto started = target.started.time_since_epoch().count();
-  context_.poison.OnBroken({.request = fingerprint_,
-                            .target = XXH64(target.id.data(), target.id.size(),
-                                            static_cast<uint64_t>(started))},
-                           SteadyNow());
+  context_.poison.OnBroken(
+      {.request = fingerprint_,
+       .target = serving::IncarnationKey(attempt_->target().record)},
+      SteadyNow());
   OnAnswerLost("connection broke");
 }
 
@@ -389,7 +367,9 @@
 void Exchange::OnSilent() {
   const TimePoint now = SteadyNow();
   serving::TargetSignals& signals = attempt_->target().signals;
-  if (signals.Silence(now) >= kStreamPatience) signals.OnUnreachable(now);
+  if (signals.Silence(now) >= serving::kLongestPatience) {
+    signals.OnUnreachable(now);
+  }
   const bool has_others =
       context_.view.fleet().Serving(routed_.service, now).size() > 1;
   if (has_others && MayRunAgain()) OnAnswerLost("silent");
--- a/src/libserving/attempt_rules.cc
+++ b/src/libserving/attempt_rules.cc
@@ -13,6 +13,15 @@
 // Crossing to a target in another failure domain and back takes 4 ms.
 constexpr Duration kLeastTimeToSend = std::chrono::milliseconds(6);
 
+// A kept connection that was idle for longer may be closed at the other end,
+// which a request that must not be repeated would not survive.
+constexpr Duration kLongestIdleOnce = std::chrono::seconds(2);
+constexpr Duration kLongestIdleRepeatable = std::chrono::seconds(60);
+
+// Plain requests that may be repeated wait a multiple of their objective.
+constexpr int kPlainPatience = 2;
+constexpr std::chrono::milliseconds kLeastPlainPatience{150};
+
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 // Statuses that promise to callers that the request has not run.
@@ -56,4 +65,17 @@
 
 Duration LeastTimeToSend() { return kLeastTimeToSend; }
 
+Duration LongestIdleFor(const Route& route) {
+  return route.MayRepeat() ? kLongestIdleRepeatable : kLongestIdleOnce;
+}
+
+// Streams wait the time in which callers would leave, less that of a second
+// attempt.
+std::chrono::milliseconds PatienceOf(const Route& route) {
+  if (!route.MayRepeat()) return std::chrono::milliseconds(0);
+  return route.kind == RouteKind::kStream
+             ? kLongestPatience
+             : std::max(kLeastPlainPatience, kPlainPatience * route.objective);
+}
+
 }  // namespace dogwoodlatch::serving
--- a/src/libserving/attempt_rules_test.cc
+++ b/src/libserving/attempt_rules_test.cc
@@ -63,6 +63,21 @@
 
 }  // namespace
 
+TEST_CASE("only what may run twice gives up a silent target") {
+  Route route = MakeRoute(RouteKind::kNonIdempotent, 1);
+  CHECK(PatienceOf(route) == milliseconds(0));
+  CHECK(LongestIdleFor(route) == std::chrono::seconds(2));
+  route = MakeRoute(RouteKind::kIdempotent, 2);
+  route.objective = milliseconds(120);
+  CHECK(PatienceOf(route) == milliseconds(240));
+  route.objective = milliseconds(20);
+  CHECK(PatienceOf(route) == milliseconds(150));
+  CHECK(PatienceOf(MakeRoute(RouteKind::kStream, 2, true)) ==
+        milliseconds(900));
+  CHECK(PatienceOf(MakeRoute(RouteKind::kStream, 2)) == milliseconds(0));
+  CHECK(LongestIdleFor(route) == std::chrono::seconds(60));
+}
+
 TEST_CASE("an answer is delivered only if its target vouches for it") {
   CHECK(Judge({200, true, false}) == AnswerVerdict::kGood);
   CHECK(Judge({200, false, false}) == AnswerVerdict::kUnusable);
--- a/src/libserving/poison_guard.cc
+++ b/src/libserving/poison_guard.cc
@@ -28,6 +28,12 @@
   return XXH64(body.data(), body.size(), hash);
 }
 
+uint64_t IncarnationKey(const TargetRecord& target) {
+  const auto started = target.started.time_since_epoch().count();
+  return XXH64(target.id.data(), target.id.size(),
+               static_cast<uint64_t>(started));
+}
+
 void PoisonGuard::OnBroken(const BrokenRun& run, TimePoint now) {
   if (Note(run, now) && untold_.size() < kMaxUntold) untold_.push_back(run);
 }
--- a/src/libserving/poison_guard_test.cc
+++ b/src/libserving/poison_guard_test.cc
@@ -34,6 +34,18 @@
   CHECK_FALSE(guard.IsBlocked(kRequest, At(seconds(1))));
 }
 
+TEST_CASE("a target that starts again under its id counts again") {
+  TargetRecord target;
+  target.id = "t1";
+  PoisonGuard guard;
+  for (int life = 0; life < 3; ++life) {
+    CHECK_FALSE(guard.IsBlocked(kRequest, At(seconds(life))));
+    target.started += seconds(1);
+    guard.OnBroken({kRequest, IncarnationKey(target)}, At(seconds(life)));
+  }
+  CHECK(guard.IsBlocked(kRequest, At(seconds(3))));
+}
+
 // Many callers ask the same; one crash ends all the runs of it on that target.
 TEST_CASE("copies of a request that meet one crash are no suspects") {
   PoisonGuard guard;
--- a/src/libserving/serving_fuzz_test.cc
+++ b/src/libserving/serving_fuzz_test.cc
@@ -30,50 +30,46 @@
   });
 }
 
-TEST_CASE("a lost answer that is taken for a refusal is noticed") {
-  Rules rules;
-  rules.may_run_again = [](const Route&, const RequestProgress& progress,
-                           Duration) { return progress.sends < 3; };
-  CHECK(IsNoticed(rules, "write ran twice"));
-  CHECK(IsNoticed(rules, "read ran more often than its route allows"));
-}
-
-TEST_CASE("a refusal of what may have run is noticed") {
-  Rules rules;
-  rules.last_word = [](const RequestProgress&) { return LastWord::kRefuse; };
-  CHECK(IsNoticed(rules, "refused, and it ran"));
-}
-
-TEST_CASE("an answer without proof that is delivered is noticed") {
-  Rules rules;
-  rules.judge = [](const TargetAnswer& answer) {
-    return answer.status == 200 ? AnswerVerdict::kGood : Judge(answer);
+TEST_CASE("every broken variant of the rules is noticed") {
+  struct Variant {
+    const char* broken;
+    Rules rules;
+    std::vector<std::string> promises;
   };
-  CHECK(IsNoticed(rules, "an answer nobody vouches for"));
-}
-
-TEST_CASE("keys that are accepted without proof are noticed") {
-  Rules rules;
-  rules.checks_freshness = false;
-  CHECK(IsNoticed(rules, "ran long after its key was taken away"));
-}
-
-TEST_CASE("requests that do not name their target are noticed") {
-  Rules rules;
-  rules.names_incarnation = false;
-  CHECK(IsNoticed(rules, "ran at a service that its route does not name"));
-}
-
-TEST_CASE("repeats without a budget are noticed") {
-  Rules rules;
-  rules.uses_budget = false;
-  CHECK(IsNoticed(rules, "more repeats than the budget of all routers"));
-}
-
-TEST_CASE("crashes that are not told are noticed") {
-  Rules rules;
-  rules.tells_of_crashes = false;
-  CHECK(IsNoticed(rules, "a poison request went on"));
+  const Variant variants[] = {
+      {"a lost answer is taken for a refusal",
+       {.may_run_again = [](const Route&, const RequestProgress& progress,
+                            Duration) { return progress.sends < 3; }},
+       {"write ran twice", "read ran more often than its route allows"}},
+      {"what may have run is refused",
+       {.last_word = [](const RequestProgress&) { return LastWord::kRefuse; }},
+       {"refused, and it ran"}},
+      {"answers are delivered without proof",
+       {.judge =
+            [](const TargetAnswer& answer) {
+              return answer.status == 200 ? AnswerVerdict::kGood
+                                          : Judge(answer);
+            }},
+       {"an answer nobody vouches for"}},
+      {"keys are accepted without proof",
+       {.checks_freshness = false},
+       {"ran long after its key was taken away"}},
+      {"requests do not name their target",
+       {.names_incarnation = false},
+       {"ran at a service that its route does not name"}},
+      {"repeats need no budget",
+       {.uses_budget = false},
+       {"more repeats than the budget of all routers"}},
+      {"crashes are not told",
+       {.tells_of_crashes = false},
+       {"a poison request went on"}},
+  };
+  for (const Variant& variant : variants) {
+    for (const std::string& promise : variant.promises) {
+      INFO(variant.broken << ": " << promise);
+      CHECK(IsNoticed(variant.rules, promise));
+    }
+  }
 }
 
 }  // namespace dogwoodlatch::serving::fuzz
--- a/src/libserving/serving_fuzz_world.h
+++ b/src/libserving/serving_fuzz_world.h
@@ -261,7 +261,7 @@
       const std::optional<TargetAnswer> answer =
           RunAt(machine, target.record.id, request);
       if (!answer) {
-        Blame(router, request, target.record.id);
+        Blame(router, request, target.record);
       } else if (const auto status = Take(*answer, target)) {
         return *status;
       }
@@ -271,8 +271,9 @@
           has_run ? rules_.may_run_again(*door.route, progress, left) &&
                         !router.poison.IsBlocked(request.fingerprint, now_)
                   : MaySendAgain(progress, left);
-      const bool is_granted = !rules_.uses_budget || budget.Withdraw(now_);
-      if (!may_go_on || !is_granted) return End(progress);
+      if (!may_go_on || (rules_.uses_budget && !budget.Withdraw(now_))) {
+        return End(progress);
+      }
     }
   }
 
@@ -343,9 +344,8 @@
   }
 
   void Blame(RouterSim& router, const Request& request,
-             const std::string& target) {
-    router.poison.OnBroken(
-        {request.fingerprint, std::hash<std::string>()(target)}, now_);
+             const TargetRecord& target) {
+    router.poison.OnBroken({request.fingerprint, IncarnationKey(target)}, now_);
     const std::vector<BrokenRun> news = router.poison.TakeUntold();
     if (!rules_.tells_of_crashes) return;
     for (RouterSim& other : routers_) {
--- a/testsuite/agent_drained/run.py
+++ b/testsuite/agent_drained/run.py
@@ -2,7 +2,7 @@
 
 import signal
 
-from cluster import WAIT_SECONDS, Cluster, is_whole, serving_target, stream_chat, two_engine_cluster
+from cluster import WAIT_SECONDS, Cluster, at_part, print_whole, serving_target, stream_chat, two_engine_cluster
 
 LONG = 100
 SHORT = 30
@@ -15,14 +15,13 @@
     stopped = []
     handed_over_before = count_handed_over(cluster)
 
-    def stop_agent(part):
-        if part == STOP_AT:
-            target = serving_target(cluster)
-            target.agent.send(signal.SIGTERM)
-            stopped.append(target)
+    def stop_agent():
+        target = serving_target(cluster)
+        target.agent.send(signal.SIGTERM)
+        stopped.append(target)
 
-    text, done, error = stream_chat(router.port, "tengri", "explain the log", tokens, stop_agent)
-    print("whole and in order", is_whole(text, reference), "words", len(text.split()), "done", done, "error", error)
+    text, done, error = stream_chat(router.port, "tengri", "explain the log", tokens, at_part(STOP_AT, stop_agent))
+    print_whole(text, reference, done, error)
     agent = stopped[0].agent
     print("exit code", agent.child.wait(WAIT_SECONDS))
     print("handed over", count_handed_over(cluster) - handed_over_before)
--- a/testsuite/agent_killed_midstream/run.py
+++ b/testsuite/agent_killed_midstream/run.py
@@ -2,7 +2,8 @@
 
 import json
 
-from cluster import Cluster, is_whole, request, serving_target, stream_chat, two_engine_cluster, wait_until
+from cluster import (Cluster, at_part, is_whole, print_whole, request, serving_target, stream_chat, two_engine_cluster,
+                     wait_until)
 
 TOKENS = 40
 KILL_AT = 10
@@ -18,15 +19,14 @@
         reference, _, _ = stream_chat(router.port, "tengri", "explain the log", TOKENS)
         killed = []
 
-        def kill_agent(part):
-            if part == KILL_AT:
-                target = serving_target(cluster)
-                killed.append((target, incarnation(target)))
-                target.agent.kill()
+        def kill_agent():
+            target = serving_target(cluster)
+            killed.append((target, incarnation(target)))
+            target.agent.kill()
 
-        text, done, error = stream_chat(router.port, "tengri", "explain the log", TOKENS, kill_agent)
+        text, done, error = stream_chat(router.port, "tengri", "explain the log", TOKENS, at_part(KILL_AT, kill_agent))
         print("killed", len(killed), "agent")
-        print("whole and in order", is_whole(text, reference), "words", len(text.split()), "done", done, "error", error)
+        print_whole(text, reference, done, error)
 
         target, before = killed[0]
         target.agent.restart()
--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -35,7 +35,7 @@
                 self.left = self.claim_block()
             port = self.left.pop()
             with socket.socket() as probe:
-                if is_bound(probe, port):
+                if try_bind(probe, port):
                     return port
 
     def claim_block(self):
@@ -43,14 +43,14 @@
         random.shuffle(blocks)
         for first in blocks:
             token = socket.socket()
-            if is_bound(token, first):
+            if try_bind(token, first):
                 self.tokens.append(token)
                 return list(range(first + 1, first + BLOCK_PORTS))
             token.close()
         raise RuntimeError("every block of ports is taken")
 
 
-def is_bound(probe, port):
+def try_bind(probe, port):
     try:
         probe.bind((HOST, port))
         return True
@@ -310,6 +310,15 @@
     return started
 
 
+def at_part(number, act):
+    """For `on_part` of stream_chat: calls `act` when so many parts have come."""
+    return lambda part: act() if part == number else None
+
+
+def print_whole(text, reference, done, error):
+    print("whole and in order", is_whole(text, reference), "words", len(text.split()), "done", done, "error", error)
+
+
 def serving_target(cluster):
     """The target that runs a request now, or None."""
     for target in cluster.targets:
--- a/testsuite/engine_killed_midstream/run.py
+++ b/testsuite/engine_killed_midstream/run.py
@@ -3,7 +3,7 @@
 import sys
 import time
 
-from cluster import Cluster, is_whole, serving_target, stream_chat, two_engine_cluster
+from cluster import Cluster, at_part, is_whole, print_whole, serving_target, stream_chat, two_engine_cluster
 
 TOKENS = 40
 KILL_AT = 10
@@ -15,25 +15,23 @@
         reference, _, _ = stream_chat(router.port, "tengri", "explain the log", TOKENS)
         killed = []
 
-        def kill_engine(part):
-            if part == KILL_AT:
-                target = serving_target(cluster)
-                target.process.kill()
-                killed.append(target)
+        def kill_engine():
+            target = serving_target(cluster)
+            target.process.kill()
+            killed.append(target)
 
-        text, done, error = stream_chat(router.port, "tengri", "explain the log", TOKENS, kill_engine)
+        text, done, error = stream_chat(router.port, "tengri", "explain the log", TOKENS, at_part(KILL_AT, kill_engine))
         print("killed", len(killed), "engine")
-        print("whole and in order", is_whole(text, reference), "words", len(text.split()), "done", done, "error", error)
+        print_whole(text, reference, done, error)
 
         # The last engine dies too: nothing can hide it, and the answer comes at once.
         killed_at = []
 
-        def kill_last(part):
-            if part == KILL_AT:
-                serving_target(cluster).process.kill()
-                killed_at.append(time.monotonic())
+        def kill_last():
+            serving_target(cluster).process.kill()
+            killed_at.append(time.monotonic())
 
-        text, done, error = stream_chat(router.port, "tengri", "explain the log", TOKENS, kill_last)
+        text, done, error = stream_chat(router.port, "tengri", "explain the log", TOKENS, at_part(KILL_AT, kill_last))
         took = time.monotonic() - killed_at[0]
         print("crash to final answer %.0f ms" % (took * 1000), file=sys.stderr)
         print("no replica left: done", done, error["error"]["type"], "come back", error["error"]["retry_after_ms"] > 0)
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -93,25 +93,28 @@
     # Faults. Each ends by itself.
 
     def kill_router(self):
-        self.restart(self.random.choice(self.routers), signal.SIGKILL)
+        self.restart([self.random.choice(self.routers)], signal.SIGKILL)
 
     def stop_router(self):
-        self.restart(self.random.choice(self.routers), signal.SIGTERM)
+        self.restart([self.random.choice(self.routers)], signal.SIGTERM)
 
     def kill_agent(self):
-        self.restart(self.random.choice(self.agents), signal.SIGKILL)
+        self.restart([self.random.choice(self.agents)], signal.SIGKILL)
 
     def kill_all(self):
-        for daemon in [*self.routers, *self.agents]:
-            self.restart(daemon, signal.SIGKILL)
-
-    def restart(self, daemon, how):
-        if daemon.process.poll() is not None:
-            return
-        self.note(f"signal {how.name} to {daemon.ip}")
-        daemon.process.send_signal(how)
-        daemon.process.wait(15)
-        daemon.start()
+        self.restart([*self.routers, *self.agents], signal.SIGKILL)
+
+    def restart(self, daemons, how):
+        """Sends the signal to all of them, and starts them once all are gone. One that ended by itself stays down, so
+        that the check at the end finds it."""
+        daemons = [daemon for daemon in daemons if daemon.process.poll() is None]
+        for daemon in daemons:
+            self.note(f"signal {how.name} to {daemon.ip}")
+            daemon.process.send_signal(how)
+        for daemon in daemons:
+            daemon.process.wait(15)
+        for daemon in daemons:
+            daemon.start()
 
     def freeze(self):
         daemon = self.random.choice([*self.routers, *self.agents])
