Keep requests at a silent target when no other attempt may follow

The router asked whether one more run is allowed before it counted the run that it was about to give up, left the target, found that both attempts were spent, and broke the stream off while its target was at work. The same happened when the retry budget was spent.

Change: a request leaves a silent target only when another run is allowed after this one, another target can take it, and the retry budget pays for it. It asks again after each further span of patience.

attempt_rules_test has the case; with the old order of counting its second check fails.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,11 +75,15 @@
 
   bool PassDoor();
   void StartDeadline();
+  std::optional<serving::Placement> Place(std::span<const std::string> left_out,
+                                          TimePoint now) const;
+  bool HasOtherTarget(TimePoint now) const;
   void TryTarget();
   void NoteSend(const std::vector<uint64_t>& shared_parts);
   void RelayEvents(std::string_view events);
   void OnNotRun();
   void OnAnswerLost(std::string_view why);
+  void NoteLostRun(std::string_view why);
   void LeaveAttempt();
   bool MayRunAgain() const;
   bool TakeRetry();
--- a/src/include/dogwoodlatch/serving/attempt_rules.h
+++ b/src/include/dogwoodlatch/serving/attempt_rules.h
@@ -36,6 +36,11 @@
 bool MayRunAgain(const Route& route, const RequestProgress& progress,
                  Duration left);
 
+/// True when a request may leave a target that answers nothing for another one:
+/// the run there counts, and one more must be allowed after it.
+bool MayLeaveSilent(const Route& route, RequestProgress progress,
+                    Duration left);
+
 /// True when a request that did not run at its last target may be sent to
 /// another one.
 bool MaySendAgain(const RequestProgress& progress, Duration left);
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -120,18 +120,22 @@
   return std::chrono::duration_cast<milliseconds>(answer_by_ - SteadyNow());
 }
 
+std::optional<serving::Placement> Exchange::Place(
+    std::span<const std::string> left_out, TimePoint now) const {
+  return PlaceRequest(routed_,
+                      {.view = context_.view,
+                       .policy = context_.placement,
+                       .saved_parts = context_.saved_parts,
+                       .failure_domain = context_.failure_domain},
+                      left_out, now);
+}
+
 void Exchange::TryTarget() {
   if (TimeLeft() < serving::LeastTimeToSend()) {
     OnDeadline();
     return;
   }
-  std::optional<serving::Placement> placement =
-      PlaceRequest(routed_,
-                   {.view = context_.view,
-                    .policy = context_.placement,
-                    .saved_parts = context_.saved_parts,
-                    .failure_domain = context_.failure_domain},
-                   tried_, SteadyNow());
+  std::optional<serving::Placement> placement = Place(tried_, SteadyNow());
   if (!placement) {
     GiveUp();
     return;
@@ -362,21 +366,40 @@
   OnAnswerLost("connection broke");
 }
 
-// A request that may run once more is better off elsewhere; the others stay, as
-// the answer may still come.
+// A request that another target can take is better off there. The others stay,
+// as the answer may still come.
 void Exchange::OnSilent() {
   const TimePoint now = SteadyNow();
   serving::TargetSignals& signals = attempt_->target().signals;
   if (signals.Silence(now) >= serving::kLongestPatience) {
     signals.OnUnreachable(now);
   }
-  const bool has_others =
-      context_.view.fleet().Serving(routed_.service, now).size() > 1;
-  if (has_others && MayRunAgain()) OnAnswerLost("silent");
+  const bool may_leave =
+      serving::MayLeaveSilent(*routed_.route, progress_, TimeLeft()) &&
+      !context_.poison.IsBlocked(fingerprint_, now) && HasOtherTarget(now);
+  if (may_leave && TakeRetry()) {
+    NoteLostRun("silent");
+    TryTarget();
+  }
+}
+
+bool Exchange::HasOtherTarget(TimePoint now) const {
+  std::vector<std::string> left_out = tried_;
+  left_out.push_back(attempt_->target_id());
+  return Place(left_out, now).has_value();
 }
 
 // The request was sent and its answer is lost or unusable: it may have run.
 void Exchange::OnAnswerLost(std::string_view why) {
+  NoteLostRun(why);
+  if (cutter_.in_sequence() && MayRunAgain() && TakeRetry()) {
+    TryTarget();
+  } else {
+    GiveUp();
+  }
+}
+
+void Exchange::NoteLostRun(std::string_view why) {
   ++progress_.runs;
   cutter_.DropPartial();
   LogEvent(EventId::kAttemptLost,
@@ -386,11 +409,6 @@
             {"after_ms", LogMillis(SteadyNow() - attempt_->sent_at())},
             {"events", std::to_string(cutter_.events())}});
   LeaveAttempt();
-  if (cutter_.in_sequence() && MayRunAgain() && TakeRetry()) {
-    TryTarget();
-  } else {
-    GiveUp();
-  }
 }
 
 void Exchange::LeaveAttempt() {
--- a/src/libdaemon/target_attempt.cc
+++ b/src/libdaemon/target_attempt.cc
@@ -110,7 +110,10 @@
                 milliseconds(1));
     return;
   }
+  const auto keep = shared_from_this();
   owner_.OnSilent();
+  // Whoever stays may go later, when another target has room.
+  if (is_sent_) ArmPatience(request_.patience);
 }
 
 bool TargetAttempt::OnHead(const dataplane::AnswerHead& head) {
--- a/src/libserving/attempt_rules.cc
+++ b/src/libserving/attempt_rules.cc
@@ -50,6 +50,12 @@
          left > kLeastTimeToSend;
 }
 
+bool MayLeaveSilent(const Route& route, RequestProgress progress,
+                    Duration left) {
+  ++progress.runs;
+  return MayRunAgain(route, progress, left);
+}
+
 bool MaySendAgain(const RequestProgress& progress, Duration left) {
   return progress.sends < kMaxSends && left > kLeastTimeToSend;
 }
--- a/src/libserving/attempt_rules_test.cc
+++ b/src/libserving/attempt_rules_test.cc
@@ -132,6 +132,17 @@
   CHECK(LastWordFor({.sends = 2}) == LastWord::kRefuse);
 }
 
+// trouble-2 of the grown Ounje Alafia, seed 139805407: a stream at its second
+// target had paused for 0.9 s, was given up although its route allows two
+// attempts, and ended in the middle.
+TEST_CASE("a request stays at a silent target that is its last") {
+  const Route route = MakeRoute(RouteKind::kStream, 2, true);
+  CHECK(MayLeaveSilent(route, {.sends = 1}, kMuchTime));
+  CHECK_FALSE(MayLeaveSilent(route, {.sends = 2, .runs = 1}, kMuchTime));
+  CHECK(MayLeaveSilent(route, {.sends = 2}, kMuchTime));
+  CHECK_FALSE(MayLeaveSilent(MakeRoute(RouteKind::kStream, 2), {}, kMuchTime));
+}
+
 TEST_CASE("nothing is sent when too little time is left") {
   const Route route = MakeRoute(RouteKind::kIdempotent, 2);
   CHECK_FALSE(MayRunAgain(route, {.sends = 1, .runs = 1}, milliseconds(5)));
