Spread saved prompt parts over all cache stores by hash

Cause: where a deployment has several cache stores, each router used the one of its own failure domain, but took what any router had saved as kept there. Two of three fetches went to a store that had never got the part, and three stores kept copies of the same parts. The grown deployments have three stores.

Change: rendezvous hashing of the deepest shared part names its store, the same for every router. The stores keep as much as all of them together, and a store that comes or goes moves only its own parts.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -40,7 +40,6 @@
   serving::PlacementPolicy placement;
   RetryBudgetLimits retry_limits;
   Duration configuration_bound;  ///< age up to which a miss is certain
-  std::string failure_domain;    ///< of this VM
   std::optional<serving::StopPlan> stop{};  ///< set once it was told to stop
   serving::SavedParts saved_parts{};
   /// Parts sent to each target since the last news to other routers.
--- a/src/include/dogwoodlatch/daemon/routed_request.h
+++ b/src/include/dogwoodlatch/daemon/routed_request.h
@@ -26,7 +26,6 @@
   const PlatformView& view;
   const serving::PlacementPolicy& policy;
   const serving::SavedParts& saved_parts;
-  const std::string& failure_domain;
 };
 
 /// The best target that is not among `tried`, or none.
@@ -40,11 +39,10 @@
                                         Duration left);
 
 /// What the router adds to the request for its target. `saves` says whether its
-/// parts go into the cache store of `failure_domain`.
+/// parts go into their cache store.
 platform::ForwardingFacts MakeForwarding(const RoutedRequest& request,
                                          const serving::Placement& placement,
-                                         bool saves,
-                                         std::string_view failure_domain);
+                                         bool saves);
 
 /// True when this request is to save its prompt's shared parts.
 bool ShouldSave(const RoutedRequest& request,
--- a/src/include/dogwoodlatch/serving/configuration.h
+++ b/src/include/dogwoodlatch/serving/configuration.h
@@ -86,9 +86,9 @@
   /// Null when the service is not configured.
   const Service* FindService(std::string_view name) const;
 
-  /// Address of the KV cache store that serves `failure_domain` best; empty
-  /// when there is none.
-  std::string_view KeptCacheFor(std::string_view failure_domain) const;
+  /// The KV cache store that keeps `part`, the same for all routers; null when
+  /// there is none.
+  const Service* KeptCacheFor(uint64_t part) const;
 
   /// The workspace that holds `key`, or null.
   const Workspace* FindWorkspace(std::string_view key) const;
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -125,8 +125,7 @@
   return PlaceRequest(routed_,
                       {.view = context_.view,
                        .policy = context_.placement,
-                       .saved_parts = context_.saved_parts,
-                       .failure_domain = context_.failure_domain},
+                       .saved_parts = context_.saved_parts},
                       left_out, now);
 }
 
@@ -196,8 +195,8 @@
       routed_.facts.prompt, attempt_->placement().cache_group);
   const bool saves =
       ShouldSave(routed_, shared_parts, context_.saved_parts, SteadyNow());
-  platform::ForwardingFacts forwarding = MakeForwarding(
-      routed_, attempt_->placement(), saves, context_.failure_domain);
+  platform::ForwardingFacts forwarding =
+      MakeForwarding(routed_, attempt_->placement(), saves);
   forwarding.time_left = TimeLeft();
   forwarding.last_event_id = cutter_.last_id();
   const dataplane::HeaderList headers =
--- a/src/libdaemon/routed_request.cc
+++ b/src/libdaemon/routed_request.cc
@@ -8,6 +8,17 @@
 // Weights are overdue from here on: their answers earn less.
 constexpr Duration kWeightsGrace = std::chrono::milliseconds(1500);
 
+// Address of the cache store that keeps the prompt's deepest shared part; empty
+// when there is none.
+std::string_view KeptCacheOf(const RoutedRequest& request) {
+  const auto& parts = request.facts.prompt.parts;
+  if (parts.size() < 2) return {};
+  const serving::Service* store =
+      request.configuration->KeptCacheFor(parts[parts.size() - 2].id);
+  return store == nullptr ? std::string_view()
+                          : std::string_view(store->kept_cache_address);
+}
+
 }  // namespace
 
 std::optional<serving::Placement> PlaceRequest(
@@ -29,8 +40,7 @@
           now - named->second.newest_since() > kWeightsGrace;
     }
     wanted.oldest_weights = view.OldestWeights(prompt.model, now);
-    wanted.kept_cache =
-        request.configuration->KeptCacheFor(knowledge.failure_domain);
+    wanted.kept_cache = KeptCacheOf(request);
     wanted.saved_parts = &knowledge.saved_parts;
   }
   return knowledge.policy.Choose(view.fleet().Serving(request.service, now),
@@ -52,8 +62,7 @@
 
 platform::ForwardingFacts MakeForwarding(const RoutedRequest& request,
                                          const serving::Placement& placement,
-                                         bool saves,
-                                         std::string_view failure_domain) {
+                                         bool saves) {
   platform::ForwardingFacts forwarding;
   forwarding.target_id = placement.target->record.id;
   forwarding.cache_group = placement.cache_group;
@@ -65,9 +74,7 @@
     forwarding.priority =
         request.workspace->priority.value_or(request.route->priority);
   }
-  if (saves) {
-    forwarding.save_to = request.configuration->KeptCacheFor(failure_domain);
-  }
+  if (saves) forwarding.save_to = KeptCacheOf(request);
   return forwarding;
 }
 
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -85,7 +85,6 @@
                .placement = serving::PlacementPolicy(settings_.failure_domain),
                .retry_limits = RetryLimits(settings_.bounds, kAssumedRouters),
                .configuration_bound = settings_.bounds.configuration,
-               .failure_domain = settings_.failure_domain,
                .poison = {},
                .retry_budgets = {}},
       door_(context),
--- a/src/libserving/configuration.cc
+++ b/src/libserving/configuration.cc
@@ -1,5 +1,7 @@
 #include "dogwoodlatch/serving/configuration.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <numeric>
 #include <utility>
@@ -21,15 +23,20 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
-std::string_view Configuration::KeptCacheFor(
-    std::string_view failure_domain) const {
-  std::string_view address;
+// Rendezvous hashing: every part lies in one store, so the stores keep as much
+// as all of them together, and a router finds what another one has had saved.
+const Service* Configuration::KeptCacheFor(uint64_t part) const {
+  const Service* keeper = nullptr;
+  uint64_t highest = 0;
   for (const auto& [name, service] : services_) {
-    if (service.kept_cache_address.empty()) continue;
-    const bool is_near = service.kept_cache_domain == failure_domain;
-    if (address.empty() || is_near) address = service.kept_cache_address;
+    const std::string& address = service.kept_cache_address;
+    if (address.empty()) continue;
+    const uint64_t rank = XXH64(address.data(), address.size(), part);
+    if (keeper != nullptr && rank <= highest) continue;
+    keeper = &service;
+    highest = rank;
   }
-  return address;
+  return keeper;
 }
 
 const Workspace* Configuration::FindWorkspace(std::string_view key) const {
