Follow what cache stores keep by their capacity

Cause: what a store keeps was guessed by time: 20 seconds after a save, from the one store of the first deployments with 1.6 M tokens. Other stores, and other rates of saving, make that wrong either way.

Change: routers follow the stores as they work, least recently used first, from the configured capacity and from what all routers save and fetch. Each router tells the others the tokens of a save and which parts its requests fetched; the version of the protocol is 3. A part is saved again when it has been dropped, or after 20 s, as a restarted store is empty and nobody tells.

--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -18,6 +18,7 @@
 #include "dogwoodlatch/error.h"
 #include "dogwoodlatch/serving/poison_guard.h"
 #include "dogwoodlatch/serving/rollout.h"
+#include "dogwoodlatch/serving/saved_parts.h"
 #include "dogwoodlatch/time.h"
 
 namespace dogwoodlatch::daemon {
@@ -50,7 +51,8 @@
     bool operator==(const AtTarget&) const = default;
   };
   std::vector<AtTarget> targets;
-  std::vector<uint64_t> parts_saved;  ///< in the cache store
+  std::vector<serving::PartSave> parts_saved;  ///< in the cache stores
+  std::vector<uint64_t> parts_fetched{};       ///< from the cache stores
   std::vector<serving::BrokenRun> runs_broken{};
 
   bool operator==(const RouterNews&) const = default;
--- a/src/include/dogwoodlatch/serving/configuration.h
+++ b/src/include/dogwoodlatch/serving/configuration.h
@@ -50,7 +50,7 @@
   int max_connections = 0;  ///< of all callers together; 0 is unlimited
   bool runs_model = false;
   int batch_slots = 0;             ///< requests decoded together
-  int64_t kv_capacity_tokens = 0;  ///< memory of one target
+  int64_t kv_capacity_tokens = 0;  ///< memory of one target, or of the store
   std::string kept_cache_address;  ///< set when this is a KV cache store
   std::string kept_cache_domain;   ///< failure domain of that store
 };
@@ -90,6 +90,9 @@
   /// there is none.
   const Service* KeptCacheFor(uint64_t part) const;
 
+  /// Tokens that all KV cache stores keep together.
+  int64_t KeptCacheTokens() const;
+
   /// The workspace that holds `key`, or null.
   const Workspace* FindWorkspace(std::string_view key) const;
 
--- a/src/include/dogwoodlatch/serving/placement.h
+++ b/src/include/dogwoodlatch/serving/placement.h
@@ -37,6 +37,7 @@
   uint64_t weights = 0;         ///< the target's version; 0 for plain services
   std::string cache_group;      ///< requests of other groups share no part
   std::string fetch_from;       ///< address that may have cached parts
+  bool fetches_kept = false;    ///< that address is the cache store's
 };
 
 class PlacementPolicy {
--- a/src/include/dogwoodlatch/serving/saved_parts.h
+++ b/src/include/dogwoodlatch/serving/saved_parts.h
@@ -1,7 +1,8 @@
-/// Which shared parts this process has had saved in a KV cache store.
+/// Which shared parts the KV cache stores are likely to keep.
 #pragma once
 
 #include <cstdint>
+#include <list>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -10,10 +11,22 @@
 
 namespace dogwoodlatch::serving {
 
-/// Decides when a request saves its parts. The store drops what is not used, so
-/// a part is saved again after some time.
+/// A request had its prompt saved in the cache store of its deepest shared
+/// part.
+struct PartSave {
+  uint64_t part = 0;    ///< the deepest shared part, as key of its cache group
+  uint32_t tokens = 0;  ///< that the store takes in with it, at most
+
+  bool operator==(const PartSave&) const = default;
+};
+
+/// Follows what all routers save and fetch, and decides when a request saves
+/// its parts. Stores drop what was used least recently, as this does.
 class SavedParts {
  public:
+  /// Tokens that all stores hold together; nothing is saved while it is 0.
+  void SetCapacity(int64_t tokens);
+
   /// True when a request should save its parts now. `deepest` is its deepest
   /// shared part, which counts as saved from then on. Requests whose own part
   /// is large beside the shared ones leave it to others, as the store keeps
@@ -21,18 +34,41 @@
   bool ShouldSave(uint64_t deepest, uint32_t shared_tokens, uint32_t own_tokens,
                   TimePoint now);
 
-  /// True when the store is likely to have the part.
+  /// True when the stores are likely to have the part.
   bool IsSaved(uint64_t deepest, TimePoint now) const;
 
-  /// Another router has had the part saved.
-  void OnSaved(uint64_t deepest, TimePoint now) { saved_[deepest] = now; }
+  /// A request of this router fetches the part.
+  void OnFetch(uint64_t deepest);
+
+  /// Another router has had a part saved.
+  void OnSaved(const PartSave& save, TimePoint now);
 
-  /// The parts that ShouldSave has granted since the last call.
-  std::vector<uint64_t> TakeGranted() { return std::exchange(granted_, {}); }
+  /// Another router's request has fetched the part.
+  void OnFetchedElsewhere(uint64_t deepest);
+
+  /// What ShouldSave has granted since the last call.
+  std::vector<PartSave> TakeGranted() { return std::exchange(granted_, {}); }
+
+  /// What OnFetch was told since the last call.
+  std::vector<uint64_t> TakeFetched() { return std::exchange(fetched_, {}); }
 
  private:
-  std::unordered_map<uint64_t, TimePoint> saved_;  ///< last time of a save
-  std::vector<uint64_t> granted_;
+  struct Record {
+    uint64_t part = 0;
+    uint32_t tokens = 0;
+    TimePoint saved_at{};   ///< last time that a request was to save it
+    TimePoint kept_from{};  ///< when the store has it
+  };
+  using Records = std::list<Record>;
+
+  void DropOldest();
+
+  int64_t capacity_ = 0;
+  int64_t kept_tokens_ = 0;
+  Records records_;  ///< last used first
+  std::unordered_map<uint64_t, Records::iterator> by_part_;
+  std::vector<PartSave> granted_;
+  std::vector<uint64_t> fetched_;
 };
 
 }  // namespace dogwoodlatch::serving
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -9,7 +9,7 @@
 using nlohmann::json;
 
 // Raised when a field changes its meaning.
-constexpr int kProtocolVersion = 2;
+constexpr int kProtocolVersion = 3;
 
 // The readers below throw the JSON library's exceptions.
 Result<Datagram> ReadTargetNews(const json& message) {
@@ -37,7 +37,11 @@
     entry.at(2).get_to(target.parts_used);
     news.targets.push_back(std::move(target));
   }
-  message.at("saved").get_to(news.parts_saved);
+  for (const json& entry : message.at("saved")) {
+    news.parts_saved.push_back(
+        {entry.at(0).get<uint64_t>(), entry.at(1).get<uint32_t>()});
+  }
+  message.at("fetched").get_to(news.parts_fetched);
   for (const json& entry : message.at("broken")) {
     news.runs_broken.push_back(
         {entry.at(0).get<uint64_t>(), entry.at(1).get<uint64_t>()});
@@ -64,13 +68,18 @@
     targets.push_back(
         {target.target_id, target.prefill_backlog.count(), target.parts_used});
   }
+  json saved = json::array();
+  for (const serving::PartSave& save : news.parts_saved) {
+    saved.push_back({save.part, save.tokens});
+  }
   json broken = json::array();
   for (const serving::BrokenRun& run : news.runs_broken) {
     broken.push_back({run.request, run.target});
   }
   return json::to_cbor(json{{"v", kProtocolVersion},
                             {"sent", targets},
-                            {"saved", news.parts_saved},
+                            {"saved", saved},
+                            {"fetched", news.parts_fetched},
                             {"broken", broken}});
 }
 
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -214,6 +214,9 @@
           .first->second;
   if (progress_.sends == 0) budget.OnFirstAttempt(now);
   ++progress_.sends;
+  if (!shared_parts.empty() && attempt_->placement().fetches_kept) {
+    context_.saved_parts.OnFetch(shared_parts.back());
+  }
   for (const uint64_t part : shared_parts) {
     attempt_->target().signals.OnPartUsed(part, now);
     context_.parts_sent[attempt_->target_id()].push_back(part);
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -109,8 +109,10 @@
                     {{"Content-Type", "text/plain; version=0.0.4"}},
                     is_scrape ? metrics_.Text() : "");
   };
-  view_.NotifyConfiguration(
-      [this] { door_.policy.limits = view_.configuration()->limits(); });
+  view_.NotifyConfiguration([this] {
+    door_.policy.limits = view_.configuration()->limits();
+    context_.saved_parts.SetCapacity(view_.configuration()->KeptCacheTokens());
+  });
   view_.NotifyRemoved([this](const std::string& id) { pool_.Drop(id); });
   metrics_.Gauge("dogwoodlatch_requests_in_progress",
                  [this] { return static_cast<double>(context_.in_progress); });
@@ -285,9 +287,12 @@
       target->signals.OnPartUsed(part, now);
     }
   }
-  for (const uint64_t part : news.parts_saved) {
-    context_.saved_parts.OnSaved(part, now);
+  for (const serving::PartSave& save : news.parts_saved) {
+    context_.saved_parts.OnSaved(save, now);
   }
+  std::ranges::for_each(news.parts_fetched, [this](uint64_t part) {
+    context_.saved_parts.OnFetchedElsewhere(part);
+  });
   for (const serving::BrokenRun& run : news.runs_broken) {
     context_.poison.OnBrokenElsewhere(run, now);
   }
@@ -304,6 +309,7 @@
   auto parts_sent = std::exchange(context_.parts_sent, {});
   RouterNews news;
   news.parts_saved = context_.saved_parts.TakeGranted();
+  news.parts_fetched = context_.saved_parts.TakeFetched();
   news.runs_broken = context_.poison.TakeUntold();
   for (const auto& [id, target] : view_.fleet().targets()) {
     if (!IsModelTarget(*target)) continue;
--- a/src/libserving/configuration.cc
+++ b/src/libserving/configuration.cc
@@ -39,6 +39,16 @@
   return keeper;
 }
 
+int64_t Configuration::KeptCacheTokens() const {
+  return std::accumulate(
+      services_.begin(), services_.end(), int64_t{0},
+      [](int64_t sum, const auto& entry) {
+        const Service& service = entry.second;
+        const bool is_store = !service.kept_cache_address.empty();
+        return sum + (is_store ? service.kv_capacity_tokens : 0);
+      });
+}
+
 const Workspace* Configuration::FindWorkspace(std::string_view key) const {
   const auto found = workspace_by_key_.find(key);
   return found == workspace_by_key_.end() ? nullptr
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -280,6 +280,8 @@
       best.weights = weights;
       best.cache_group = group.cache_group;
       best.fetch_from = SourceFor(group, target, request, now);
+      best.fetches_kept =
+          !request.kept_cache.empty() && best.fetch_from == request.kept_cache;
     }
   }
   if (!best.target) return std::nullopt;
--- a/src/libserving/saved_parts.cc
+++ b/src/libserving/saved_parts.cc
@@ -3,41 +3,78 @@
 namespace dogwoodlatch::serving {
 namespace {
 
-// A store holds about 1.6 M tokens and takes in some 70,000 a second, so a part
-// that nobody fetches stays for twenty seconds.
-constexpr Duration kSaveAgain = std::chrono::seconds(10);
+// Share of the stores' capacity that is relied on: parts are spread over them
+// by hash, so one is fuller than another, and news of other routers are late.
+constexpr double kReliedShare = 0.9;
+
+// A store may have been restarted empty, which nobody tells.
+constexpr Duration kSaveAgain = std::chrono::seconds(20);
+
 // Parts are saved once they are read, which takes some hundred milliseconds
 // under load.
 constexpr Duration kSaveTime = std::chrono::milliseconds(400);
-constexpr Duration kKeptFor = std::chrono::seconds(20);
-constexpr size_t kMaxRecords = 32768;
 
 // Own tokens that a saving request may have for each shared one.
 constexpr double kLargestOwnShare = 1.0;
 
 }  // namespace
 
+void SavedParts::SetCapacity(int64_t tokens) {
+  capacity_ = static_cast<int64_t>(static_cast<double>(tokens) * kReliedShare);
+  DropOldest();
+}
+
 bool SavedParts::ShouldSave(uint64_t deepest, uint32_t shared_tokens,
                             uint32_t own_tokens, TimePoint now) {
-  if (own_tokens > shared_tokens * kLargestOwnShare) return false;
-  if (saved_.size() >= kMaxRecords) {
-    std::erase_if(saved_, [&](const auto& entry) {
-      return now - entry.second > kSaveAgain;
-    });
-    if (saved_.size() >= kMaxRecords) saved_.clear();
+  if (capacity_ <= 0 || own_tokens > shared_tokens * kLargestOwnShare) {
+    return false;
   }
-  const auto [entry, is_new] = saved_.try_emplace(deepest, now);
-  if (!is_new && now - entry->second <= kSaveAgain) return false;
-  entry->second = now;
-  granted_.push_back(deepest);
+  const auto known = by_part_.find(deepest);
+  const bool is_kept =
+      known != by_part_.end() && now - known->second->saved_at <= kSaveAgain;
+  if (is_kept) return false;
+  const PartSave save{deepest, shared_tokens + own_tokens};
+  OnSaved(save, now);
+  granted_.push_back(save);
   return true;
 }
 
 bool SavedParts::IsSaved(uint64_t deepest, TimePoint now) const {
-  const auto found = saved_.find(deepest);
-  if (found == saved_.end()) return false;
-  const Duration age = now - found->second;
-  return age >= kSaveTime && age <= kKeptFor;
+  const auto found = by_part_.find(deepest);
+  return found != by_part_.end() && now >= found->second->kept_from;
+}
+
+void SavedParts::OnFetch(uint64_t deepest) {
+  OnFetchedElsewhere(deepest);
+  fetched_.push_back(deepest);
+}
+
+void SavedParts::OnFetchedElsewhere(uint64_t deepest) {
+  const auto found = by_part_.find(deepest);
+  if (found == by_part_.end()) return;
+  records_.splice(records_.begin(), records_, found->second);
+}
+
+// What a store has already it keeps as it is.
+void SavedParts::OnSaved(const PartSave& save, TimePoint now) {
+  const auto known = by_part_.find(save.part);
+  if (known != by_part_.end()) {
+    records_.splice(records_.begin(), records_, known->second);
+    known->second->saved_at = now;
+    return;
+  }
+  records_.push_front({save.part, save.tokens, now, now + kSaveTime});
+  by_part_[save.part] = records_.begin();
+  kept_tokens_ += save.tokens;
+  DropOldest();
+}
+
+void SavedParts::DropOldest() {
+  while (kept_tokens_ > capacity_ && !records_.empty()) {
+    kept_tokens_ -= records_.back().tokens;
+    by_part_.erase(records_.back().part);
+    records_.pop_back();
+  }
 }
 
 }  // namespace dogwoodlatch::serving
