Bound the news between processes where there are many

Cause: every agent named its routers in each of four news a second, 20 bytes a name, and always the first 40 by address; every router told the first 32 others.

Change: agents name routers once a second, 40 of them in turn. Routers tell 32 others in turn; beyond 32 others their news become rarer, up to 200 ms apart, and so do those of agents, up to 350 ms.

--- a/src/include/dogwoodlatch/daemon/agent.h
+++ b/src/include/dogwoodlatch/daemon/agent.h
@@ -13,12 +13,16 @@
 #include "dogwoodlatch/daemon/object_feed.h"
 #include "dogwoodlatch/daemon/platform_view.h"
 #include "dogwoodlatch/dataplane/http_caller.h"
+#include "dogwoodlatch/serving/news_plan.h"
 #include "dogwoodlatch/serving/rollout.h"
 #include "platform/node_settings.h"
 #include "platform/weights_orders.h"
 
 namespace dogwoodlatch::daemon {
 
+/// Routers named in one datagram, which is to fit into one packet.
+inline constexpr size_t kMaxNamedRouters = 40;
+
 class Agent {
  public:
   Agent(asio::io_context& context, platform::NodeSettings settings);
@@ -47,6 +51,7 @@
   void GiveOrder(const std::string& model, uint64_t version);
   void OnOrderAnswered(Result<dataplane::CallAnswer> answer);
   void TellNews(TimePoint now);
+  std::vector<std::string> NameRouters();
   std::vector<serving::RolloutPeer> PeersOf(const std::string& model,
                                             TimePoint now) const;
   serving::Fleet::TargetPtr OwnTarget();
@@ -66,6 +71,8 @@
   TimePoint runs_ended_at_{};  ///< of the load in progress, as far as known
   TimePoint next_report_{};
   TimePoint next_news_{};
+  TimePoint next_naming_{};
+  serving::TurnList routers_named_{kMaxNamedRouters};
   TimePoint order_pause_until_{};
   bool is_asking_ = false;
   bool is_ordering_ = false;
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -12,10 +12,14 @@
 #include "dogwoodlatch/daemon/object_feed.h"
 #include "dogwoodlatch/daemon/platform_view.h"
 #include "dogwoodlatch/dataplane/door_session.h"
+#include "dogwoodlatch/serving/news_plan.h"
 #include "platform/node_settings.h"
 
 namespace dogwoodlatch::daemon {
 
+/// Bounds the cost of telling others where there are many.
+inline constexpr size_t kMaxRoutersTold = 32;
+
 class Router {
  public:
   Router(asio::io_context& context, platform::NodeSettings settings);
@@ -54,7 +58,7 @@
   void Tick();
   void TickStop(TimePoint now);
   void ShareRetries(size_t routers);
-  void SendNews(const RouterNews& news);
+  void SendNews(const RouterNews& news, const std::vector<size_t>& receivers);
   bool IsReady() const;
 
   asio::io_context& io_;
@@ -74,6 +78,7 @@
   std::map<asio::ip::udp::endpoint, TimePoint> routers_;  ///< last named
   std::map<std::string, Duration> told_backlogs_;         ///< by target
   TimePoint next_news_{};
+  serving::TurnList routers_told_{kMaxRoutersTold};
   size_t sharing_routers_ = 0;
   bool is_stopping_ = false;
 };
--- /dev/null
+++ b/src/include/dogwoodlatch/serving/news_plan.h
@@ -0,0 +1,34 @@
+/// How often and to whom a process tells its news, so that its own cost stays
+/// bounded where there are many to tell.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <vector>
+
+#include "dogwoodlatch/time.h"
+
+namespace dogwoodlatch::serving {
+
+/// Time between two news of a router to `receivers` others.
+Duration RouterNewsPeriod(size_t receivers);
+
+/// Time between two news of an agent to `receivers` routers, unless they are
+/// urgent.
+Duration AgentNewsPeriod(size_t receivers);
+
+/// Chooses a bounded number of entries, each in its turn.
+class TurnList {
+ public:
+  explicit TurnList(size_t most) : most_(most) {}
+
+  /// Indexes into `count` entries, at most `most` of them. Successive calls go
+  /// through all entries.
+  std::vector<size_t> Next(size_t count);
+
+ private:
+  size_t most_;
+  size_t next_ = 0;
+};
+
+}  // namespace dogwoodlatch::serving
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -1,6 +1,7 @@
 #include "dogwoodlatch/daemon/agent.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "dogwoodlatch/util/log.h"
@@ -20,8 +21,6 @@
 constexpr milliseconds kReportPeriod{100};
 constexpr milliseconds kCallTimeout{300};
 
-// News are repeated at this period, and told at once when they matter.
-constexpr milliseconds kNewsPeriod{250};
 constexpr Duration kNewsLifetime = milliseconds(1500);
 constexpr Duration kSubscriptionLifetime = std::chrono::seconds(4);
 
@@ -40,8 +39,8 @@
 // Targets are listed at this period for the sake of newcomers.
 constexpr milliseconds kTargetPoll{4000};
 
-// Routers named in one datagram, which is to fit into one packet.
-constexpr size_t kMaxNamedRouters = 40;
+// Routers forget one another after three seconds.
+constexpr milliseconds kNamingPeriod{1000};
 
 constexpr int kAccepted = 202;
 
@@ -292,6 +291,17 @@
   }
 }
 
+std::vector<std::string> Agent::NameRouters() {
+  std::vector<std::string> names;
+  for (const size_t index : routers_named_.Next(subscribers_.size())) {
+    const auto& router =
+        std::next(subscribers_.begin(), static_cast<long>(index))->first;
+    names.push_back(router.address().to_string() + ":" +
+                    std::to_string(router.port()));
+  }
+  return names;
+}
+
 void Agent::TellNews(TimePoint now) {
   const auto own = OwnTarget();
   if (!own || !report_ || !link_) return;
@@ -302,20 +312,19 @@
                   .active = report_->active,
                   .prefilling = report_->prefilling,
                   .routers = {}};
-  for (const auto& [subscriber, heard] : subscribers_) {
-    if (news.routers.size() >= kMaxNamedRouters) break;
-    news.routers.push_back(subscriber.address().to_string() + ":" +
-                           std::to_string(subscriber.port()));
-  }
   const bool is_urgent =
       news.weights != last_told_.weights || news.phase != last_told_.phase;
   if (!is_urgent && now < next_news_) return;
-  next_news_ = now + kNewsPeriod;
-  last_told_ = news;
-  const std::vector<uint8_t> datagram = Encode(news);
   std::erase_if(subscribers_, [&](const auto& entry) {
     return now - entry.second > kSubscriptionLifetime;
   });
+  next_news_ = now + serving::AgentNewsPeriod(subscribers_.size());
+  if (now >= next_naming_) {
+    next_naming_ = now + kNamingPeriod;
+    news.routers = NameRouters();
+  }
+  last_told_ = news;
+  const std::vector<uint8_t> datagram = Encode(news);
   for (const auto& [subscriber, heard] : subscribers_) {
     link_->Send(subscriber, datagram);
   }
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 #include "dogwoodlatch/daemon/boot_clock.h"
@@ -36,14 +37,10 @@
 // Routers that share the bound until agents have told how many there are.
 constexpr size_t kAssumedRouters = 8;
 
-// Other routers learn of sends within the time of a few requests.
-constexpr milliseconds kRouterNewsPeriod{50};
 constexpr Duration kRouterLifetime = std::chrono::seconds(3);
 
-// A datagram is to stay within a few packets, and the cost of telling others
-// bounded where there are many.
+// A datagram is to stay within a few packets.
 constexpr size_t kTargetsInNews = 16;
-constexpr size_t kMaxRoutersTold = 32;
 
 constexpr milliseconds kSubscriptionPeriod{1000};
 constexpr milliseconds kSweepPeriod{500};
@@ -301,10 +298,11 @@
 // Tells what is new, and repeats backlogs that last.
 void Router::TellRouters(TimePoint now) {
   if (!link_ || now < next_news_) return;
-  next_news_ = now + kRouterNewsPeriod;
   std::erase_if(routers_, [&](const auto& entry) {
     return now - entry.second > kRouterLifetime;
   });
+  next_news_ = now + serving::RouterNewsPeriod(routers_.size());
+  const std::vector<size_t> turn = routers_told_.Next(routers_.size());
   ShareRetries(routers_.size() + 1);
   auto parts_sent = std::exchange(context_.parts_sent, {});
   RouterNews news;
@@ -323,17 +321,17 @@
         {id, backlog,
          has_parts ? std::move(parts->second) : std::vector<uint64_t>{}});
     if (news.targets.size() < kTargetsInNews) continue;
-    SendNews(std::exchange(news, {}));
+    SendNews(std::exchange(news, {}), turn);
   }
-  if (news != RouterNews{}) SendNews(news);
+  if (news != RouterNews{}) SendNews(news, turn);
 }
 
-void Router::SendNews(const RouterNews& news) {
+void Router::SendNews(const RouterNews& news,
+                      const std::vector<size_t>& receivers) {
   const std::vector<uint8_t> datagram = Encode(news);
-  size_t sent = 0;
-  for (const auto& [router, named] : routers_) {
-    if (++sent > kMaxRoutersTold) return;
-    link_->Send(router, datagram);
+  for (const size_t index : receivers) {
+    const auto router = std::next(routers_.begin(), static_cast<long>(index));
+    link_->Send(router->first, datagram);
   }
 }
 
