Send prompts where there is memory, and fetch from where parts are kept

Routers weighed prompts still to be read alone, so requests queued for memory at targets that read quickly, and fetched from targets for three seconds after a part's last use, when it had long yielded.

Change: agents tell how much of their target's memory cannot yield. A prompt's wait is the longest of the prompts before it, the reported queue, and the time until running requests have freed the memory that it needs beside those. A part counts as kept as long as the memory that may yield takes to fill.

placement_test has the pattern: full memory, prompts still to be read, and parts that yield.

--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -31,6 +31,8 @@
   int queued = 0;                    ///< requests that wait to run
   int active = 0;                    ///< requests that run
   int prefilling = 0;                ///< of these, without a first token yet
+  int64_t memory_used = 0;           ///< tokens that cannot yield
+  int64_t memory_total = 0;          ///< tokens
   std::vector<std::string> routers;  ///< "ip:port" that ask for these news
 
   bool operator==(const TargetNews&) const = default;
--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -38,6 +38,8 @@
   int queued = 0;            ///< requests that wait to run
   int active = 0;            ///< requests that run
   int prefilling = 0;        ///< of these, without a first token yet
+  int64_t memory_used = 0;   ///< tokens that cannot yield
+  int64_t memory_total = 0;  ///< tokens; 0 when unknown
 };
 
 /// What the process has learned of a target from its own requests.
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -311,6 +311,8 @@
                   .queued = report_->queued,
                   .active = report_->active,
                   .prefilling = report_->prefilling,
+                  .memory_used = report_->kv_used_tokens,
+                  .memory_total = report_->kv_total_tokens,
                   .routers = {}};
   const bool is_urgent =
       news.weights != last_told_.weights || news.phase != last_told_.phase;
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -9,7 +9,7 @@
 using nlohmann::json;
 
 // Raised when a field changes its meaning.
-constexpr int kProtocolVersion = 3;
+constexpr int kProtocolVersion = 4;
 
 // The readers below throw the JSON library's exceptions.
 Result<Datagram> ReadTargetNews(const json& message) {
@@ -24,6 +24,8 @@
   message.at("queued").get_to(news.queued);
   message.at("active").get_to(news.active);
   message.at("prefilling").get_to(news.prefilling);
+  message.at("memory").at(0).get_to(news.memory_used);
+  message.at("memory").at(1).get_to(news.memory_total);
   message.at("routers").get_to(news.routers);
   return Datagram(std::move(news));
 }
@@ -59,6 +61,7 @@
                             {"queued", news.queued},
                             {"active", news.active},
                             {"prefilling", news.prefilling},
+                            {"memory", {news.memory_used, news.memory_total}},
                             {"routers", news.routers}});
 }
 
--- a/src/libdaemon/agent_link_test.cc
+++ b/src/libdaemon/agent_link_test.cc
@@ -12,6 +12,8 @@
   news.weights = {{"m", 4}};
   news.phase = serving::RolloutPhase::kLoading;
   news.active = 3;
+  news.memory_used = 90000;
+  news.memory_total = 173918;
   news.routers = {"10.0.0.1:7340"};
   CHECK(DecodeDatagram(Encode(news)).value() == Datagram(news));
   RouterNews sent;
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -270,7 +270,9 @@
        .is_loading = news.phase == serving::RolloutPhase::kLoading,
        .queued = news.queued,
        .active = news.active,
-       .prefilling = news.prefilling},
+       .prefilling = news.prefilling,
+       .memory_used = news.memory_used,
+       .memory_total = news.memory_total},
       now);
 }
 
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -25,6 +25,10 @@
 // Fixed time from a request's arrival to its first event.
 constexpr double kFirstEventMs = 26.0;
 
+// Time for which a request with a long prompt runs, so in which a target whose
+// memory is full frees all of it: some 55 tokens of 20 to 30 ms under load.
+constexpr double kTypicalRunMs = 1500.0;
+
 // Mean time to read a prompt of which shared parts are cached.
 constexpr double kTypicalPrefillMs = 20.0;
 
@@ -54,9 +58,14 @@
 constexpr double kSilentMs = 800.0;
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(350);
 
-// Cached parts that were used so recently have not yielded yet.
+// Cached parts that were used so recently have not yielded yet, as long as
+// nothing is known of the target's memory.
 constexpr Duration kSafelyCached = std::chrono::seconds(3);
 
+// Tokens that a busy engine reads in a millisecond between its steps, all of
+// which it caches.
+constexpr double kFillTokensPerMs = 109.0;
+
 uint64_t Hash(std::string_view text, uint64_t seed) {
   return XXH64(text.data(), text.size(), seed);
 }
@@ -73,12 +82,34 @@
          steps * (kStepMs + kStepSlotMs * running);
 }
 
+// Time until running requests have freed the memory that a prompt needs beside
+// those that run and those that are still to be read.
+double MemoryWaitMs(const LoadReport& report, double backlog_ms,
+                    uint32_t prompt_tokens) {
+  if (report.memory_total == 0) return 0;
+  const double total = static_cast<double>(report.memory_total);
+  const double needed = static_cast<double>(report.memory_used) +
+                        backlog_ms * kPrefillTokensPerMs + prompt_tokens;
+  return std::max(0.0, (needed - total) / total * kTypicalRunMs);
+}
+
 Duration FromMs(double ms) { return Duration(static_cast<int64_t>(ms * 1000)); }
 
 double ToMs(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+// How long a part stays cached after its use: the memory that may yield is
+// filled by other prompts, and the least recently used parts yield first.
+Duration RetentionOf(const Target& target, TimePoint now) {
+  const LoadReport report = target.signals.Report(now);
+  if (report.memory_total == 0) return kSafelyCached;
+  const auto yielding =
+      static_cast<double>(report.memory_total - report.memory_used);
+  return std::clamp(FromMs(yielding / kFillTokensPerMs), Duration{0},
+                    kSafelyCached);
+}
+
 double LeastFailing(std::span<const TargetPtr> targets) {
   const auto share = [](const TargetPtr& target) {
     return target->signals.failure_share();
@@ -149,7 +180,7 @@
   const bool is_saved = request.saved_parts != nullptr &&
                         !request.kept_cache.empty() &&
                         request.saved_parts->IsSaved(deepest, now);
-  const bool is_recent = used && now - *used <= kSafelyCached;
+  const bool is_recent = used && now - *used <= RetentionOf(*holder, now);
   if (used && (is_recent || !is_saved)) return holder->record.address;
   if (!request.kept_cache.empty()) return std::string(request.kept_cache);
   const auto next = std::ranges::find_if(group.ranked, is_other);
@@ -265,8 +296,10 @@
           PrefillMs(missing, prompt.input_tokens, report.active);
       const double reported_ms =
           kTypicalPrefillMs * (report.prefilling + report.queued);
-      const double wait_ms =
-          std::max(backlog_ms, reported_ms) + prefill_ms + kFirstEventMs;
+      const double memory_ms =
+          MemoryWaitMs(report, backlog_ms, prompt.input_tokens);
+      const double begin_ms = std::max({backlog_ms, reported_ms, memory_ms});
+      const double wait_ms = begin_ms + prefill_ms + kFirstEventMs;
       const double cost_ms = wait_ms + PenaltyOf(!is_home, kHomeMs) +
                              PenaltyOf(is_behind, kOldWeightsMs) +
                              PenaltyMs(*target, least_failing, now);
@@ -275,7 +308,7 @@
       best.target = target;
       best.estimate = FromMs(wait_ms);
       best.prefill = FromMs(prefill_ms);
-      best.backlog = FromMs(std::max(backlog_ms, reported_ms));
+      best.backlog = FromMs(begin_ms);
       best.missing_tokens = missing;
       best.weights = weights;
       best.cache_group = group.cache_group;
--- a/src/libserving/placement_test.cc
+++ b/src/libserving/placement_test.cc
@@ -125,6 +125,64 @@
   CHECK(policy.Choose(targets, request, At(5000))->missing_tokens == 6600);
 }
 
+// Pattern: a quarter of the targets is dark and the memory of the others is
+// full (scale-1 of the grown Ounje Alafia): requests queued for memory where
+// prompts were read quickly, and cached parts yielded within half a second.
+TEST_CASE("a prompt waits for memory, so it goes where there is some") {
+  const auto targets = MakeTargets(2);
+  const PlacementPolicy policy("a");
+  const Prompt prompt = MakePrompt(7, 1);
+  const PlacementRequest request{.prompt = &prompt};
+  const auto home = policy.Choose(targets, request, At(0));
+  const LoadReport full{.memory_used = 173000, .memory_total = 173918};
+  const LoadReport half{.memory_used = 87000, .memory_total = 173918};
+  home->target->signals.OnReport(full, At(0));
+  const auto other = policy.Choose(targets, request, At(0));
+  CHECK(other->target != home->target);
+  CHECK(other->backlog == Duration{0});
+  other->target->signals.OnReport(half, At(0));
+  CHECK(policy.Choose(targets, request, At(0))->target == other->target);
+  other->target->signals.OnReport(full, At(0));
+  const auto late = policy.Choose(targets, request, At(0));
+  CHECK(late->target == home->target);
+  CHECK(late->backlog > milliseconds(80));
+}
+
+TEST_CASE("prompts that are still to be read will need memory too") {
+  const auto targets = MakeTargets(1);
+  const PlacementPolicy policy("a");
+  const Prompt prompt = MakePrompt(7, 1);
+  const LoadReport full{.memory_used = 173000, .memory_total = 173918};
+  targets[0]->signals.OnReport(full, At(0));
+  CHECK(policy.Choose(targets, {.prompt = &prompt}, At(0))->backlog <
+        milliseconds(100));
+  targets[0]->signals.OnSent(At(0), milliseconds(100));
+  CHECK(policy.Choose(targets, {.prompt = &prompt}, At(0))->backlog >
+        milliseconds(200));
+}
+
+TEST_CASE("a target with full memory keeps no parts for others") {
+  const auto targets = MakeTargets(2);
+  const PlacementPolicy policy("a");
+  const Prompt prompt = MakePrompt(7, 1);
+  const auto keys = SharedPartKeys(prompt, CacheGroup(1, ""));
+  SavedParts saved;
+  saved.SetCapacity(1000000);
+  saved.OnSaved({keys.back(), 6000}, At(0));
+  const PlacementRequest request{
+      .prompt = &prompt, .kept_cache = "10.9.9.9:1", .saved_parts = &saved};
+  const Fleet::TargetPtr home = policy.Choose(targets, request, At(0))->target;
+  const Fleet::TargetPtr other = home == targets[0] ? targets[1] : targets[0];
+  other->signals.OnPartUsed(keys.back(), At(500));
+  for (const int64_t used : {40000, 160000}) {
+    other->signals.OnReport({.memory_used = used, .memory_total = 173918},
+                            At(1000));
+    const bool is_kept = used == 40000;
+    CHECK(policy.Choose(targets, request, At(1000))->fetch_from ==
+          (is_kept ? other->record.address : "10.9.9.9:1"));
+  }
+}
+
 TEST_CASE("targets that load or are avoided are a last resort") {
   const auto targets = MakeTargets(2, 0);
   const PlacementPolicy policy("a");
