Harm the links of the soaked daemons through a proxy on the loopback

The soak stopped, killed and froze processes and let store and targets misbehave, but every connection was sound. Now the store and all targets are reached through proxies that delay chunks, hold one direction or both, and reset what is open. Held bytes are passed on later and in order, as a link would do, so no connection carries other bytes than its ends have sent.

The stand-ins take the port to listen on; they register the proxy's.

--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -17,6 +17,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "platform", "standin"))
 
+import fault_proxy  # noqa: E402  pylint: disable=wrong-import-position
 import fleet  # noqa: E402  pylint: disable=wrong-import-position,import-error
 
 ROUTERS = ["127.0.1.2", "127.0.1.3", "127.0.1.4"]
@@ -68,11 +69,16 @@
         self.started = time.monotonic()
         self.is_over = False
         self.timers = []
-        self.store = fleet.Store()
+        # Callers of the store and of targets go through proxies, which listen at the known ports.
+        self.store = fleet.Store(fleet.STORE_PORT + 1)
+        addresses = [(fleet.STORE_IP, fleet.STORE_PORT), *((ip, fleet.TARGET_PORT) for ip in [*MODELS, *PLAINS])]
+        self.links = [fault_proxy.FaultProxy((ip, port), (ip, port + 1)) for ip, port in addresses]
         self.store.put("config", "main", fleet.configuration(1, self.keys))
-        self.models = [fleet.Target(self.store, ip, f"m{number}", "model-service", "m", self.choose)
+        self.models = [fleet.Target(self.store, ip, f"m{number}", "model-service", "m", self.choose,
+                                    fleet.TARGET_PORT + 1)
                        for number, ip in enumerate(MODELS)]
-        self.plains = [fleet.Target(self.store, ip, f"p{number}", "plain", choose=self.choose)
+        self.plains = [fleet.Target(self.store, ip, f"p{number}", "plain", choose=self.choose,
+                                    port=fleet.TARGET_PORT + 1)
                        for number, ip in enumerate(PLAINS)]
         self.routers = [fleet.start_router(bin_dir, ip) for ip in ROUTERS]
         self.agents = [fleet.start_agent(bin_dir, ip) for ip in MODELS]
@@ -146,6 +152,33 @@
         self.store.hides_since = self.store.revision
         self.later(1.5, lambda: setattr(self.store, "hides_since", None))
 
+    def delay_link(self):
+        self.harm_link("delay", self.random.choice([0.02, 0.2, 0.6]), 0.0)
+
+    def hold_requests(self):
+        self.harm_link("holds_requests", True, False)
+
+    def hold_answers(self):
+        self.harm_link("holds_answers", True, False)
+
+    def silence_link(self):
+        link, seconds = self.random.choice(self.links), self.random.uniform(0.3, 2.5)
+        for field in ("holds_requests", "holds_answers"):
+            self.harm(link, field, True, False, seconds)
+
+    def harm_link(self, field, value, sound):
+        self.harm(self.random.choice(self.links), field, value, sound, self.random.uniform(0.3, 2.5))
+
+    def harm(self, link, field, value, sound, seconds):
+        self.note(f"link to {link.upstream[0]}: {field} {value} for {seconds:.1f} s")
+        setattr(link, field, value)
+        self.later(seconds, lambda: setattr(link, field, sound))
+
+    def reset_link(self):
+        link = self.random.choice(self.links)
+        self.note(f"link to {link.upstream[0]}: reset")
+        link.reset_all()
+
     def replace_target(self):
         target = self.random.choice([*self.models, *self.plains])
         self.incarnations += 1
@@ -198,7 +231,8 @@
             return
         faults = [self.kill_router, self.stop_router, self.kill_agent, self.freeze, self.freeze, self.reload,
                   self.spoil, self.spoil, self.refuse_at_store, self.slow_store, self.stale_store,
-                  self.replace_target, self.replace_target, self.name_weights, self.revoke_key, self.kill_all]
+                  self.replace_target, self.replace_target, self.name_weights, self.revoke_key, self.kill_all,
+                  self.delay_link, self.hold_requests, self.hold_answers, self.silence_link, self.reset_link]
         callers = [threading.Thread(target=self.call, args=(number,)) for number in range(CALLERS)]
         for caller in callers:
             caller.start()
@@ -245,7 +279,7 @@
         for daemon in [*self.routers, *self.agents]:
             daemon.process.kill()
             daemon.process.wait()
-        for stand_in in [self.store, *self.models, *self.plains]:
+        for stand_in in [*self.links, self.store, *self.models, *self.plains]:
             stand_in.stop()
 
 
