--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -1,6 +1,7 @@
 #include "dogwoodlatch/daemon/agent.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <iterator>
 #include <utility>
 
@@ -295,7 +296,8 @@
   std::vector<std::string> names;
   for (const size_t index : routers_named_.Next(subscribers_.size())) {
     const auto& router =
-        std::next(subscribers_.begin(), static_cast<long>(index))->first;
+        std::next(subscribers_.begin(), static_cast<std::ptrdiff_t>(index))
+            ->first;
     names.push_back(router.address().to_string() + ":" +
                     std::to_string(router.port()));
   }
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
 #include <iterator>
 #include <utility>
 
@@ -332,7 +333,8 @@
                       const std::vector<size_t>& receivers) {
   const std::vector<uint8_t> datagram = Encode(news);
   for (const size_t index : receivers) {
-    const auto router = std::next(routers_.begin(), static_cast<long>(index));
+    const auto router =
+        std::next(routers_.begin(), static_cast<std::ptrdiff_t>(index));
     link_->Send(router->first, datagram);
   }
 }
