--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -35,6 +35,7 @@
   int64_t memory_used = 0;   ///< tokens that cannot be evicted
   int64_t memory_total = 0;  ///< tokens
   std::vector<std::string> routers;  ///< "ip:port" of routers that subscribe
+  bool is_leaving = false;  ///< the target says that it is about to exit
 
   bool operator==(const TargetStatus&) const = default;
 };
@@ -44,8 +45,8 @@
 
 /// What a router sends to the other routers: the prompt parts that it has sent
 /// to each target, saved and fetched since its last update, the time that the
-/// targets still need to prefill its requests, and the runs that ended with a
-/// broken connection.
+/// targets still need to prefill its requests, the runs that ended with a
+/// broken connection, and the targets that said to it that they leave.
 struct RouterUpdate {
   struct TargetLoad {
     std::string target_id;
@@ -54,7 +55,14 @@
 
     bool operator==(const TargetLoad&) const = default;
   };
+  struct Leaving {
+    std::string target_id;
+    WallTime started{};  ///< of the incarnation
+
+    bool operator==(const Leaving&) const = default;
+  };
   std::vector<TargetLoad> targets;
+  std::vector<Leaving> targets_leaving{};
   std::vector<serving::PartSave> parts_saved;  ///< saved to the cache stores
   std::vector<uint64_t> parts_fetched{};  ///< fetched from the cache stores
   std::vector<serving::BrokenRun> runs_broken{};
@@ -71,7 +79,17 @@
 
 std::vector<uint8_t> Encode(Subscription subscription);
 
-using Datagram = std::variant<TargetStatus, RouterUpdate, Subscription>;
+/// Sent by the coordinator to the routers that subscribe to it.
+struct RouterDirectory {
+  std::vector<std::string> routers;  ///< "ip:port"
+
+  bool operator==(const RouterDirectory&) const = default;
+};
+
+std::vector<uint8_t> Encode(const RouterDirectory& directory);
+
+using Datagram =
+    std::variant<TargetStatus, RouterUpdate, Subscription, RouterDirectory>;
 
 /// Fails with kBadMessage or kBadVersion.
 Result<Datagram> DecodeDatagram(std::span<const uint8_t> bytes);
--- /dev/null
+++ b/src/include/dogwoodlatch/daemon/coordinator.h
@@ -0,0 +1,102 @@
+/// The part of a router that stands in for agents that do not exist or do not
+/// respond. One router, the holder of a lease in the platform's store, orders
+/// weights for their targets and tells the other routers of each other.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dogwoodlatch/daemon/agent_link.h"
+#include "dogwoodlatch/daemon/platform_view.h"
+#include "dogwoodlatch/dataplane/http_client.h"
+#include "dogwoodlatch/serving/coordination.h"
+#include "platform/node_settings.h"
+#include "platform/weights_orders.h"
+
+namespace dogwoodlatch::daemon {
+
+class Coordinator {
+ public:
+  /// `address` is where this router receives datagrams. `publish` is called with
+  /// the status of targets whose weights this process changes.
+  Coordinator(asio::io_context& context, const platform::NodeSettings& settings,
+              std::string address, PlatformView& view,
+              std::function<void(const TargetStatus&)> publish);
+
+  /// The agent next to the target has sent its status.
+  void OnAgentHeard(const std::string& target_id, TimePoint now);
+
+  /// The store was restored from an older copy.
+  void OnStoreRestored();
+
+  /// Advances the election and the orders.
+  void Tick(TimePoint now);
+
+  /// True while this router is the coordinator.
+  bool IsActive() const;
+
+  /// Where another router that is the coordinator receives datagrams; empty if
+  /// there is none or none is needed.
+  std::string OtherAddress() const;
+
+ private:
+  // What is known of the agent of a target.
+  struct Attendance {
+    TimePoint listed{};
+    std::optional<TimePoint> heard;
+  };
+
+  // One order to one target, from the report before it to its effect.
+  struct Order {
+    explicit Order(asio::io_context& context, const std::string& address)
+        : client(context, address) {}
+
+    dataplane::HttpClient client;
+    std::string model;
+    uint64_t version = 0;
+    bool is_calling = false;
+    bool is_accepted = false;
+    TimePoint started{};
+    TimePoint next_call{};
+    platform::TargetReport report;
+  };
+
+  bool IsUnattended(const std::string& target_id, TimePoint now) const;
+  void UpdateAttendance(TimePoint now);
+  void AdvanceElection(TimePoint now);
+  void ReadLease();
+  void WriteLease(serving::CoordinatorElection::Step step);
+  void OnLeaseWritten(const Result<dataplane::CallResponse>& response,
+                      TimePoint sent);
+  void StartOrders(TimePoint now);
+  void AdvanceOrders(TimePoint now);
+  void RequestReport(const std::string& target_id, Order& order);
+  void OnReport(const std::string& target_id,
+                const Result<dataplane::CallResponse>& response);
+  void SendOrder(const std::string& target_id, Order& order);
+  void OnOrderAnswered(const std::string& target_id,
+                       const Result<dataplane::CallResponse>& response);
+  void PublishPhase(const std::string& target_id, const Order& order);
+
+  asio::io_context& io_;
+  std::string own_name_;
+  std::string address_;
+  PlatformView& view_;
+  std::function<void(const TargetStatus&)> publish_;
+  serving::CoordinatorElection election_;
+  dataplane::HttpClient lease_client_;
+  bool is_lease_call_pending_ = false;
+  uint64_t renewals_ = 0;
+  bool was_active_ = false;
+  bool is_needed_ = false;
+  TimePoint last_unattended_{};  ///< when a target had no agent, last
+  std::map<std::string, Attendance> attendance_;  ///< by target id
+  std::map<std::string, std::unique_ptr<Order>> orders_;  ///< by target id
+};
+
+}  // namespace dogwoodlatch::daemon
--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -41,6 +41,8 @@
   RetryBudgetLimits retry_limits;
   /// An older configuration does not prove that a route or key is unknown.
   Duration max_configuration_age;
+  /// Bodies of responses that are read whole before they are returned.
+  dataplane::ByteBudget response_budget;
   /// Set once the router is stopping.
   std::optional<serving::ShutdownPlan> stop{};
   serving::SavedParts saved_parts{};
@@ -90,7 +92,9 @@
   bool MayRunAgain() const;
   bool WithdrawRetry();
   void EndWithoutResponse();
+  void RefuseForLackOfTargets();
   void Refuse(Outcome outcome, std::chrono::milliseconds retry_after);
+  void RefuseAfter(Outcome outcome, std::chrono::duration<double> delay);
   void Fail(Outcome outcome, int status);
   void DeliverResponse();
   void OnDeadline();
--- a/src/include/dogwoodlatch/daemon/object_feed.h
+++ b/src/include/dogwoodlatch/daemon/object_feed.h
@@ -5,12 +5,14 @@
 #include <asio.hpp>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "dogwoodlatch/dataplane/http_client.h"
+#include "dogwoodlatch/serving/store_era.h"
 #include "dogwoodlatch/time.h"
 #include "platform/objects.h"
 
@@ -39,6 +41,8 @@
                      TimePoint sent)>
       on_changes;
   std::function<void(const std::string& reason)> on_failure;
+  /// Judges the era of each answer, whatever its status.
+  std::function<serving::EraVerdict(uint64_t era)> on_era;
 };
 
 class ObjectFeed {
@@ -52,7 +56,14 @@
   /// another feed.
   void RetryNow();
 
+  /// Lists again after a short random pause, because the store was restored
+  /// from an older copy.
+  void Relist();
+
  private:
+  /// Handles the era of an answer. Returns false if the answer must not be
+  /// used; the next call is then already scheduled.
+  bool CheckEra(const dataplane::CallResponse& response);
   void ListFrom(std::string_view after);
   void Watch();
   void ScheduleNext(bool has_changed);
@@ -69,12 +80,18 @@
   std::minstd_rand random_;
   std::chrono::milliseconds retry_pause_;
   bool is_pausing_ = false;
-  bool has_list_ = false;       ///< the next call is a watch
-  uint64_t revision_ = 0;       ///< the next watch starts here
-  uint64_t list_revision_ = 0;  ///< revision of the list's first page
+  bool has_list_ = false;        ///< the next call is a watch
+  uint64_t revision_ = 0;        ///< the next watch starts here
+  std::optional<uint64_t> era_;  ///< in which `revision_` is valid
+  uint64_t list_revision_ = 0;   ///< revision of the list's first page
   TimePoint list_sent_{};
   TimePoint call_sent_{};
   std::vector<platform::StoredObject> listed_;
 };
 
+/// Lets all feeds but the one at `index` list again. That one has received the
+/// answer that shows the new era, and handles it itself.
+void RelistOthers(const std::vector<std::unique_ptr<ObjectFeed>>& feeds,
+                  size_t index);
+
 }  // namespace dogwoodlatch::daemon
--- a/src/include/dogwoodlatch/daemon/platform_view.h
+++ b/src/include/dogwoodlatch/daemon/platform_view.h
@@ -14,6 +14,7 @@
 #include "dogwoodlatch/serving/fleet.h"
 #include "dogwoodlatch/serving/freshness.h"
 #include "dogwoodlatch/serving/named_weights.h"
+#include "dogwoodlatch/serving/store_era.h"
 #include "dogwoodlatch/time.h"
 #include "platform/node_settings.h"
 #include "platform/objects.h"
@@ -50,6 +51,12 @@
                  const std::vector<platform::StoredObject>& objects,
                  TimePoint sent, TimePoint now);
 
+  /// Judges an answer of the store by its era. When the store was restored from
+  /// an older copy, revisions seen so far are void and the freshness of the
+  /// configuration must be proved again; `boot_now` is the time on the clock of
+  /// `sent`.
+  serving::EraVerdict OnEra(uint64_t era, TimePoint now, TimePoint boot_now);
+
   /// Handles a failed call.
   void OnFailure(platform::ObjectKind kind, const std::string& reason,
                  TimePoint now);
@@ -68,6 +75,8 @@
   /// The oldest version of a model's weights that may still run; 0 for any.
   uint64_t OldestUsableWeights(const std::string& model, TimePoint now) const;
 
+  const serving::StoreEra& era() const { return era_; }
+
   /// Highest fence of all published weights.
   uint64_t newest_fence() const { return newest_fence_; }
   bool has_targets() const { return has_targets_; }
@@ -79,6 +88,7 @@
 
  private:
   void OnStoreResponse(TimePoint now);
+  void ConfirmConfiguration(TimePoint sent);
   void AdoptConfiguration(const platform::StoredObject& object);
   void AdoptTargets(const std::vector<platform::StoredObject>& objects,
                     TimePoint now, bool is_full_list);
@@ -87,7 +97,11 @@
   Duration weights_bound_;  ///< the promised time less a margin
   serving::FreshnessGuard freshness_;
   Duration settling_;
+  serving::StoreEra era_;
   ConfigurationPtr configuration_;
+  /// Newest version that the store has returned in the current era.
+  uint64_t stored_configuration_ = 0;
+  TimePoint restored_at_{};  ///< on the clock of `sent`
   serving::Fleet fleet_;
   std::map<std::string, serving::NamedVersions> weights_;
   bool has_weights_ = false;  ///< the first list has been received
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "dogwoodlatch/daemon/agent_link.h"
+#include "dogwoodlatch/daemon/coordinator.h"
 #include "dogwoodlatch/daemon/exchange.h"
 #include "dogwoodlatch/daemon/object_feed.h"
 #include "dogwoodlatch/daemon/platform_view.h"
@@ -21,6 +22,9 @@
 /// updates when there are many routers.
 inline constexpr size_t kMaxRoutersPerUpdate = 32;
 
+/// Maximum number of addresses in a directory, so that it fits into one packet.
+inline constexpr size_t kMaxRoutersPerDirectory = 40;
+
 class Router {
  public:
   Router(asio::io_context& context, platform::NodeSettings settings);
@@ -55,8 +59,14 @@
   void OnDatagram(const asio::ip::udp::endpoint& from,
                   std::span<const uint8_t> bytes);
   void OnTargetStatus(const TargetStatus& status);
+  void OnRoutersListed(const std::vector<std::string>& addresses,
+                       TimePoint now);
+  void PublishDirectory(TimePoint now);
+  void PublishTargetStatus(const TargetStatus& status);
   void OnRouterUpdate(uint64_t router, const RouterUpdate& update);
   void PublishUpdate(TimePoint now);
+  /// Targets that have said lately that they leave.
+  std::vector<RouterUpdate::Leaving> CollectLeaving(TimePoint now);
   void Tick();
   void AdvanceStop(TimePoint now);
   void DivideRetryBudget(size_t routers);
@@ -78,9 +88,18 @@
   asio::steady_timer tick_timer_;
   TimePoint next_subscription_{};
   TimePoint next_sweep_{};
-  /// Other routers, with the time at which an agent last listed them.
+  /// Other routers, with the time at which an agent or the coordinator last
+  /// listed them.
   std::map<asio::ip::udp::endpoint, TimePoint> routers_;
+  TimePoint routers_listed_at_{};
+  Coordinator coordinator_;
+  /// Routers that take this one for the coordinator, with the time of their
+  /// last subscription.
+  std::map<asio::ip::udp::endpoint, TimePoint> subscribers_;
+  TimePoint next_directory_{};
+  serving::RoundRobinSelector directory_rotation_{kMaxRoutersPerDirectory};
   std::map<std::string, Duration> published_backlogs_;  ///< by target
+  std::map<std::string, TimePoint> leaving_since_;      ///< by target
   TimePoint next_update_{};
   serving::RoundRobinSelector update_rotation_{kMaxRoutersPerUpdate};
   size_t retry_budget_routers_ = 0;
--- a/src/include/dogwoodlatch/daemon/target_attempt.h
+++ b/src/include/dogwoodlatch/daemon/target_attempt.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "dogwoodlatch/dataplane/byte_budget.h"
 #include "dogwoodlatch/dataplane/upstream_connection.h"
 #include "dogwoodlatch/serving/placement.h"
 #include "platform/requests.h"
@@ -29,7 +30,8 @@
   virtual void OnStreamEnd() = 0;
   /// A complete response of any other kind.
   virtual void OnResponse() = 0;
-  /// The request was sent, but the connection broke before the response's end.
+  /// The request was sent, but the connection broke before the response's end,
+  /// or was closed because the response is longer than it may be.
   virtual void OnConnectionLost() = 0;
   /// Nothing arrived within the request's `max_silence`: for a stream, no bytes
   /// of any response of the target; for another request, no response head.
@@ -50,8 +52,8 @@
                             public std::enable_shared_from_this<TargetAttempt> {
  public:
   TargetAttempt(asio::io_context& context, dataplane::ConnectionPool& pool,
-                AttemptOwner& owner, serving::Placement placement,
-                AttemptRequest request);
+                dataplane::ByteBudget& body_budget, AttemptOwner& owner,
+                serving::Placement placement, AttemptRequest request);
   ~TargetAttempt() override;
   TargetAttempt(const TargetAttempt&) = delete;
   TargetAttempt& operator=(const TargetAttempt&) = delete;
@@ -93,6 +95,7 @@
   void StartSilenceTimer(std::chrono::milliseconds wait);
   void OnSilenceTimer();
   void RecordEnd();
+  void RecordTargetState();
 
   dataplane::ConnectionPool& pool_;
   AttemptOwner& owner_;
@@ -110,6 +113,7 @@
   dataplane::ResponseHead head_;
   platform::ResponseMetadata response_;
   std::string body_;
+  dataplane::ByteReservation body_bytes_;
 };
 
 }  // namespace dogwoodlatch::daemon
--- a/src/include/dogwoodlatch/dataplane/http_client.h
+++ b/src/include/dogwoodlatch/dataplane/http_client.h
@@ -27,9 +27,14 @@
   HeaderList headers;
   std::string body;
   std::chrono::milliseconds timeout{1000};
+  /// A response with a longer body is an error.
+  size_t max_body_bytes = 256UL * 1024;
 
   static Call Get(std::string target, std::chrono::milliseconds timeout) {
-    return Call{"GET", std::move(target), {}, {}, timeout};
+    Call call;
+    call.target = std::move(target);
+    call.timeout = timeout;
+    return call;
   }
 };
 
@@ -47,7 +52,7 @@
   /// Starts a call and cancels the one in progress. Calls `done` once with the
   /// response, or with kUnavailable if no connection was made, or with
   /// kUnknownOutcome if the call may have been sent but got no complete
-  /// response before its timeout.
+  /// response before its timeout, or one that is too long.
   void Start(Call call, Done done);
 
   /// Cancels the call in progress; its `done` is not called.
--- a/src/include/dogwoodlatch/dataplane/http_reader.h
+++ b/src/include/dogwoodlatch/dataplane/http_reader.h
@@ -52,6 +52,12 @@
   /// True once Feed has seen the first byte of the request.
   bool has_started() const { return started_; }
 
+  /// True once the head is complete.
+  bool has_head() const;
+
+  /// Body bytes read so far.
+  size_t body_size() const;
+
   /// Returns whether the header is complete and has `Expect: 100-continue`.
   /// True at most once per request.
   bool TakeContinueExpectation();
@@ -110,7 +116,8 @@
   /// Consumes bytes from the front of `input` and passes head and body to
   /// `listener`. Stops at the end of a response that the listener has accepted;
   /// done() is then true. Returns false if the bytes are not a valid response,
-  /// or if a discarded response has no known end.
+  /// if a discarded response has no known end, or if heads, discarded bytes,
+  /// chunk extensions or trailers exceed their bounds.
   bool Feed(std::string& input, ResponseListener& listener);
 
   /// Handles an orderly close by the peer. Returns true if the close completes
@@ -123,7 +130,10 @@
  private:
   class Parser;
 
+  void StartParser();
+
   std::unique_ptr<Parser> parser_;
+  size_t skipped_bytes_ = 0;  ///< of interim and discarded responses
 };
 
 }  // namespace dogwoodlatch::dataplane
--- a/src/include/dogwoodlatch/dataplane/http_server_session.h
+++ b/src/include/dogwoodlatch/dataplane/http_server_session.h
@@ -9,8 +9,10 @@
 #include <string>
 #include <string_view>
 
+#include "dogwoodlatch/dataplane/byte_budget.h"
 #include "dogwoodlatch/dataplane/http_reader.h"
 #include "dogwoodlatch/serving/configuration.h"
+#include "dogwoodlatch/time.h"
 
 namespace dogwoodlatch::dataplane {
 
@@ -19,6 +21,8 @@
   serving::HttpLimits limits;
   bool is_closing = false;  ///< later responses close their connections
   size_t sessions = 0;      ///< number of open sessions
+  /// Bodies of all requests that are being read or served.
+  ByteBudget body_budget{32UL * 1024 * 1024};
 };
 
 /// Reads requests one at a time and sends their responses in the same order.
@@ -74,7 +78,7 @@
   void ReadMore();
   void OnBytes(std::error_code error, size_t count);
   void ParseNext();
-  void RejectUnreadable(int status);
+  void RejectUnreadable(int status, const HeaderList& headers = {});
   void Write(std::string_view bytes);
   void Flush();
   void FinishResponse();
@@ -89,6 +93,9 @@
   std::string read_buffer_;
   std::string input_;
   std::optional<RequestReader> reader_;
+  ByteReservation body_bytes_;
+  size_t counted_body_bytes_ = 0;  ///< of the current request
+  TimePoint request_started_{};
   std::string method_;
   bool is_serving_ = false;
   bool keeps_alive_ = true;
--- a/src/include/dogwoodlatch/serving/admission.h
+++ b/src/include/dogwoodlatch/serving/admission.h
@@ -3,7 +3,9 @@
 
 #include <chrono>
 #include <optional>
+#include <span>
 
+#include "dogwoodlatch/serving/fleet.h"
 #include "dogwoodlatch/time.h"
 
 namespace dogwoodlatch::serving {
@@ -26,4 +28,10 @@
 /// answer late; a short queue keeps the admitted requests on time.
 std::optional<Duration> RetryAfterIfTooLate(const AdmissionRequest& request);
 
+/// How long a caller should wait when every target that may serve it pushes
+/// back: until the first of them takes requests again. None if one takes
+/// requests now, or if there are no targets.
+std::optional<Duration> RetryAfterPushback(
+    std::span<const Fleet::TargetPtr> serving, TimePoint now);
+
 }  // namespace dogwoodlatch::serving
--- a/src/include/dogwoodlatch/serving/event_stream.h
+++ b/src/include/dogwoodlatch/serving/event_stream.h
@@ -1,6 +1,7 @@
 /// Splits a text/event-stream body into complete events.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,12 +25,17 @@
   /// True while the last event is incomplete.
   bool has_partial() const { return !partial_.empty(); }
 
+  /// True if the last event is longer than any event may be.
+  bool is_too_long() const { return partial_.size() > kMaxEventBytes; }
+
   /// False once an id was not its predecessor plus one.
   bool in_sequence() const { return in_sequence_; }
 
   /// Discards the incomplete event; the sequence of ids continues.
   void DropPartial() { partial_.clear(); }
 
+  static constexpr size_t kMaxEventBytes = 256UL * 1024;
+
  private:
   void Scan(std::string_view event);
 
--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -77,6 +77,12 @@
   /// The target refused a request without running it.
   void OnRefused(TimePoint now);
 
+  /// The target wants no requests from this VM for the time `pushback`.
+  void OnPushback(Duration pushback, TimePoint now);
+
+  /// How much longer the target wants no requests from this VM.
+  Duration PushbackLeft(TimePoint now) const;
+
   void OnReport(const LoadReport& report, TimePoint now);
 
   /// The last report; an empty one if it is outdated.
@@ -116,6 +122,7 @@
   TimePoint last_received_{};
   TimePoint avoid_until_{};
   TimePoint refusing_until_{};
+  TimePoint pushback_until_{};
   TimePoint reported_at_{};
   LoadReport report_;
   struct PeerBacklog {
@@ -131,6 +138,13 @@
   TargetSignals signals;
   bool listed = true;  ///< false if the platform no longer lists it
   TimePoint unlisted_since{};
+  bool leaving = false;  ///< said so itself, in an answer or to a peer
+  /// An entry that was gone before the store was restored may be that of a dead
+  /// target, and lapses by then if so.
+  TimePoint usable_from{};
+
+  /// True if the target must get no new requests, ever again.
+  bool IsLeaving() const { return record.draining || leaving; }
 
   /// The version of `model` that the target has loaded; 0 if unknown.
   uint64_t LoadedVersion(std::string_view model) const;
@@ -145,8 +159,19 @@
  public:
   using TargetPtr = std::shared_ptr<Target>;
 
-  /// Adds or updates a target that the platform lists.
-  void Upsert(const TargetRecord& record);
+  /// Adds or updates a target that the platform lists. An incarnation that was
+  /// draining or leaving stays so, also if an older entry of it is listed
+  /// again.
+  void Upsert(const TargetRecord& record, TimePoint now);
+
+  /// The store was restored from an older copy. Targets that were removed
+  /// shortly before and are listed again are not used for `entry_lifetime`,
+  /// within which the entries of dead targets lapse.
+  void OnStoreRestored(Duration entry_lifetime, TimePoint now);
+
+  /// The incarnation of `id` that started at `started` is about to exit.
+  /// Returns false if it is unknown or known to be leaving.
+  bool OnLeaving(std::string_view id, WallTime started);
 
   /// The platform no longer lists the target. While the platform recovers from
   /// an outage, a target that was not draining stays usable for `kRelistGrace`,
@@ -174,6 +199,18 @@
   static constexpr Duration kRelistGrace = std::chrono::milliseconds(2500);
 
  private:
+  // A target that was removed. Kept for a while, as its entry may return.
+  struct Departure {
+    WallTime started{};
+    std::string address;
+    bool was_leaving = false;
+    TimePoint at{};
+  };
+
+  void Erase(std::string_view id, TimePoint now);
+
+  std::map<std::string, Departure, std::less<>> departures_;  ///< by id
+  TimePoint hold_returned_until_{};
   std::map<std::string, TargetPtr, std::less<>> targets_;
 };
 
--- a/src/include/dogwoodlatch/serving/freshness.h
+++ b/src/include/dogwoodlatch/serving/freshness.h
@@ -20,6 +20,10 @@
   /// An earlier confirmation never replaces a later one.
   void OnConfirmed(TimePoint sent);
 
+  /// Ignores confirmations that were sent before `time`. Earlier confirmations
+  /// keep their value.
+  void IgnoreUntil(TimePoint time) { ignored_until_ = time; }
+
   /// Time since the last confirmation; none before the first one.
   std::optional<Duration> Age(TimePoint now) const;
 
@@ -29,6 +33,7 @@
  private:
   Duration bound_;
   std::optional<TimePoint> confirmed_at_;
+  TimePoint ignored_until_ = TimePoint::min();
 };
 
 }  // namespace dogwoodlatch::serving
--- a/src/include/dogwoodlatch/serving/rollout.h
+++ b/src/include/dogwoodlatch/serving/rollout.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "dogwoodlatch/time.h"
 
@@ -39,6 +40,23 @@
   Duration batch_timeout{0};  ///< longest wait for one batch of peers
 };
 
+// A load takes about 1.1 s and starts after the runs in progress, which take
+// about as long. According to the descriptions of the deployments, loads take
+// longer when more than 2 of 9 or 9 of 48 targets load at once.
+inline constexpr RolloutLimits kDefaultRolloutLimits{
+    .min_concurrent_loads = 2,
+    .max_load_share = 0.19,
+    .batch_timeout = std::chrono::milliseconds(2500)};
+
+/// Number of targets that may load at the same time.
+size_t MaxConcurrentLoads(size_t targets, const RolloutLimits& limits);
+
+/// Order in which targets load `named`, lowest first: those on the oldest
+/// weights, then by a hash that all processes compute alike.
+std::pair<uint64_t, uint64_t> ComputeRolloutOrder(std::string_view id,
+                                                  uint64_t loaded,
+                                                  uint64_t named);
+
 /// True if the target `own_id` should drain, to be ready when it may load the
 /// version `named`. Agents need no coordination, as all derive the same order
 /// from the list of peers: targets on older versions come first, ties are
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -5,7 +5,9 @@
 #include <iterator>
 #include <utility>
 
+#include "dogwoodlatch/daemon/boot_clock.h"
 #include "dogwoodlatch/util/log.h"
+#include "platform/requests.h"
 
 namespace dogwoodlatch::daemon {
 namespace {
@@ -28,14 +30,6 @@
 // second.
 constexpr Duration kSubscriptionLifetime = std::chrono::seconds(4);
 
-// A load takes about 1.1 s and starts after the runs in progress, which take
-// about as long. According to the descriptions of the deployments, loads take
-// longer when more than 2 of 9 or 9 of 48 targets load at once.
-constexpr serving::RolloutLimits kRolloutLimits{
-    .min_concurrent_loads = 2,
-    .max_load_share = 0.19,
-    .batch_timeout = milliseconds(2500)};
-
 // Maximum drain time before a load. Few streams last longer, and a drain does
 // not wait for them.
 constexpr Duration kMaxDrainTime = milliseconds(600);
@@ -87,6 +81,13 @@
     handlers.on_failure = [this, kind](const std::string& reason) {
       view_.OnFailure(kind, reason, SteadyNow());
     };
+    handlers.on_era = [this, index = feeds_.size()](uint64_t era) {
+      const auto verdict = view_.OnEra(era, SteadyNow(), BootNow());
+      if (verdict == serving::EraVerdict::kRestored) {
+        RelistOthers(feeds_, index);
+      }
+      return verdict;
+    };
     FeedOptions options;
     options.kind = kind;
     options.store_address = settings_.store_address;
@@ -153,18 +154,24 @@
   is_report_pending_ = false;
   const bool is_answered = response && response.value().status == 200;
   if (!is_answered) {
+    if (response) {
+      const auto refusal = platform::DecodeResponse(response.value().status,
+                                                    response.value().headers);
+      if (refusal.pushback) next_report_ = SteadyNow() + *refusal.pushback;
+    }
     if (report_) {
       LogEvent(EventId::kTargetDown, {{"target", settings_.target_address}});
     }
     report_.reset();
     return;
   }
-  const Result<platform::TargetReport> report =
+  Result<platform::TargetReport> report =
       platform::DecodeReport(response.value().body);
   if (!report) {
     LogEvent(EventId::kBadMessage, {{"fault", ToString(report.error())}});
     return;
   }
+  report.value().is_leaving = platform::IsLeaving(response.value().headers);
   if (!report_) {
     LogEvent(EventId::kTargetUp, {{"target", settings_.target_address}});
     // A restarted target has a new id, which the feeds must fetch.
@@ -190,7 +197,7 @@
     const std::string& model, TimePoint now) const {
   std::vector<serving::RolloutPeer> peers;
   for (const auto& [id, target] : view_.fleet().targets()) {
-    if (!target->record.weights.contains(model) || target->record.draining) {
+    if (!target->record.weights.contains(model) || target->IsLeaving()) {
       continue;
     }
     serving::RolloutPeer peer{id, target->LoadedVersion(model),
@@ -229,7 +236,7 @@
     return;
   }
   const auto own = OwnTarget();
-  const bool may_order = own && !own->record.draining;
+  const bool may_order = own && !own->IsLeaving() && !report_->is_leaving;
   const auto lagging =
       std::ranges::find_if(view_.weights(), [&](const auto& named) {
         const auto loaded = report_->weights.find(named.first);
@@ -249,15 +256,16 @@
     phase_ = RolloutPhase::kServing;
     return;
   }
-  if (!was_draining &&
-      !serving::ShouldDrain(own->record.id, named.newest(), peers,
-                            now - named.newest_since(), kRolloutLimits)) {
+  if (!was_draining && !serving::ShouldDrain(own->record.id, named.newest(),
+                                             peers, now - named.newest_since(),
+                                             serving::kDefaultRolloutLimits)) {
     phase_ = RolloutPhase::kServing;
     return;
   }
   phase_ = RolloutPhase::kDraining;
   if (!was_draining) drain_started_ = now;
-  const bool may_load = serving::MayLoad(own->record.id, peers, kRolloutLimits);
+  const bool may_load =
+      serving::MayLoad(own->record.id, peers, serving::kDefaultRolloutLimits);
   if (IsDrained(now) && may_load) {
     SendWeightsOrder(model, named.newest());
   }
@@ -327,8 +335,10 @@
                       .prefilling = report_->prefilling,
                       .memory_used = report_->kv_used_tokens,
                       .memory_total = report_->kv_total_tokens,
-                      .routers = {}};
+                      .routers = {},
+                      .is_leaving = report_->is_leaving};
   const bool is_urgent = status.weights != last_published_.weights ||
+                         status.is_leaving != last_published_.is_leaving ||
                          status.phase != last_published_.phase;
   if (!is_urgent && now < next_status_) return;
   std::erase_if(subscribers_, [&](const auto& entry) {
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -8,7 +8,9 @@
 
 using nlohmann::json;
 
-// Must be incremented when a field changes its meaning.
+// Must be incremented when a field changes its meaning. Fields that were added
+// later are optional, so that processes of both builds understand each other
+// during an upgrade.
 constexpr int kProtocolVersion = 4;
 
 // The functions below throw an exception of the JSON library when a field is
@@ -28,6 +30,7 @@
   message.at("memory").at(0).get_to(status.memory_used);
   message.at("memory").at(1).get_to(status.memory_total);
   message.at("routers").get_to(status.routers);
+  status.is_leaving = message.value("leaving", false);
   return Datagram(std::move(status));
 }
 
@@ -49,6 +52,11 @@
     update.runs_broken.push_back(
         {entry.at(0).get<uint64_t>(), entry.at(1).get<uint64_t>()});
   }
+  for (const json& entry : message.value("leaving", json::array())) {
+    update.targets_leaving.push_back(
+        {entry.at(0).get<std::string>(),
+         WallTime(Duration(entry.at(1).get<int64_t>()))});
+  }
   return update;
 }
 
@@ -64,7 +72,8 @@
            {"active", status.active},
            {"prefilling", status.prefilling},
            {"memory", {status.memory_used, status.memory_total}},
-           {"routers", status.routers}});
+           {"routers", status.routers},
+           {"leaving", status.is_leaving}});
 }
 
 std::vector<uint8_t> Encode(const RouterUpdate& update) {
@@ -81,7 +90,13 @@
   for (const serving::BrokenRun& run : update.runs_broken) {
     broken.push_back({run.request, run.target});
   }
+  json leaving = json::array();
+  for (const RouterUpdate::Leaving& target : update.targets_leaving) {
+    leaving.push_back(
+        {target.target_id, target.started.time_since_epoch().count()});
+  }
   return json::to_cbor(json{{"v", kProtocolVersion},
+                            {"leaving", leaving},
                             {"sent", targets},
                             {"saved", saved},
                             {"fetched", update.parts_fetched},
@@ -92,6 +107,11 @@
   return json::to_cbor(json{{"v", kProtocolVersion}, {"subscribe", true}});
 }
 
+std::vector<uint8_t> Encode(const RouterDirectory& directory) {
+  return json::to_cbor(
+      json{{"v", kProtocolVersion}, {"directory", directory.routers}});
+}
+
 Result<Datagram> DecodeDatagram(std::span<const uint8_t> bytes) {
   const json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
   if (!message.is_object()) {
@@ -103,6 +123,10 @@
   // The JSON library reports such fields only by exceptions.
   try {
     if (message.contains("subscribe")) return Datagram(Subscription{});
+    if (message.contains("directory")) {
+      return Datagram(RouterDirectory{
+          message.at("directory").get<std::vector<std::string>>()});
+    }
     if (message.contains("sent")) return Datagram(ReadRouterUpdate(message));
     return ReadTargetStatus(message);
   } catch (const json::exception& fault) {
--- a/src/libdaemon/agent_link_test.cc
+++ b/src/libdaemon/agent_link_test.cc
@@ -15,13 +15,18 @@
   status.memory_used = 90000;
   status.memory_total = 173918;
   status.routers = {"10.0.0.1:7340"};
+  status.is_leaving = true;
   CHECK(DecodeDatagram(Encode(status)).value() == Datagram(status));
   RouterUpdate update;
   update.targets.push_back({"i-1", std::chrono::milliseconds(12), {1, ~0ULL}});
   update.parts_saved = {{9, 5382}};
   update.parts_fetched = {10, 11};
   update.runs_broken = {{7, ~0ULL}};
+  update.targets_leaving = {
+      {"i-2", WallTime(std::chrono::seconds(1790000000))}};
   CHECK(DecodeDatagram(Encode(update)).value() == Datagram(update));
+  const RouterDirectory directory{{"10.0.0.1:7340", "10.0.0.2:7340"}};
+  CHECK(DecodeDatagram(Encode(directory)).value() == Datagram(directory));
   CHECK(DecodeDatagram(Encode(Subscription{})).value() ==
         Datagram(Subscription{}));
 }
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -7,6 +7,7 @@
 
 #include "dogwoodlatch/daemon/boot_clock.h"
 #include "dogwoodlatch/serving/access_check.h"
+#include "dogwoodlatch/serving/admission.h"
 #include "dogwoodlatch/util/log.h"
 
 namespace dogwoodlatch::daemon {
@@ -162,7 +163,8 @@
     return;
   }
   attempt_ = std::make_shared<TargetAttempt>(
-      context_.io, context_.pool, *this, *std::move(placement),
+      context_.io, context_.pool, context_.response_budget, *this,
+      *std::move(placement),
       AttemptRequest{.id = routed_.metadata.id,
                      .is_stream = routed_.route->kind == RouteKind::kStream,
                      .max_silence = serving::FirstByteTimeout(*routed_.route)});
@@ -191,8 +193,11 @@
     OnDeadline();
     return;
   }
-  // The target may have begun to drain while the connection was made.
-  if (attempt_->target().record.draining) {
+  // The target may have begun to leave, or asked for a pause, while the
+  // connection was made.
+  const serving::Target& target = attempt_->target();
+  if (target.IsLeaving() ||
+      target.signals.PushbackLeft(SteadyNow()) > Duration{0}) {
     AbandonAttempt();
     TryTarget();
     return;
@@ -246,6 +251,7 @@
 
 void Exchange::OnStreamBytes(std::string_view bytes) {
   RelayEvents(splitter_.Feed(bytes));
+  if (attempt_ && splitter_.is_too_long()) OnResponseLost("event too long");
 }
 
 void Exchange::RelayEvents(std::string_view events) {
@@ -444,7 +450,7 @@
 void Exchange::EndWithoutResponse() {
   switch (serving::DetermineFinalOutcome(progress_)) {
     case serving::FinalOutcome::kRefuse:
-      Refuse(Outcome::kRefused, kBusyRetryAfter);
+      RefuseForLackOfTargets();
       return;
     case serving::FinalOutcome::kFail:
       Fail(Outcome::kUnknown, kBadGateway);
@@ -456,12 +462,29 @@
   }
 }
 
+// When all targets have asked for a pause, the caller is told to return after
+// the shortest one, and never sooner.
+void Exchange::RefuseForLackOfTargets() {
+  const TimePoint now = SteadyNow();
+  const auto pause = serving::RetryAfterPushback(
+      context_.view.fleet().Serving(routed_.service, now), now);
+  if (!pause) {
+    Refuse(Outcome::kRefused, kBusyRetryAfter);
+    return;
+  }
+  std::uniform_real_distribution<double> spread(1.0, 1.3);
+  RefuseAfter(Outcome::kRefused, *pause * spread(context_.random));
+}
+
 // The delay is randomised, so that callers refused at the same time do not
 // retry at the same time.
 void Exchange::Refuse(Outcome outcome, milliseconds retry_after) {
   std::uniform_real_distribution<double> spread(0.7, 1.3);
-  const std::chrono::duration<double> delay =
-      retry_after * spread(context_.random);
+  RefuseAfter(outcome, retry_after * spread(context_.random));
+}
+
+void Exchange::RefuseAfter(Outcome outcome,
+                           std::chrono::duration<double> delay) {
   session_->SendResponse(kServiceUnavailable,
                          {{"Retry-After", std::to_string(delay.count())}}, "");
   Finish(outcome, kServiceUnavailable);
--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -9,6 +9,8 @@
 namespace dogwoodlatch::daemon {
 namespace {
 
+using dataplane::Call;
+
 constexpr std::chrono::milliseconds kListTimeout{1500};
 
 // The HTTP timeout of a watch exceeds its wait by this margin, as a store that
@@ -17,6 +19,12 @@
 
 constexpr std::chrono::milliseconds kInitialRetryPause{100};
 
+// Spreads the lists of all processes after the store was restored.
+constexpr std::chrono::milliseconds kMaxRelistPause{200};
+
+// A page holds about 500 objects or 1 MB, and an object 1 MB at most.
+constexpr size_t kMaxPageBytes = 4UL * 1024 * 1024;
+
 constexpr int kStatusGone = 410;
 constexpr int kStatusOk = 200;
 
@@ -40,6 +48,28 @@
   Continue();
 }
 
+void ObjectFeed::Relist() {
+  client_.Cancel();
+  pause_timer_.cancel();
+  has_list_ = false;
+  std::uniform_int_distribution<int64_t> spread(1, kMaxRelistPause.count());
+  Pause(std::chrono::milliseconds(spread(random_)));
+}
+
+bool ObjectFeed::CheckEra(const dataplane::CallResponse& response) {
+  const auto era = platform::DecodeStoreEra(response.headers);
+  if (!era || !handlers_.on_era) return true;
+  const serving::EraVerdict verdict = handlers_.on_era(*era);
+  if (verdict == serving::EraVerdict::kOutdated) {
+    Retry("answer of an earlier era");
+    return false;
+  }
+  if (std::exchange(era_, era).value_or(*era) == *era) return true;
+  // The answer continues a list or a watch of the earlier era.
+  Relist();
+  return false;
+}
+
 void ObjectFeed::Continue() {
   is_pausing_ = false;
   if (has_list_) {
@@ -56,16 +86,17 @@
     list_sent_ = call_sent_;
     list_revision_ = 0;
   }
-  client_.Start(
-      dataplane::Call::Get(
-          platform::ListPath(options_.kind, after,
-                             options_.poll_period
-                                 ? platform::ReadConsistency::kSerializable
-                                 : platform::ReadConsistency::kLinearizable),
-          kListTimeout),
-      [this](Result<dataplane::CallResponse> response) {
-        OnListed(std::move(response));
-      });
+  Call call = Call::Get(
+      platform::ListPath(options_.kind, after,
+                         options_.poll_period
+                             ? platform::ReadConsistency::kSerializable
+                             : platform::ReadConsistency::kLinearizable),
+      kListTimeout);
+  call.max_body_bytes = kMaxPageBytes;
+  client_.Start(std::move(call),
+                [this](Result<dataplane::CallResponse> response) {
+                  OnListed(std::move(response));
+                });
 }
 
 void ObjectFeed::OnListed(Result<dataplane::CallResponse> response) {
@@ -73,6 +104,7 @@
     Retry(ToString(response.error()));
     return;
   }
+  if (!CheckEra(response.value())) return;
   if (response.value().status != kStatusOk) {
     Retry("status " + std::to_string(response.value().status));
     return;
@@ -101,13 +133,14 @@
 
 void ObjectFeed::Watch() {
   call_sent_ = BootNow();
-  client_.Start(
-      dataplane::Call::Get(
-          platform::WatchPath(options_.kind, revision_, options_.wait),
-          options_.wait + kWatchTimeoutMargin),
-      [this](Result<dataplane::CallResponse> response) {
-        OnWatched(std::move(response));
-      });
+  Call call =
+      Call::Get(platform::WatchPath(options_.kind, revision_, options_.wait),
+                options_.wait + kWatchTimeoutMargin);
+  call.max_body_bytes = kMaxPageBytes;
+  client_.Start(std::move(call),
+                [this](Result<dataplane::CallResponse> response) {
+                  OnWatched(std::move(response));
+                });
 }
 
 void ObjectFeed::OnWatched(Result<dataplane::CallResponse> response) {
@@ -115,6 +148,7 @@
     Retry(ToString(response.error()));
     return;
   }
+  if (!CheckEra(response.value())) return;
   if (response.value().status == kStatusGone) {
     has_list_ = false;
     ListFrom("");
@@ -142,6 +176,13 @@
   ScheduleNext(!changes.empty());
 }
 
+void RelistOthers(const std::vector<std::unique_ptr<ObjectFeed>>& feeds,
+                  size_t index) {
+  for (size_t i = 0; i < feeds.size(); ++i) {
+    if (i != index) feeds[i]->Relist();
+  }
+}
+
 void ObjectFeed::ScheduleNext(bool has_changed) {
   const auto pause = options_.poll_period.value_or(
       has_changed ? options_.coalesce_delay : std::chrono::milliseconds(0));
--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -21,6 +21,15 @@
 // promised bounds apply again three seconds after a start.
 constexpr Duration kFirstListGrace = std::chrono::milliseconds(2500);
 
+// Entries of targets that do not renew them lapse after three heartbeat
+// intervals of 1.2 s; the rest is a margin.
+constexpr Duration kEntryLifetime = std::chrono::milliseconds(4200);
+
+// A restored store that still has an older configuration than this process is
+// not taken as confirmation for at most this time. Operators repeat their
+// writes much sooner.
+constexpr Duration kMaxRewriteWait = std::chrono::seconds(15);
+
 }  // namespace
 
 PlatformView::PlatformView(Duration max_key_age, Duration settling,
@@ -46,6 +55,37 @@
   consecutive_failures_ = 0;
 }
 
+serving::EraVerdict PlatformView::OnEra(uint64_t era, TimePoint now,
+                                        TimePoint boot_now) {
+  const uint64_t previous = era_.current();
+  const serving::EraVerdict verdict = era_.OnAnswer(era, now);
+  if (verdict != serving::EraVerdict::kRestored) return verdict;
+  LogEvent(EventId::kStoreRestored,
+           {{"era", std::to_string(era)},
+            {"previous", std::to_string(previous)},
+            {"configuration",
+             std::to_string(configuration_ ? configuration_->version() : 0)}});
+  target_revisions_.clear();
+  stored_configuration_ = 0;
+  restored_at_ = boot_now;
+  // Entries of live targets may be missing until they are written again.
+  reachable_since_ = now;
+  fleet_.OnStoreRestored(kEntryLifetime, now);
+  // A read cannot show a revocation that was lost and not yet written again.
+  freshness_.IgnoreUntil(boot_now + serving::kRewriteTime);
+  return verdict;
+}
+
+// The configuration in force is never replaced by an older one. A restored
+// store confirms it only once the operator's lost writes are back.
+void PlatformView::ConfirmConfiguration(TimePoint sent) {
+  const bool is_behind = configuration_ != nullptr &&
+                         stored_configuration_ < configuration_->version();
+  const bool must_wait = is_behind && restored_at_ != TimePoint{} &&
+                         sent - restored_at_ <= kMaxRewriteWait;
+  if (!must_wait) freshness_.OnConfirmed(sent);
+}
+
 void PlatformView::OnFailure(ObjectKind kind, const std::string& reason,
                              TimePoint now) {
   if (consecutive_failures_++ > 0) return;
@@ -75,7 +115,7 @@
       std::ranges::for_each(objects, [&](const StoredObject& object) {
         AdoptConfiguration(object);
       });
-      freshness_.OnConfirmed(sent);
+      ConfirmConfiguration(sent);
       break;
     case ObjectKind::kTargets:
       AdoptTargets(objects, now, false);
@@ -104,6 +144,7 @@
     return;
   }
   const uint64_t version = decoded.value().version();
+  stored_configuration_ = std::max(stored_configuration_, version);
   if (configuration_ && version <= configuration_->version()) return;
   configuration_ = std::make_shared<const serving::Configuration>(
       std::move(decoded).value());
@@ -150,7 +191,7 @@
     if (is_full_list) {
       present.push_back(std::move(record).value());
     } else {
-      fleet_.Upsert(record.value());
+      fleet_.Upsert(record.value(), now);
     }
   }
   if (is_full_list) fleet_.Replace(present, now, is_settled);
@@ -166,7 +207,9 @@
              {{"object", object.name}, {"fault", ToString(named.error())}});
     return;
   }
-  newest_fence_ = std::max(newest_fence_, named.value().fence);
+  newest_fence_ =
+      std::max(newest_fence_,
+               serving::MakeFence(era_.current(), named.value().revision));
   const Duration known_for =
       has_weights_ ? Duration{0} : weights_bound_ - kFirstListGrace;
   const bool is_newest = weights_[named.value().model].OnNamed(
@@ -175,7 +218,8 @@
   LogEvent(EventId::kWeightsNamed,
            {{"model", named.value().model},
             {"version", std::to_string(named.value().version)},
-            {"revision", std::to_string(named.value().fence)}});
+            {"era", std::to_string(era_.current())},
+            {"revision", std::to_string(named.value().revision)}});
 }
 
 void PlatformView::Tick(TimePoint now) {
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -37,13 +37,27 @@
 // every time window, and also to targets that this process does not know.
 constexpr double kRetrySafetyFactor = 0.85;
 
-// Number of routers that are assumed to share the retry budget until agents
-// have listed them.
-constexpr size_t kInitialRouterCount = 8;
+// Number of routers that are assumed to share the retry budget while no agent
+// and no coordinator lists them.
+constexpr size_t kUnknownRouterCount = 64;
+
+// A router that subscribes to the coordinator renews its subscription every
+// second.
+constexpr Duration kSubscriptionLifetime = std::chrono::seconds(4);
+constexpr milliseconds kDirectoryPeriod{1000};
 
 // Time after which a router that no agent has listed is forgotten.
 constexpr Duration kRouterLifetime = std::chrono::seconds(3);
 
+// How long a router repeats that a target leaves. Each update reaches only some
+// routers, and it may be lost.
+constexpr Duration kLeavingRepeatTime = milliseconds(1500);
+
+// Share of the process's memory for bodies of requests, and for bodies of
+// responses that are read whole. Buffers may be twice as large as their
+// content.
+constexpr size_t kBodyMemoryDivisor = 8;
+
 // Keeps an update within a few packets.
 constexpr size_t kMaxTargetsPerUpdate = 16;
 
@@ -86,16 +100,26 @@
                .metrics = metrics_,
                .placement = serving::PlacementPolicy(settings_.failure_domain),
                .retry_limits =
-                   MakeRetryLimits(settings_.bounds, kInitialRouterCount),
+                   MakeRetryLimits(settings_.bounds, kUnknownRouterCount),
                .max_configuration_age = settings_.bounds.configuration,
+               .response_budget = dataplane::ByteBudget(settings_.memory_bytes /
+                                                        kBodyMemoryDivisor),
                .poison = {},
                .retry_budgets = {}},
       frontend_(context),
       readiness_(context),
       metrics_endpoint_(context),
-      tick_timer_(context) {}
+      tick_timer_(context),
+      coordinator_(
+          context, settings_,
+          settings_.ip + ":" + std::to_string(settings_.first_internal_port),
+          view_,
+          [this](const TargetStatus& status) { PublishTargetStatus(status); }) {
+}
 
 Result<void> Router::Start() {
+  frontend_.server_state.body_budget.SetCapacity(settings_.memory_bytes /
+                                                 kBodyMemoryDivisor);
   frontend_.handler = [this](
                           const dataplane::HttpServerSession::Pointer& session,
                           dataplane::Request request) {
@@ -222,6 +246,15 @@
       metrics_.Count("dogwoodlatch_store_failures_total");
       view_.OnFailure(kind, reason, SteadyNow());
     };
+    handlers.on_era = [this, index = feeds_.size()](uint64_t era) {
+      const auto verdict = view_.OnEra(era, SteadyNow(), BootNow());
+      if (verdict == serving::EraVerdict::kRestored) {
+        metrics_.Count("dogwoodlatch_store_restored_total");
+        RelistOthers(feeds_, index);
+        coordinator_.OnStoreRestored();
+      }
+      return verdict;
+    };
     feeds_.push_back(
         std::make_unique<ObjectFeed>(io_, options, std::move(handlers)));
   }
@@ -249,6 +282,10 @@
     if (!endpoint || !IsModelTarget(*target)) continue;
     link_->Send({endpoint->address(), settings_.first_internal_port}, datagram);
   }
+  const auto coordinator =
+      dataplane::ParseEndpoint(coordinator_.OtherAddress());
+  if (!coordinator) return;
+  link_->Send({coordinator->address(), coordinator->port()}, datagram);
 }
 
 void Router::OnDatagram(const asio::ip::udp::endpoint& from,
@@ -258,7 +295,20 @@
     LogEvent(EventId::kBadMessage, {{"fault", ToString(datagram.error())}});
     return;
   }
-  if (const auto* status = std::get_if<TargetStatus>(&datagram.value())) {
+  const TimePoint now = SteadyNow();
+  if (std::holds_alternative<Subscription>(datagram.value())) {
+    subscribers_[from] = now;
+    OnRoutersListed(
+        {from.address().to_string() + ":" + std::to_string(from.port())}, now);
+  } else if (const auto* directory =
+                 std::get_if<RouterDirectory>(&datagram.value())) {
+    OnRoutersListed(directory->routers, now);
+  } else if (const auto* status =
+                 std::get_if<TargetStatus>(&datagram.value())) {
+    const auto target = view_.fleet().Find(status->target_id);
+    const bool is_from_agent = target && target->record.address.starts_with(
+                                             from.address().to_string() + ":");
+    if (is_from_agent) coordinator_.OnAgentHeard(status->target_id, now);
     OnTargetStatus(*status);
   } else if (const auto* update =
                  std::get_if<RouterUpdate>(&datagram.value())) {
@@ -268,16 +318,61 @@
   }
 }
 
-void Router::OnTargetStatus(const TargetStatus& status) {
-  const TimePoint now = SteadyNow();
-  for (const std::string& address : status.routers) {
+void Router::OnRoutersListed(const std::vector<std::string>& addresses,
+                             TimePoint now) {
+  if (!addresses.empty()) routers_listed_at_ = now;
+  for (const std::string& address : addresses) {
     const auto endpoint = dataplane::ParseEndpoint(address);
     if (!endpoint || endpoint->address().to_string() == settings_.ip) continue;
     routers_[{endpoint->address(), endpoint->port()}] = now;
   }
+}
+
+// Sends the status of a target without an agent to the routers that subscribe,
+// as its agent would.
+void Router::PublishTargetStatus(const TargetStatus& status) {
+  OnTargetStatus(status);
+  if (!link_) return;
+  const std::vector<uint8_t> datagram = Encode(status);
+  for (const auto& [router, seen] : subscribers_) {
+    link_->Send(router, datagram);
+  }
+}
+
+void Router::PublishDirectory(TimePoint now) {
+  if (!link_ || now < next_directory_) return;
+  next_directory_ = now + kDirectoryPeriod;
+  std::erase_if(subscribers_, [&](const auto& entry) {
+    return now - entry.second > kSubscriptionLifetime;
+  });
+  if (subscribers_.empty() || !coordinator_.IsActive()) return;
+  RouterDirectory directory;
+  directory.routers.push_back(settings_.ip + ":" +
+                              std::to_string(link_->port()));
+  for (const size_t index : directory_rotation_.Next(subscribers_.size())) {
+    const auto& router =
+        std::next(subscribers_.begin(), static_cast<std::ptrdiff_t>(index))
+            ->first;
+    directory.routers.push_back(router.address().to_string() + ":" +
+                                std::to_string(router.port()));
+  }
+  const std::vector<uint8_t> datagram = Encode(directory);
+  for (const auto& [router, seen] : subscribers_) {
+    link_->Send(router, datagram);
+  }
+}
+
+void Router::OnTargetStatus(const TargetStatus& status) {
+  const TimePoint now = SteadyNow();
+  OnRoutersListed(status.routers, now);
   const auto target = view_.fleet().Find(status.target_id);
   if (!target) return;
   target->UpdateWeights(status.weights);
+  if (status.is_leaving &&
+      view_.fleet().OnLeaving(status.target_id, target->record.started)) {
+    LogEvent(EventId::kTargetLeaving,
+             {{"target", status.target_id}, {"said_by", "agent"}});
+  }
   target->signals.OnReport(
       {.is_draining = status.phase == serving::RolloutPhase::kDraining,
        .is_loading = status.phase == serving::RolloutPhase::kLoading,
@@ -299,6 +394,11 @@
       target->signals.OnPartUsed(part, now);
     }
   }
+  for (const RouterUpdate::Leaving& leaving : update.targets_leaving) {
+    if (!view_.fleet().OnLeaving(leaving.target_id, leaving.started)) continue;
+    LogEvent(EventId::kTargetLeaving,
+             {{"target", leaving.target_id}, {"said_by", "router"}});
+  }
   for (const serving::PartSave& save : update.parts_saved) {
     context_.saved_parts.OnSaved(save, now);
   }
@@ -310,6 +410,20 @@
   }
 }
 
+std::vector<RouterUpdate::Leaving> Router::CollectLeaving(TimePoint now) {
+  std::vector<RouterUpdate::Leaving> leaving;
+  for (const auto& [id, target] : view_.fleet().targets()) {
+    if (!target->leaving || target->record.draining) continue;
+    const TimePoint since = leaving_since_.try_emplace(id, now).first->second;
+    if (now - since > kLeavingRepeatTime) continue;
+    leaving.push_back({id, target->record.started});
+  }
+  std::erase_if(leaving_since_, [&](const auto& entry) {
+    return view_.fleet().Find(entry.first) == nullptr;
+  });
+  return leaving;
+}
+
 // Sends what changed since the last update, and repeats backlogs that are not
 // zero.
 void Router::PublishUpdate(TimePoint now) {
@@ -319,12 +433,17 @@
   });
   next_update_ = now + serving::RouterUpdatePeriod(routers_.size());
   const std::vector<size_t> receivers = update_rotation_.Next(routers_.size());
-  DivideRetryBudget(routers_.size() + 1);
+  const bool knows_routers = routers_listed_at_ != TimePoint{} &&
+                             now - routers_listed_at_ < kRouterLifetime;
+  DivideRetryBudget(knows_routers
+                        ? routers_.size() + 1
+                        : std::max(kUnknownRouterCount, routers_.size() + 1));
   auto sent_parts = std::exchange(context_.sent_parts, {});
   RouterUpdate update;
   update.parts_saved = context_.saved_parts.TakeGranted();
   update.parts_fetched = context_.saved_parts.TakeFetched();
   update.runs_broken = context_.poison.TakeUnsent();
+  update.targets_leaving = CollectLeaving(now);
   for (const auto& [id, target] : view_.fleet().targets()) {
     if (!IsModelTarget(*target)) continue;
     const Duration backlog = target->signals.own_backlog();
@@ -372,7 +491,9 @@
 void Router::Tick() {
   const TimePoint now = SteadyNow();
   view_.Tick(now);
+  coordinator_.Tick(now);
   Subscribe(now);
+  PublishDirectory(now);
   PublishUpdate(now);
   if (now >= next_sweep_) {
     pool_.Sweep(now);
--- a/src/libdaemon/target_attempt.cc
+++ b/src/libdaemon/target_attempt.cc
@@ -15,19 +15,26 @@
 
 constexpr int kFirstFailureStatus = 400;
 
+// Longest responses that are read whole. Those without a seal are never
+// delivered; only their status matters.
+constexpr size_t kMaxSealedBodyBytes = 8UL * 1024 * 1024;
+constexpr size_t kMaxUnsealedBodyBytes = 64UL * 1024;
+
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 }  // namespace
 
 TargetAttempt::TargetAttempt(asio::io_context& context,
                              dataplane::ConnectionPool& pool,
+                             dataplane::ByteBudget& body_budget,
                              AttemptOwner& owner, serving::Placement placement,
                              AttemptRequest request)
     : pool_(pool),
       owner_(owner),
       placement_(std::move(placement)),
       request_(std::move(request)),
-      silence_timer_(context) {}
+      silence_timer_(context),
+      body_bytes_(body_budget) {}
 
 TargetAttempt::~TargetAttempt() { Cancel(); }
 
@@ -142,17 +149,51 @@
   }
   is_event_stream_ =
       request_.is_stream && IsSuccess(head.status) && response.is_sealed;
+  RecordTargetState();
   return true;
 }
 
+// Records what the target says about itself, whatever it answers.
+void TargetAttempt::RecordTargetState() {
+  const bool is_other_target =
+      !response_.instance.empty() && response_.instance != target_id();
+  if (is_other_target) return;
+  if (response_.is_leaving && !target().IsLeaving()) {
+    target().leaving = true;
+    LogEvent(EventId::kTargetLeaving,
+             {{"target", target_id()}, {"request", request_.id}});
+  }
+  if (response_.pushback) {
+    target().signals.OnPushback(*response_.pushback, SteadyNow());
+    LogEvent(EventId::kTargetPushback,
+             {{"target", target_id()},
+              {"request", request_.id},
+              {"for_ms", FormatMilliseconds(*response_.pushback)}});
+  }
+  if (response_.has_bad_retry_after) {
+    LogEvent(EventId::kBadMessage,
+             {{"target", target_id()}, {"fault", "Retry-After is no number"}});
+  }
+}
+
 void TargetAttempt::OnBody(std::string_view bytes) {
   target().signals.OnBytesReceived(SteadyNow());
   if (is_event_stream_) {
     const auto keep_alive = shared_from_this();
     owner_.OnStreamBytes(bytes);
-  } else {
-    body_.append(bytes);
+    return;
+  }
+  const size_t limit =
+      response_.is_sealed ? kMaxSealedBodyBytes : kMaxUnsealedBodyBytes;
+  if (!body_bytes_.Grow(bytes.size(), limit)) {
+    LogEvent(EventId::kInputTooLong,
+             {{"request", request_.id},
+              {"target", target_id()},
+              {"bytes", std::to_string(body_.size() + bytes.size())}});
+    OnConnectionLost();
+    return;
   }
+  body_.append(bytes);
 }
 
 void TargetAttempt::OnEnd() {
--- a/src/libdataplane/http_client.cc
+++ b/src/libdataplane/http_client.cc
@@ -62,7 +62,13 @@
     response_.headers = head.headers;
     return true;
   }
-  void OnBody(std::string_view bytes) override { response_.body.append(bytes); }
+  void OnBody(std::string_view bytes) override {
+    if (response_.body.size() + bytes.size() > call_.max_body_bytes) {
+      Fail(ErrorCode::kUnknownOutcome, "the answer is too long");
+      return;
+    }
+    response_.body.append(bytes);
+  }
   void OnEnd() override { Finish(std::move(response_)); }
   void OnConnectionLost() override {
     Fail(ErrorCode::kUnknownOutcome, "the connection broke");
--- a/src/libdataplane/http_reader.cc
+++ b/src/libdataplane/http_reader.cc
@@ -15,6 +15,14 @@
 // Response heads of targets normally have a few hundred bytes.
 constexpr uint32_t kMaxResponseHeadBytes = 64 * 1024;
 
+// Bytes of interim and discarded responses before a response. A late second
+// answer is as long as an answer; anything longer belongs to no request.
+constexpr size_t kMaxSkippedBytes = 512UL * 1024;
+
+// The parser consumes a chunk header with its extensions, and the trailers,
+// only as a whole. Longer ones are refused.
+constexpr size_t kMaxChunkHeaderBytes = 16UL * 1024;
+
 std::string ToStd(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -116,7 +124,11 @@
     const size_t consumed =
         parser_->put(boost::asio::const_buffer(input.data(), input.size()), ec);
     input.erase(0, consumed);
-    if (ec == http::error::need_more) return ReadState::kNeedMore;
+    if (ec == http::error::need_more) {
+      const bool is_too_long =
+          parser_->is_header_done() && input.size() > kMaxChunkHeaderBytes;
+      return is_too_long ? ReadState::kHeaderTooLong : ReadState::kNeedMore;
+    }
     if (ec == http::error::header_limit) return ReadState::kHeaderTooLong;
     if (ec == http::error::body_limit) return ReadState::kBodyTooLong;
     if (ec) return ReadState::kMalformed;
@@ -125,6 +137,10 @@
   return ReadState::kNeedMore;
 }
 
+bool RequestReader::has_head() const { return parser_->is_header_done(); }
+
+size_t RequestReader::body_size() const { return parser_->request.body.size(); }
+
 bool RequestReader::TakeContinueExpectation() {
   return parser_->is_header_done() &&
          std::exchange(parser_->expects_continue, false);
@@ -187,6 +203,11 @@
 ResponseReader::~ResponseReader() = default;
 
 void ResponseReader::Reset() {
+  skipped_bytes_ = 0;
+  StartParser();
+}
+
+void ResponseReader::StartParser() {
   parser_ = std::make_unique<Parser>();
   parser_->eager(true);
   parser_->header_limit(kMaxResponseHeadBytes);
@@ -200,14 +221,18 @@
     const size_t consumed =
         parser_->put(boost::asio::const_buffer(input.data(), input.size()), ec);
     input.erase(0, consumed);
-    if (ec == http::error::need_more) return true;
+    if (parser_->is_skipped) skipped_bytes_ += consumed;
+    if (skipped_bytes_ > kMaxSkippedBytes) return false;
+    if (ec == http::error::need_more) {
+      return !parser_->is_header_done() || input.size() <= kMaxChunkHeaderBytes;
+    }
     if (ec) return false;
     if (!parser_->is_done()) continue;
     if (!parser_->is_skipped) return true;
     // The end of a skipped response without framing cannot be distinguished
     // from the start of the next response.
     if (parser_->head.ends_at_close) return false;
-    Reset();
+    StartParser();
   }
   return true;
 }
--- a/src/libdataplane/http_server_session.cc
+++ b/src/libdataplane/http_server_session.cc
@@ -1,5 +1,6 @@
 #include "dogwoodlatch/dataplane/http_server_session.h"
 
+#include <algorithm>
 #include <boost/beast/http/status.hpp>
 #include <utility>
 
@@ -18,6 +19,17 @@
 // Time to wait for the caller to close its side after the last response.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
 
+// Margin beyond the configured time for a request head, for its way here.
+constexpr std::chrono::milliseconds kHeadMargin{1000};
+
+// Longest time for which a request body may be read. A body that makes progress
+// is not cut before.
+constexpr std::chrono::seconds kMaxBodyTime{60};
+
+// Retry-After, in seconds, of requests refused because too many bodies are
+// held.
+constexpr const char* kOverloadedRetryAfter = "0.3";
+
 std::string StatusLine(int status) {
   const auto reason = boost::beast::http::obsolete_reason(
       static_cast<boost::beast::http::status>(status));
@@ -43,7 +55,8 @@
       timer_(socket_.get_executor()),
       state_(state),
       handler_(std::move(handler)),
-      read_buffer_(kReadBufferBytes, '\0') {
+      read_buffer_(kReadBufferBytes, '\0'),
+      body_bytes_(state.body_budget) {
   ++state_.sessions;
 }
 
@@ -91,7 +104,17 @@
     reader_.emplace(
         ReaderLimits{state_.limits.header_bytes, state_.limits.body_bytes});
   }
+  const bool was_started = reader_->has_started();
   const ReadState state = reader_->Feed(input_);
+  if (!was_started) request_started_ = SteadyNow();
+  const size_t body_growth = reader_->body_size() - counted_body_bytes_;
+  const bool is_readable =
+      state == ReadState::kNeedMore || state == ReadState::kDone;
+  if (is_readable && !body_bytes_.Grow(body_growth, state_.limits.body_bytes)) {
+    RejectUnreadable(503, {{"Retry-After", kOverloadedRetryAfter}});
+    return;
+  }
+  counted_body_bytes_ += body_growth;
   if (reader_->TakeContinueExpectation() && state == ReadState::kNeedMore) {
     Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -124,17 +147,25 @@
 
 // The start of the next request is unknown after one that could not be parsed,
 // so the connection closes after this response.
-void HttpServerSession::RejectUnreadable(int status) {
+void HttpServerSession::RejectUnreadable(int status,
+                                         const HeaderList& headers) {
   is_serving_ = true;
   keeps_alive_ = false;
-  SendResponse(status, {}, "");
+  reader_.reset();
+  SendResponse(status, headers, "");
 }
 
 void HttpServerSession::ArmTimer() {
   const bool has_started = reader_ && reader_->has_started();
-  timer_.expires_after(has_started ? state_.limits.header_timeout +
-                                         state_.limits.idle_timeout
-                                   : state_.limits.idle_timeout);
+  const TimePoint idle_end = SteadyNow() + state_.limits.idle_timeout;
+  if (!has_started) {
+    timer_.expires_at(idle_end);
+  } else if (!reader_->has_head()) {
+    timer_.expires_at(request_started_ + state_.limits.header_timeout +
+                      kHeadMargin);
+  } else {
+    timer_.expires_at(std::min(idle_end, request_started_ + kMaxBodyTime));
+  }
   timer_.async_wait([weak = weak_from_this()](std::error_code error) {
     const Pointer self = weak.lock();
     if (error || !self || self->is_serving_) return;
@@ -221,6 +252,8 @@
 
 void HttpServerSession::FinishResponse() {
   is_serving_ = false;
+  body_bytes_.Release();
+  counted_body_bytes_ = 0;
   on_disconnect_ = nullptr;
   on_drained_ = nullptr;
   if (!keeps_alive_) return;
@@ -249,6 +282,7 @@
 void HttpServerSession::Close() {
   if (is_closed_) return;
   is_closed_ = true;
+  body_bytes_.Release();
   timer_.cancel();
   std::error_code ignored;  // a failed close leaves nothing to do
   socket_.close(ignored);
--- a/src/libserving/admission.cc
+++ b/src/libserving/admission.cc
@@ -38,4 +38,15 @@
   return std::max(kMinRetryAfter, request.backlog - *max_wait);
 }
 
+std::optional<Duration> RetryAfterPushback(
+    std::span<const Fleet::TargetPtr> serving, TimePoint now) {
+  if (serving.empty()) return std::nullopt;
+  const auto left = [&](const Fleet::TargetPtr& target) {
+    return target->signals.PushbackLeft(now);
+  };
+  const Duration shortest = left(*std::ranges::min_element(serving, {}, left));
+  if (shortest == Duration{0}) return std::nullopt;
+  return shortest;
+}
+
 }  // namespace dogwoodlatch::serving
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -38,6 +38,11 @@
 constexpr Duration kPartLifetime = std::chrono::seconds(8);
 constexpr size_t kMaxKnownParts = 4096;
 
+// A store comes back from a copy that is some seconds old, so it may list
+// targets that were removed within about this time.
+constexpr Duration kDepartureLifetime = std::chrono::seconds(60);
+constexpr size_t kMaxDepartures = 4096;
+
 }  // namespace
 
 void TargetSignals::OnSent(TimePoint now, Duration prefill) {
@@ -73,6 +78,14 @@
   refusing_until_ = now + kRefusalAvoidance;
 }
 
+void TargetSignals::OnPushback(Duration pushback, TimePoint now) {
+  pushback_until_ = std::max(pushback_until_, now + pushback);
+}
+
+Duration TargetSignals::PushbackLeft(TimePoint now) const {
+  return std::max(Duration{0}, pushback_until_ - now);
+}
+
 void TargetSignals::OnPeerBacklog(uint64_t router, Duration backlog,
                                   TimePoint now) {
   peer_backlogs_[router] = {backlog, now};
@@ -137,12 +150,25 @@
   }
 }
 
-void Fleet::Upsert(const TargetRecord& record) {
+void Fleet::Upsert(const TargetRecord& record, TimePoint now) {
   TargetPtr& target = targets_[record.id];
-  const bool same_incarnation = target &&
-                                target->record.started == record.started &&
-                                target->record.address == record.address;
-  if (!same_incarnation) target = std::make_shared<Target>();
+  const auto is_same = [&](WallTime started, std::string_view address) {
+    return started == record.started && address == record.address;
+  };
+  const bool same_incarnation =
+      target && is_same(target->record.started, target->record.address);
+  if (!same_incarnation) {
+    target = std::make_shared<Target>();
+    const auto departed = departures_.find(record.id);
+    if (departed != departures_.end() &&
+        is_same(departed->second.started, departed->second.address)) {
+      target->leaving = departed->second.was_leaving;
+      if (now < hold_returned_until_) {
+        target->usable_from = hold_returned_until_;
+      }
+    }
+  }
+  if (target->record.draining) target->leaving = true;
   // The agent's report may be newer than the list; versions only increase.
   std::map<std::string, uint64_t> known = std::move(target->record.weights);
   target->record = record;
@@ -151,14 +177,44 @@
   target->UpdateWeights(known);
 }
 
+bool Fleet::OnLeaving(std::string_view id, WallTime started) {
+  const TargetPtr target = Find(id);
+  if (!target || target->record.started != started || target->leaving) {
+    return false;
+  }
+  target->leaving = true;
+  return true;
+}
+
+void Fleet::OnStoreRestored(Duration entry_lifetime, TimePoint now) {
+  hold_returned_until_ = now + entry_lifetime;
+}
+
+void Fleet::Erase(std::string_view id, TimePoint now) {
+  const auto found = targets_.find(id);
+  const Target& target = *found->second;
+  if (departures_.size() >= kMaxDepartures) {
+    std::erase_if(departures_, [&](const auto& entry) {
+      return now - entry.second.at > kDepartureLifetime;
+    });
+    if (departures_.size() >= kMaxDepartures) departures_.clear();
+  }
+  departures_.insert_or_assign(found->first,
+                               Departure{.started = target.record.started,
+                                         .address = target.record.address,
+                                         .was_leaving = target.IsLeaving(),
+                                         .at = now});
+  targets_.erase(found);
+}
+
 void Fleet::Remove(std::string_view id, TimePoint now, bool platform_settled) {
   const auto found = targets_.find(id);
   if (found == targets_.end()) return;
   Target& target = *found->second;
   if (target.listed) target.unlisted_since = now;
   target.listed = false;
-  const bool is_lapse_possible = !platform_settled && !target.record.draining;
-  if (!is_lapse_possible) targets_.erase(found);
+  const bool is_lapse_possible = !platform_settled && !target.IsLeaving();
+  if (!is_lapse_possible) Erase(id, now);
 }
 
 void Fleet::Replace(const std::vector<TargetRecord>& records, TimePoint now,
@@ -166,7 +222,7 @@
   std::set<std::string_view> present;
   for (const TargetRecord& record : records) {
     present.insert(record.id);
-    Upsert(record);
+    Upsert(record, now);
   }
   std::vector<std::string> missing;
   for (const auto& [id, target] : targets_) {
@@ -177,13 +233,12 @@
 
 std::vector<std::string> Fleet::DropExpired(TimePoint now) {
   std::vector<std::string> dropped;
-  std::erase_if(targets_, [&](const auto& entry) {
-    const Target& target = *entry.second;
+  for (const auto& [id, target] : targets_) {
     const bool expired =
-        !target.listed && now - target.unlisted_since > kRelistGrace;
-    if (expired) dropped.push_back(entry.first);
-    return expired;
-  });
+        !target->listed && now - target->unlisted_since > kRelistGrace;
+    if (expired) dropped.push_back(id);
+  }
+  for (const std::string& id : dropped) Erase(id, now);
   return dropped;
 }
 
@@ -198,8 +253,8 @@
   const auto usable = [&](const TargetPtr& target) {
     const bool expired =
         !target->listed && now - target->unlisted_since > kRelistGrace;
-    return target->record.service == service && !target->record.draining &&
-           !expired;
+    return target->record.service == service && !target->IsLeaving() &&
+           !expired && now >= target->usable_from;
   };
   for (const auto& [id, target] : targets_) {
     if (usable(target)) serving.push_back(target);
--- a/src/libserving/fleet_test.cc
+++ b/src/libserving/fleet_test.cc
@@ -26,12 +26,12 @@
 
 TEST_CASE("a draining or removed target gets no new requests") {
   Fleet fleet;
-  fleet.Upsert(Record("a"));
-  fleet.Upsert(Record("b"));
+  fleet.Upsert(Record("a"), At(0));
+  fleet.Upsert(Record("b"), At(0));
   CHECK(CountServing(fleet, 0) == 2);
   TargetRecord draining = Record("a");
   draining.draining = true;
-  fleet.Upsert(draining);
+  fleet.Upsert(draining, At(0));
   CHECK(CountServing(fleet, 0) == 1);
   fleet.Remove("b", At(0), true);
   CHECK(CountServing(fleet, 0) == 0);
@@ -56,19 +56,19 @@
   Fleet fleet;
   TargetRecord draining = Record("a");
   draining.draining = true;
-  fleet.Upsert(draining);
+  fleet.Upsert(draining, At(0));
   fleet.Remove("a", At(0), false);
   CHECK(fleet.Find("a") == nullptr);
 }
 
 TEST_CASE("the same id with a later start time is another target") {
   Fleet fleet;
-  fleet.Upsert(Record("a", 1));
+  fleet.Upsert(Record("a", 1), At(0));
   fleet.Find("a")->signals.OnPartUsed(7, At(0));
   const Fleet::TargetPtr before = fleet.Find("a");
-  fleet.Upsert(Record("a", 1));
+  fleet.Upsert(Record("a", 1), At(0));
   CHECK(fleet.Find("a") == before);
-  fleet.Upsert(Record("a", 2));
+  fleet.Upsert(Record("a", 2), At(0));
   CHECK(fleet.Find("a") != before);
   CHECK_FALSE(fleet.Find("a")->signals.HoldsPart(7, At(0)));
 }
@@ -77,11 +77,11 @@
   Fleet fleet;
   TargetRecord record = Record("a");
   record.weights["m"] = 1;
-  fleet.Upsert(record);
+  fleet.Upsert(record, At(0));
   fleet.Find("a")->signals.OnPartUsed(7, At(0));
   fleet.Find("a")->UpdateWeights({{"m", 2}});
   CHECK_FALSE(fleet.Find("a")->signals.HoldsPart(7, At(0)));
-  fleet.Upsert(record);
+  fleet.Upsert(record, At(0));
   CHECK(fleet.Find("a")->LoadedVersion("m") == 2);
   CHECK(fleet.Find("a")->LoadedVersion("other") == 0);
 }
--- a/src/libserving/freshness.cc
+++ b/src/libserving/freshness.cc
@@ -5,6 +5,7 @@
 namespace dogwoodlatch::serving {
 
 void FreshnessGuard::OnConfirmed(TimePoint sent) {
+  if (sent < ignored_until_) return;
   confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, sent) : sent;
 }
 
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -253,8 +253,9 @@
   std::vector<TargetPtr> usable;
   std::ranges::copy_if(
       serving, std::back_inserter(usable), [&](const TargetPtr& target) {
-        return std::ranges::find(request.tried, target->record.id) ==
-               request.tried.end();
+        return target->signals.PushbackLeft(now) == Duration{0} &&
+               std::ranges::find(request.tried, target->record.id) ==
+                   request.tried.end();
       });
   // Unavailable targets are a last resort, as one of them may have recovered.
   const auto is_down = [&](const TargetPtr& target) {
--- a/src/libserving/rollout.cc
+++ b/src/libserving/rollout.cc
@@ -8,21 +8,6 @@
 namespace dogwoodlatch::serving {
 namespace {
 
-// Targets on the oldest versions go first, so that no target stays on an old
-// version when versions are named faster than targets load them.
-using RolloutOrder = std::pair<uint64_t, uint64_t>;
-
-RolloutOrder ComputeRolloutOrder(std::string_view id, uint64_t loaded,
-                                 uint64_t named) {
-  return {loaded, XXH64(id.data(), id.size(), named)};
-}
-
-size_t MaxConcurrentLoads(size_t targets, const RolloutLimits& limits) {
-  const auto share =
-      static_cast<size_t>(static_cast<double>(targets) * limits.max_load_share);
-  return std::max({size_t{1}, limits.min_concurrent_loads, share});
-}
-
 // Mean number of waiting requests per serving target.
 double MeanWaiting(std::span<const RolloutPeer> peers) {
   int serving = 0;
@@ -37,13 +22,26 @@
 
 }  // namespace
 
+// Targets on the oldest versions go first, so that no target stays on an old
+// version when versions are named faster than targets load them.
+std::pair<uint64_t, uint64_t> ComputeRolloutOrder(std::string_view id,
+                                                  uint64_t loaded,
+                                                  uint64_t named) {
+  return {loaded, XXH64(id.data(), id.size(), named)};
+}
+
+size_t MaxConcurrentLoads(size_t targets, const RolloutLimits& limits) {
+  const auto share =
+      static_cast<size_t>(static_cast<double>(targets) * limits.max_load_share);
+  return std::max({size_t{1}, limits.min_concurrent_loads, share});
+}
+
 bool ShouldDrain(std::string_view own_id, uint64_t named,
                  std::span<const RolloutPeer> peers, Duration known_for,
                  const RolloutLimits& limits) {
   const auto own = std::ranges::find(peers, own_id, &RolloutPeer::target_id);
   const uint64_t own_version = own == peers.end() ? 0 : own->version;
-  const RolloutOrder own_order =
-      ComputeRolloutOrder(own_id, own_version, named);
+  const auto own_order = ComputeRolloutOrder(own_id, own_version, named);
   const auto is_ahead = [&](const RolloutPeer& peer) {
     return peer.target_id != own_id &&
            ComputeRolloutOrder(peer.target_id, peer.version, named) < own_order;
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -45,6 +45,9 @@
         "The platform does not respond; the last known state stays in force."},
     EventSpec{EventId::kPlatformBack, Severity::kInfo, "platform_back",
               "The platform responds again."},
+    EventSpec{EventId::kStoreRestored, Severity::kWarning, "store_restored",
+              "The platform's store came back from an older copy; lists are "
+              "fetched again and lost writes are awaited."},
     EventSpec{EventId::kSettingsAdopted, Severity::kInfo, "settings_adopted",
               "A new version of a team's settings object is in force."},
     EventSpec{EventId::kSettingsRefused, Severity::kWarning, "settings_refused",
@@ -64,6 +67,13 @@
               "A target's entry was added or changed."},
     EventSpec{EventId::kTargetUnlisted, Severity::kInfo, "target_unlisted",
               "A target's entry was removed."},
+    EventSpec{EventId::kTargetLeaving, Severity::kInfo, "target_leaving",
+              "A target says that it is about to exit; it gets no new "
+              "requests."},
+    EventSpec{
+        EventId::kTargetPushback, Severity::kInfo, "target_pushback",
+        "A target refused a request and named a time within which it gets "
+        "no more from this VM."},
     EventSpec{EventId::kPeerSnapshotTaken, Severity::kInfo,
               "peer_snapshot_taken",
               "Settings and VM list were received from a peer during startup."},
@@ -76,6 +86,9 @@
               "The connection to an agent was lost or refused."},
     EventSpec{EventId::kBadMessage, Severity::kWarning, "bad_message",
               "A message could not be decoded and was dropped."},
+    EventSpec{EventId::kInputTooLong, Severity::kWarning, "input_too_long",
+              "A peer sent more bytes than such a message may have; its "
+              "connection was closed."},
     EventSpec{EventId::kTargetAvoided, Severity::kWarning, "target_avoided",
               "A connection to the target could not be established."},
     EventSpec{EventId::kWeightsOrdered, Severity::kInfo, "weights_ordered",
@@ -86,6 +99,10 @@
         "A weights order has ended with the target's response or an error."},
     EventSpec{EventId::kWeightsLoaded, Severity::kInfo, "weights_loaded",
               "The target reports a different weights version than before."},
+    EventSpec{EventId::kCoordinatorChanged, Severity::kInfo,
+              "coordinator_changed",
+              "This router now orders weights for targets without an agent, or "
+              "no longer does."},
     EventSpec{EventId::kRequestEnded, Severity::kInfo, "request_ended",
               "A request has reached its final outcome."},
     EventSpec{EventId::kAttemptSent, Severity::kInfo, "attempt_sent",
