Share proofs of freshness among routers; collect target changes; long watches

Cause: calls to the store cost most on the large site. Each router confirmed the configuration by its own watch of 800 ms, and each change of a target's entry returned the watch of every router: a rollout alone took thirty calls a router.

Changes of targets are collected for two fifths of the promised drain time. Ruled out: empty answers of short watches as proofs (a store that compacts returns no changes for a second while there are some).

--- a/src/include/dogwoodlatch/daemon/agent.h
+++ b/src/include/dogwoodlatch/daemon/agent.h
@@ -45,6 +45,7 @@
   void FollowPlatform();
   void OnDatagram(const asio::ip::udp::endpoint& from,
                   std::span<const uint8_t> bytes);
+  void FollowRouterState(const Subscription& subscription, TimePoint now);
   void Tick();
   void RequestReport();
   void OnReport(Result<dataplane::CallResponse> response);
@@ -63,6 +64,8 @@
   platform::NodeSettings settings_;
   PlatformView view_;
   std::vector<std::unique_ptr<ObjectFeed>> feeds_;
+  ObjectFeed* weights_feed_ = nullptr;  ///< one of `feeds_`
+  std::optional<TimePoint> behind_routers_since_;
   std::unique_ptr<AgentLink> link_;
   dataplane::HttpClient report_client_;
   dataplane::HttpClient order_client_;
--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -74,6 +74,10 @@
 
 /// Sent by a router to an agent, to receive the status of the agent's target.
 struct Subscription {
+  /// Fence of the newest weights that the router knows. An agent that knows
+  /// less has lost its connection to the store.
+  uint64_t newest_fence = 0;
+
   bool operator==(const Subscription&) const = default;
 };
 
@@ -88,8 +92,33 @@
 
 std::vector<uint8_t> Encode(const RouterDirectory& directory);
 
+/// Asks another router for a proof that the configuration is current; see
+/// serving/freshness_relay.h.
+struct FreshnessQuestion {
+  uint64_t nonce = 0;
+
+  bool operator==(const FreshnessQuestion&) const = default;
+};
+
+std::vector<uint8_t> Encode(const FreshnessQuestion& question);
+
+/// What a linearizable read after the question has shown, and the newest state
+/// that the answering router knows.
+struct FreshnessAnswer {
+  uint64_t nonce = 0;
+  uint64_t configuration = 0;     ///< version in force
+  uint64_t era = 0;               ///< of the store
+  uint64_t targets_revision = 0;  ///< newest change of a target's entry
+  uint64_t newest_fence = 0;      ///< of the newest weights
+
+  bool operator==(const FreshnessAnswer&) const = default;
+};
+
+std::vector<uint8_t> Encode(const FreshnessAnswer& answer);
+
 using Datagram =
-    std::variant<TargetStatus, RouterUpdate, Subscription, RouterDirectory>;
+    std::variant<TargetStatus, RouterUpdate, Subscription, RouterDirectory,
+                 FreshnessQuestion, FreshnessAnswer>;
 
 /// Fails with kBadMessage or kBadVersion.
 Result<Datagram> DecodeDatagram(std::span<const uint8_t> bytes);
--- a/src/include/dogwoodlatch/daemon/coordinator.h
+++ b/src/include/dogwoodlatch/daemon/coordinator.h
@@ -22,8 +22,8 @@
 
 class Coordinator {
  public:
-  /// `address` is where this router receives datagrams. `publish` is called with
-  /// the status of targets whose weights this process changes.
+  /// `address` is where this router receives datagrams. `publish` is called
+  /// with the status of targets whose weights this process changes.
   Coordinator(asio::io_context& context, const platform::NodeSettings& settings,
               std::string address, PlatformView& view,
               std::function<void(const TargetStatus&)> publish);
@@ -95,7 +95,7 @@
   bool was_active_ = false;
   bool is_needed_ = false;
   TimePoint last_unattended_{};  ///< when a target had no agent, last
-  std::map<std::string, Attendance> attendance_;  ///< by target id
+  std::map<std::string, Attendance> attendance_;          ///< by target id
   std::map<std::string, std::unique_ptr<Order>> orders_;  ///< by target id
 };
 
--- a/src/include/dogwoodlatch/daemon/object_feed.h
+++ b/src/include/dogwoodlatch/daemon/object_feed.h
@@ -29,6 +29,9 @@
   /// When set, the feed polls lists at this period instead of watching. Such
   /// lists may be stale.
   std::optional<std::chrono::milliseconds> poll_period;
+  /// When set, the feed makes one linearizable list for each ListNow and
+  /// nothing else.
+  bool is_on_demand = false;
 };
 
 struct FeedHandlers {
@@ -41,6 +44,7 @@
                      TimePoint sent)>
       on_changes;
   std::function<void(const std::string& reason)> on_failure;
+  std::function<void()> on_call;  ///< a call is sent; may be empty
   /// Judges the era of each answer, whatever its status.
   std::function<serving::EraVerdict(uint64_t era)> on_era;
 };
@@ -52,6 +56,10 @@
 
   void Start();
 
+  /// Starts a list unless one is in progress; returns whether it did. For feeds
+  /// on demand.
+  bool ListNow();
+
   /// Ends the pause between calls, for example because the store has answered
   /// another feed.
   void RetryNow();
@@ -80,6 +88,7 @@
   std::minstd_rand random_;
   std::chrono::milliseconds retry_pause_;
   bool is_pausing_ = false;
+  bool is_listing_ = false;
   bool has_list_ = false;        ///< the next call is a watch
   uint64_t revision_ = 0;        ///< the next watch starts here
   std::optional<uint64_t> era_;  ///< in which `revision_` is valid
--- a/src/include/dogwoodlatch/daemon/platform_view.h
+++ b/src/include/dogwoodlatch/daemon/platform_view.h
@@ -57,6 +57,11 @@
   /// `sent`.
   serving::EraVerdict OnEra(uint64_t era, TimePoint now, TimePoint boot_now);
 
+  /// Another router has proved that version `configuration` was current after
+  /// `sent`. Returns false if this view has a different one, so that the proof
+  /// does not count.
+  bool OnPeerProof(uint64_t configuration, TimePoint sent);
+
   /// Handles a failed call.
   void OnFailure(platform::ObjectKind kind, const std::string& reason,
                  TimePoint now);
@@ -80,6 +85,9 @@
   /// Highest fence of all published weights.
   uint64_t newest_fence() const { return newest_fence_; }
   bool has_targets() const { return has_targets_; }
+
+  /// Revision of the newest change of a target's entry in the current era.
+  uint64_t newest_targets_revision() const { return newest_targets_revision_; }
   bool is_reachable() const { return consecutive_failures_ == 0; }
 
   /// True when the store is reachable and has been for longer than the settling
@@ -106,6 +114,7 @@
   std::map<std::string, serving::NamedVersions> weights_;
   bool has_weights_ = false;  ///< the first list has been received
   std::map<std::string, uint64_t> target_revisions_;
+  uint64_t newest_targets_revision_ = 0;
   uint64_t newest_fence_ = 0;
   bool has_targets_ = false;
   int consecutive_failures_ = 0;
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -13,6 +13,7 @@
 #include "dogwoodlatch/daemon/object_feed.h"
 #include "dogwoodlatch/daemon/platform_view.h"
 #include "dogwoodlatch/dataplane/http_server_session.h"
+#include "dogwoodlatch/serving/freshness_relay.h"
 #include "dogwoodlatch/serving/update_period.h"
 #include "platform/node_settings.h"
 
@@ -54,6 +55,14 @@
   Result<void> Listen(Listener& listener, const std::string& address);
   void Accept(Listener& listener);
   void FollowPlatform();
+  void AddFeed(const FeedOptions& options);
+  /// Follows the store's proofs of freshness: asks a helper, or reads.
+  void KeepFresh(TimePoint now);
+  void ReadConfiguration();
+  void ChooseHelpers(TimePoint now);
+  void AnswerQuestions(TimePoint read_sent);
+  void OnFreshnessAnswer(const FreshnessAnswer& answer);
+  void FollowPeerState(const FreshnessAnswer& answer, TimePoint now);
   void OpenAgentLink();
   void Subscribe(TimePoint now);
   void OnDatagram(const asio::ip::udp::endpoint& from,
@@ -84,6 +93,15 @@
   Listener readiness_;
   Listener metrics_endpoint_;
   std::vector<std::unique_ptr<ObjectFeed>> feeds_;
+  ObjectFeed* configuration_reader_ = nullptr;  ///< one of `feeds_`
+  ObjectFeed* target_feed_ = nullptr;           ///< one of `feeds_`
+  ObjectFeed* weights_feed_ = nullptr;          ///< one of `feeds_`
+  serving::FreshnessAsker freshness_asker_;
+  serving::FreshnessHelper<asio::ip::udp::endpoint> freshness_helper_;
+  std::vector<asio::ip::udp::endpoint> helpers_;  ///< without this router
+  bool is_helper_ = false;
+  TimePoint next_helper_choice_{};
+  std::optional<TimePoint> behind_peers_since_;
   std::unique_ptr<AgentLink> link_;
   asio::steady_timer tick_timer_;
   TimePoint next_subscription_{};
--- a/src/include/dogwoodlatch/dataplane/byte_budget.h
+++ b/src/include/dogwoodlatch/dataplane/byte_budget.h
@@ -1,5 +1,5 @@
-/// Bounds the memory of messages that are buffered whole, per message and for all
-/// connections together.
+/// Bounds the memory of messages that are buffered whole, per message and for
+/// all connections together.
 #pragma once
 
 #include <cstddef>
--- a/src/include/dogwoodlatch/serving/coordination.h
+++ b/src/include/dogwoodlatch/serving/coordination.h
@@ -1,6 +1,6 @@
-/// Election of one router, the coordinator, for the duties of agents that do not
-/// exist or do not respond: it orders weights for their targets and lets routers
-/// find one another.
+/// Election of one router, the coordinator, for the duties of agents that do
+/// not exist or do not respond: it orders weights for their targets and lets
+/// routers find one another.
 #pragma once
 
 #include <cstddef>
@@ -28,8 +28,8 @@
 /// Decides when a router reads, takes and renews the lease. The holder stops to
 /// act half a lease after it sent its last successful renewal. Others take the
 /// lease by a conditional write once its revision has not changed for one and a
-/// half leases, so two holders act at least one lease apart. All times come from a
-/// clock that also runs while the VM is suspended.
+/// half leases, so two holders act at least one lease apart. All times come
+/// from a clock that also runs while the VM is suspended.
 class CoordinatorElection {
  public:
   enum class Step {
@@ -45,8 +45,8 @@
   /// has no agent.
   Step NextStep(bool is_needed, TimePoint now);
 
-  /// The lease was read, or a conditional write has failed and returned it; none
-  /// if it does not exist.
+  /// The lease was read, or a conditional write has failed and returned it;
+  /// none if it does not exist.
   void OnRead(const std::optional<CoordinatorLease>& lease, TimePoint now);
 
   /// A write that was sent at `sent` has succeeded.
@@ -86,10 +86,10 @@
   bool is_in_progress = false;  ///< an order was sent and has not taken effect
 };
 
-/// The targets to which the coordinator sends an order for `named` now: those on
-/// the oldest weights first. `model_targets` is the number of all targets of the
-/// model. Twice the number of concurrent loads may be in progress, as runs end
-/// before a load begins.
+/// The targets to which the coordinator sends an order for `named` now: those
+/// on the oldest weights first. `model_targets` is the number of all targets of
+/// the model. Twice the number of concurrent loads may be in progress, as runs
+/// end before a load begins.
 std::vector<std::string> ChooseTargetsToOrder(
     std::span<const UnattendedTarget> targets, uint64_t named,
     size_t model_targets, const RolloutLimits& limits);
--- a/src/include/dogwoodlatch/serving/freshness.h
+++ b/src/include/dogwoodlatch/serving/freshness.h
@@ -24,6 +24,9 @@
   /// keep their value.
   void IgnoreUntil(TimePoint time) { ignored_until_ = time; }
 
+  /// When the last confirmation was sent; none before the first one.
+  std::optional<TimePoint> confirmed_at() const { return confirmed_at_; }
+
   /// Time since the last confirmation; none before the first one.
   std::optional<Duration> Age(TimePoint now) const;
 
--- a/src/include/dogwoodlatch/serving/store_era.h
+++ b/src/include/dogwoodlatch/serving/store_era.h
@@ -10,9 +10,9 @@
 namespace dogwoodlatch::serving {
 
 enum class EraVerdict {
-  kCurrent,  ///< the answer belongs to the newest known era
+  kCurrent,   ///< the answer belongs to the newest known era
   kRestored,  ///< the first answer of a newer era: all revisions are void
-  kOutdated  ///< the answer was given before the store was restored
+  kOutdated   ///< the answer was given before the store was restored
 };
 
 /// Tracks the newest era of the store's answers.
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -16,7 +16,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickPeriod{50};
-constexpr milliseconds kWatchWait{8000};
+constexpr milliseconds kWatchWait{20000};
 constexpr milliseconds kMaxRetryPause{800};
 
 // A target's report is about 100 ms old when it is read. Reading it costs
@@ -40,6 +40,9 @@
 // Period at which the target list is polled for new targets.
 constexpr milliseconds kTargetPollPeriod{4000};
 
+// How long a router may know newer weights before the agent lists them again.
+constexpr Duration kMaxBehindRouters = milliseconds(1000);
+
 // Must be below the 3 s after which routers forget a router that no agent has
 // listed.
 constexpr milliseconds kRouterListPeriod{1000};
@@ -96,6 +99,7 @@
     if (kind == ObjectKind::kTargets) options.poll_period = kTargetPollPeriod;
     feeds_.push_back(
         std::make_unique<ObjectFeed>(io_, options, std::move(handlers)));
+    if (kind == ObjectKind::kWeights) weights_feed_ = feeds_.back().get();
   }
   std::ranges::for_each(feeds_, &ObjectFeed::Start);
 }
@@ -119,14 +123,27 @@
     LogEvent(EventId::kBadMessage, {{"fault", ToString(datagram.error())}});
     return;
   }
-  if (std::holds_alternative<Subscription>(datagram.value())) {
+  if (const auto* subscription = std::get_if<Subscription>(&datagram.value())) {
     subscribers_[from] = now;
+    FollowRouterState(*subscription, now);
   } else if (auto* status = std::get_if<TargetStatus>(&datagram.value())) {
     const std::string id = status->target_id;
     peers_[id] = {std::move(*status), now};
   }
 }
 
+// A watch on a connection that has silently died misses new weights.
+void Agent::FollowRouterState(const Subscription& subscription, TimePoint now) {
+  if (subscription.newest_fence <= view_.newest_fence()) {
+    behind_routers_since_.reset();
+    return;
+  }
+  if (!behind_routers_since_) behind_routers_since_ = now;
+  if (now - *behind_routers_since_ < kMaxBehindRouters) return;
+  behind_routers_since_.reset();
+  weights_feed_->Relist();
+}
+
 void Agent::Tick() {
   const TimePoint now = SteadyNow();
   view_.Tick(now);
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -103,8 +103,24 @@
                             {"broken", broken}});
 }
 
-std::vector<uint8_t> Encode(Subscription /*subscription*/) {
-  return json::to_cbor(json{{"v", kProtocolVersion}, {"subscribe", true}});
+std::vector<uint8_t> Encode(Subscription subscription) {
+  return json::to_cbor(json{{"v", kProtocolVersion},
+                            {"subscribe", true},
+                            {"fence", subscription.newest_fence}});
+}
+
+std::vector<uint8_t> Encode(const FreshnessQuestion& question) {
+  return json::to_cbor(
+      json{{"v", kProtocolVersion}, {"prove", question.nonce}});
+}
+
+std::vector<uint8_t> Encode(const FreshnessAnswer& answer) {
+  return json::to_cbor(json{{"v", kProtocolVersion},
+                            {"proved", answer.nonce},
+                            {"configuration", answer.configuration},
+                            {"era", answer.era},
+                            {"targets", answer.targets_revision},
+                            {"fence", answer.newest_fence}});
 }
 
 std::vector<uint8_t> Encode(const RouterDirectory& directory) {
@@ -122,7 +138,20 @@
   }
   // The JSON library reports such fields only by exceptions.
   try {
-    if (message.contains("subscribe")) return Datagram(Subscription{});
+    if (message.contains("subscribe")) {
+      return Datagram(Subscription{message.value("fence", uint64_t{0})});
+    }
+    if (message.contains("prove")) {
+      return Datagram(FreshnessQuestion{message.at("prove").get<uint64_t>()});
+    }
+    if (message.contains("proved")) {
+      return Datagram(FreshnessAnswer{
+          .nonce = message.at("proved").get<uint64_t>(),
+          .configuration = message.at("configuration").get<uint64_t>(),
+          .era = message.at("era").get<uint64_t>(),
+          .targets_revision = message.at("targets").get<uint64_t>(),
+          .newest_fence = message.at("fence").get<uint64_t>()});
+    }
     if (message.contains("directory")) {
       return Datagram(RouterDirectory{
           message.at("directory").get<std::vector<std::string>>()});
--- a/src/libdaemon/agent_link_test.cc
+++ b/src/libdaemon/agent_link_test.cc
@@ -27,8 +27,12 @@
   CHECK(DecodeDatagram(Encode(update)).value() == Datagram(update));
   const RouterDirectory directory{{"10.0.0.1:7340", "10.0.0.2:7340"}};
   CHECK(DecodeDatagram(Encode(directory)).value() == Datagram(directory));
-  CHECK(DecodeDatagram(Encode(Subscription{})).value() ==
-        Datagram(Subscription{}));
+  CHECK(DecodeDatagram(Encode(Subscription{7})).value() ==
+        Datagram(Subscription{7}));
+  const FreshnessQuestion question{~0ULL};
+  CHECK(DecodeDatagram(Encode(question)).value() == Datagram(question));
+  const FreshnessAnswer answer{~0ULL, 12, 2, 700, 900};
+  CHECK(DecodeDatagram(Encode(answer)).value() == Datagram(answer));
 }
 
 TEST_CASE("truncated datagrams are refused and arbitrary bytes are handled") {
--- a/src/libdaemon/coordinator.cc
+++ b/src/libdaemon/coordinator.cc
@@ -17,14 +17,14 @@
 constexpr milliseconds kCallTimeout{300};
 constexpr milliseconds kLeaseCallTimeout{700};
 
-// Agents send their status several times a second. One that was never heard does
-// not exist; one that was heard may be restarting, and its target has just been
-// ordered by it.
+// Agents send their status several times a second. One that was never heard
+// does not exist; one that was heard may be restarting, and its target has just
+// been ordered by it.
 constexpr Duration kNeverHeardLimit = milliseconds(3000);
 constexpr Duration kSilenceLimit = milliseconds(6000);
 
-// The coordinator keeps its lease for this time after the last target without an
-// agent was seen.
+// The coordinator keeps its lease for this time after the last target without
+// an agent was seen.
 constexpr Duration kReleaseDelay = std::chrono::seconds(10);
 
 // Period of the calls for one order: reports until it may be sent and has taken
@@ -32,8 +32,8 @@
 constexpr milliseconds kOrderCallPeriod{300};
 constexpr milliseconds kOrderRetryPause{600};
 
-// An accepted order that has had no effect by then is given up and sent anew. Runs
-// in progress end within a few seconds.
+// An accepted order that has had no effect by then is given up and sent anew.
+// Runs in progress end within a few seconds.
 constexpr Duration kOrderTimeout = std::chrono::seconds(8);
 
 constexpr int kStatusOk = 200;
@@ -101,8 +101,8 @@
     is_any_unattended |= IsUnattended(id, now);
   }
   if (is_any_unattended) last_unattended_ = now;
-  is_needed_ = last_unattended_ != TimePoint{} &&
-               now - last_unattended_ < kReleaseDelay;
+  is_needed_ =
+      last_unattended_ != TimePoint{} && now - last_unattended_ < kReleaseDelay;
 }
 
 void Coordinator::Tick(TimePoint now) {
@@ -112,9 +112,9 @@
   if (is_active != std::exchange(was_active_, is_active)) {
     LogEvent(EventId::kCoordinatorChanged,
              {{"coordinator", is_active ? "yes" : "no"},
-              {"revision", std::to_string(election_.known()
-                                              ? election_.known()->revision
-                                              : 0)}});
+              {"revision",
+               std::to_string(election_.known() ? election_.known()->revision
+                                                : 0)}});
   }
   if (is_active) {
     StartOrders(now);
@@ -165,8 +165,8 @@
 void Coordinator::WriteLease(CoordinatorElection::Step step) {
   const bool creates = step == CoordinatorElection::Step::kCreate;
   const serving::CoordinatorLease lease{own_name_, address_, 0};
-  const auto expected = creates ? std::nullopt
-                                : std::optional(election_.known()->revision);
+  const auto expected =
+      creates ? std::nullopt : std::optional(election_.known()->revision);
   is_lease_call_pending_ = true;
   dataplane::Call call;
   call.method = creates ? "POST" : "PUT";
@@ -175,12 +175,12 @@
   call.headers = {{"Content-Type", "application/json"}};
   call.body = platform::EncodeLease(lease, expected, ++renewals_);
   call.timeout = kLeaseCallTimeout;
-  lease_client_.Start(
-      std::move(call),
-      [this, sent = BootNow()](const Result<dataplane::CallResponse>& response) {
-        is_lease_call_pending_ = false;
-        OnLeaseWritten(response, sent);
-      });
+  lease_client_.Start(std::move(call),
+                      [this, sent = BootNow()](
+                          const Result<dataplane::CallResponse>& response) {
+                        is_lease_call_pending_ = false;
+                        OnLeaseWritten(response, sent);
+                      });
 }
 
 void Coordinator::OnLeaseWritten(
@@ -218,9 +218,8 @@
         continue;
       }
       ++model_targets;
-      const bool is_paused =
-          target->signals.PushbackLeft(now) > Duration{0} ||
-          target->signals.IsAvoided(now);
+      const bool is_paused = target->signals.PushbackLeft(now) > Duration{0} ||
+                             target->signals.IsAvoided(now);
       if (!IsUnattended(id, now) || is_paused) continue;
       unattended.push_back({.id = id,
                             .version = loaded->second,
@@ -257,8 +256,8 @@
 void Coordinator::RequestReport(const std::string& target_id, Order& order) {
   order.is_calling = true;
   order.next_call = SteadyNow() + kOrderCallPeriod;
-  dataplane::Call call = dataplane::Call::Get(
-      std::string(platform::kReportPath), kCallTimeout);
+  dataplane::Call call =
+      dataplane::Call::Get(std::string(platform::kReportPath), kCallTimeout);
   call.headers = platform::OrderHeaders(target_id);
   order.client.Start(
       std::move(call),
@@ -286,8 +285,8 @@
   }
   order.report = report.value();
   const auto loaded = order.report.weights.find(order.model);
-  const bool is_behind = loaded != order.report.weights.end() &&
-                         loaded->second < order.version;
+  const bool is_behind =
+      loaded != order.report.weights.end() && loaded->second < order.version;
   if (is_behind && !order.report.is_loading && !order.is_accepted) {
     SendOrder(target_id, order);
   }
@@ -301,8 +300,8 @@
 }
 
 void Coordinator::SendOrder(const std::string& target_id, Order& order) {
-  const uint64_t fence = serving::MakeFence(view_.era().current(),
-                                            election_.known()->revision);
+  const uint64_t fence =
+      serving::MakeFence(view_.era().current(), election_.known()->revision);
   // An agent may have used the naming's revision. The next renewal of the lease
   // gives a higher fence.
   if (!IsActive() || fence <= view_.newest_fence()) return;
@@ -359,8 +358,8 @@
   status.target_id = target_id;
   status.weights = report.weights;
   if (report.is_loading) {
-    status.phase = report.active > 0 ? RolloutPhase::kDraining
-                                     : RolloutPhase::kLoading;
+    status.phase =
+        report.active > 0 ? RolloutPhase::kDraining : RolloutPhase::kLoading;
   }
   status.queued = report.queued;
   status.active = report.active;
--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -39,7 +39,15 @@
       random_(std::random_device{}()),
       retry_pause_(kInitialRetryPause) {}
 
-void ObjectFeed::Start() { ListFrom(""); }
+void ObjectFeed::Start() {
+  if (!options_.is_on_demand) ListFrom("");
+}
+
+bool ObjectFeed::ListNow() {
+  if (is_listing_) return false;
+  ListFrom("");
+  return true;
+}
 
 void ObjectFeed::RetryNow() {
   if (!is_pausing_) return;
@@ -50,6 +58,8 @@
 
 void ObjectFeed::Relist() {
   client_.Cancel();
+  is_listing_ = false;
+  if (options_.is_on_demand) return;
   pause_timer_.cancel();
   has_list_ = false;
   std::uniform_int_distribution<int64_t> spread(1, kMaxRelistPause.count());
@@ -80,7 +90,9 @@
 }
 
 void ObjectFeed::ListFrom(std::string_view after) {
+  is_listing_ = true;
   call_sent_ = BootNow();
+  if (handlers_.on_call) handlers_.on_call();
   if (after.empty()) {
     listed_.clear();
     list_sent_ = call_sent_;
@@ -100,6 +112,7 @@
 }
 
 void ObjectFeed::OnListed(Result<dataplane::CallResponse> response) {
+  is_listing_ = false;
   if (!response) {
     Retry(ToString(response.error()));
     return;
@@ -128,11 +141,12 @@
   has_list_ = !options_.poll_period;
   revision_ = list_revision_;
   handlers_.on_list(std::exchange(listed_, {}), list_sent_);
-  ScheduleNext(false);
+  if (!options_.is_on_demand) ScheduleNext(false);
 }
 
 void ObjectFeed::Watch() {
   call_sent_ = BootNow();
+  if (handlers_.on_call) handlers_.on_call();
   Call call =
       Call::Get(platform::WatchPath(options_.kind, revision_, options_.wait),
                 options_.wait + kWatchTimeoutMargin);
@@ -205,6 +219,7 @@
 // receive the calls of all processes at once.
 void ObjectFeed::Retry(const std::string& reason) {
   handlers_.on_failure(reason);
+  if (options_.is_on_demand) return;
   std::uniform_real_distribution<double> spread(0.6, 1.2);
   const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
       retry_pause_ * spread(random_));
--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -66,6 +66,7 @@
             {"configuration",
              std::to_string(configuration_ ? configuration_->version() : 0)}});
   target_revisions_.clear();
+  newest_targets_revision_ = 0;
   stored_configuration_ = 0;
   restored_at_ = boot_now;
   // Entries of live targets may be missing until they are written again.
@@ -86,6 +87,14 @@
   if (!must_wait) freshness_.OnConfirmed(sent);
 }
 
+bool PlatformView::OnPeerProof(uint64_t configuration, TimePoint sent) {
+  if (!configuration_ || configuration > configuration_->version())
+    return false;
+  stored_configuration_ = std::max(stored_configuration_, configuration);
+  ConfirmConfiguration(sent);
+  return true;
+}
+
 void PlatformView::OnFailure(ObjectKind kind, const std::string& reason,
                              TimePoint now) {
   if (consecutive_failures_++ > 0) return;
@@ -131,6 +140,11 @@
 
 void PlatformView::AdoptConfiguration(const StoredObject& object) {
   if (object.deleted) return;
+  const auto listed = platform::DecodeConfigurationVersion(object.content);
+  if (listed && configuration_ && *listed <= configuration_->version()) {
+    stored_configuration_ = std::max(stored_configuration_, *listed);
+    return;
+  }
   std::vector<Error> faults;
   Result<serving::Configuration> decoded =
       platform::DecodeConfiguration(object.content, faults);
@@ -161,6 +175,8 @@
   std::vector<serving::TargetRecord> present;
   for (const StoredObject& object : objects) {
     uint64_t& revision = target_revisions_[object.name];
+    newest_targets_revision_ =
+        std::max(newest_targets_revision_, object.revision);
     const bool is_older = object.revision < revision;
     if (is_older && !is_full_list) continue;
     revision = std::max(revision, object.revision);
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -1,5 +1,7 @@
 #include "dogwoodlatch/daemon/router.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 #include <cstddef>
@@ -21,16 +23,26 @@
 // some time to reach its target.
 constexpr milliseconds kKeyRevocationMargin{250};
 
-// The configuration is confirmed as current at least this often: two
-// confirmations fit into the two fifths of the key revocation bound that remain
-// when an outage counts.
-constexpr milliseconds kConfigurationWatchWait{800};
-constexpr milliseconds kOtherWatchWait{8000};
+// Long-poll time of the watches. A watch on a dead connection is noticed
+// sooner, by the state of other routers.
+constexpr milliseconds kWatchWait{20000};
 constexpr milliseconds kMaxConfigurationRetryPause{300};
 
-// Targets change in groups. The delay is safe because a target that leaves the
-// list serves for two more seconds.
-constexpr milliseconds kCoalesceDelay{250};
+// Targets change in groups, for example while weights are rolled out. A target
+// that leaves the list still serves for the promised drain time, of which
+// changes may be collected for this share.
+constexpr double kCoalesceShareOfDrain = 0.4;
+constexpr milliseconds kMinCoalesceDelay{250};
+constexpr milliseconds kMaxCoalesceDelay{2000};
+
+// Number of routers that read proofs of freshness for all, and how often they
+// are chosen anew.
+constexpr size_t kFreshnessHelpers = 2;
+constexpr milliseconds kHelperChoicePeriod{500};
+
+// How long this router may know less than another one before it lists again. It
+// exceeds the time for which changes are collected.
+constexpr Duration kMaxBehindPeers = milliseconds(2500);
 constexpr milliseconds kMaxOtherRetryPause{1500};
 
 // Share of the promised retries that routers use. The promised bound applies to
@@ -109,6 +121,9 @@
       frontend_(context),
       readiness_(context),
       metrics_endpoint_(context),
+      freshness_asker_(serving::FreshnessPlan::ForRevocationBound(
+                           settings_.bounds.key_revocation),
+                       std::random_device{}()),
       tick_timer_(context),
       coordinator_(
           context, settings_,
@@ -220,47 +235,182 @@
       });
 }
 
+void Router::AddFeed(const FeedOptions& options) {
+  const ObjectKind kind = options.kind;
+  FeedHandlers handlers;
+  handlers.on_list = [this, kind, answers_questions = options.is_on_demand](
+                         const auto& objects, TimePoint sent) {
+    const bool was_unreachable = !view_.is_reachable();
+    view_.OnList(kind, objects, sent, SteadyNow());
+    if (was_unreachable) std::ranges::for_each(feeds_, &ObjectFeed::RetryNow);
+    if (answers_questions) AnswerQuestions(sent);
+  };
+  handlers.on_changes = [this, kind](const auto& objects, TimePoint sent) {
+    const bool was_unreachable = !view_.is_reachable();
+    view_.OnChanges(kind, objects, sent, SteadyNow());
+    if (was_unreachable) std::ranges::for_each(feeds_, &ObjectFeed::RetryNow);
+  };
+  handlers.on_failure = [this, kind](const std::string& reason) {
+    metrics_.Count("dogwoodlatch_store_failures_total");
+    view_.OnFailure(kind, reason, SteadyNow());
+  };
+  handlers.on_era = [this, index = feeds_.size()](uint64_t era) {
+    const auto verdict = view_.OnEra(era, SteadyNow(), BootNow());
+    if (verdict == serving::EraVerdict::kRestored) {
+      metrics_.Count("dogwoodlatch_store_restored_total");
+      RelistOthers(feeds_, index);
+      coordinator_.OnStoreRestored();
+    }
+    return verdict;
+  };
+  handlers.on_call = [this] {
+    metrics_.Count("dogwoodlatch_store_calls_total");
+  };
+  feeds_.push_back(
+      std::make_unique<ObjectFeed>(io_, options, std::move(handlers)));
+}
+
 void Router::FollowPlatform() {
-  for (const ObjectKind kind : {ObjectKind::kConfiguration,
-                                ObjectKind::kTargets, ObjectKind::kWeights}) {
-    const bool is_configuration = kind == ObjectKind::kConfiguration;
-    FeedOptions options;
-    options.kind = kind;
-    options.store_address = settings_.store_address;
-    options.wait = is_configuration ? kConfigurationWatchWait : kOtherWatchWait;
-    options.max_retry_pause =
-        is_configuration ? kMaxConfigurationRetryPause : kMaxOtherRetryPause;
-    if (kind == ObjectKind::kTargets) options.coalesce_delay = kCoalesceDelay;
-    FeedHandlers handlers;
-    handlers.on_list = [this, kind](const auto& objects, TimePoint sent) {
-      const bool was_unreachable = !view_.is_reachable();
-      view_.OnList(kind, objects, sent, SteadyNow());
-      if (was_unreachable) std::ranges::for_each(feeds_, &ObjectFeed::RetryNow);
-    };
-    handlers.on_changes = [this, kind](const auto& objects, TimePoint sent) {
-      const bool was_unreachable = !view_.is_reachable();
-      view_.OnChanges(kind, objects, sent, SteadyNow());
-      if (was_unreachable) std::ranges::for_each(feeds_, &ObjectFeed::RetryNow);
-    };
-    handlers.on_failure = [this, kind](const std::string& reason) {
-      metrics_.Count("dogwoodlatch_store_failures_total");
-      view_.OnFailure(kind, reason, SteadyNow());
-    };
-    handlers.on_era = [this, index = feeds_.size()](uint64_t era) {
-      const auto verdict = view_.OnEra(era, SteadyNow(), BootNow());
-      if (verdict == serving::EraVerdict::kRestored) {
-        metrics_.Count("dogwoodlatch_store_restored_total");
-        RelistOthers(feeds_, index);
-        coordinator_.OnStoreRestored();
-      }
-      return verdict;
-    };
-    feeds_.push_back(
-        std::make_unique<ObjectFeed>(io_, options, std::move(handlers)));
-  }
+  FeedOptions options;
+  options.store_address = settings_.store_address;
+  options.wait = kWatchWait;
+  options.kind = ObjectKind::kConfiguration;
+  options.max_retry_pause = kMaxConfigurationRetryPause;
+  AddFeed(options);
+  options.is_on_demand = true;
+  AddFeed(options);
+  configuration_reader_ = feeds_.back().get();
+  options.is_on_demand = false;
+  options.max_retry_pause = kMaxOtherRetryPause;
+  options.kind = ObjectKind::kWeights;
+  AddFeed(options);
+  weights_feed_ = feeds_.back().get();
+  options.kind = ObjectKind::kTargets;
+  options.coalesce_delay = std::clamp<milliseconds>(
+      std::chrono::duration_cast<milliseconds>(settings_.bounds.drain *
+                                               kCoalesceShareOfDrain),
+      kMinCoalesceDelay, kMaxCoalesceDelay);
+  AddFeed(options);
+  target_feed_ = feeds_.back().get();
   std::ranges::for_each(feeds_, &ObjectFeed::Start);
 }
 
+// All routers choose nearly the same helpers, by a hash of their addresses.
+void Router::ChooseHelpers(TimePoint now) {
+  if (now < next_helper_choice_ || !link_) return;
+  next_helper_choice_ = now + kHelperChoicePeriod;
+  std::error_code ignored;  // the address was parsed when the socket was bound
+  const asio::ip::udp::endpoint self(
+      asio::ip::make_address_v4(settings_.ip, ignored), link_->port());
+  std::vector<std::pair<uint64_t, asio::ip::udp::endpoint>> ranked;
+  const auto add = [&](const asio::ip::udp::endpoint& router) {
+    const uint64_t key =
+        (uint64_t{router.address().to_v4().to_uint()} << 16) | router.port();
+    ranked.emplace_back(XXH64(&key, sizeof(key), 0), router);
+  };
+  add(self);
+  for (const auto& [router, listed] : routers_) {
+    if (now - listed <= kRouterLifetime) add(router);
+  }
+  std::ranges::sort(ranked);
+  ranked.resize(std::min(ranked.size(), kFreshnessHelpers));
+  helpers_.clear();
+  is_helper_ = false;
+  for (const auto& [hash, router] : ranked) {
+    if (router == self) {
+      is_helper_ = true;
+    } else {
+      helpers_.push_back(router);
+    }
+  }
+}
+
+void Router::KeepFresh(TimePoint now) {
+  if (!view_.configuration()) return;
+  ChooseHelpers(now);
+  const TimePoint boot_now = BootNow();
+  freshness_helper_.DropOld(boot_now);
+  if (freshness_helper_.NeedsRead(boot_now)) {
+    ReadConfiguration();
+    return;
+  }
+  const bool has_helper = !is_helper_ && !helpers_.empty();
+  switch (freshness_asker_.NextStep(view_.freshness().Age(boot_now), has_helper,
+                                    boot_now)) {
+    case serving::FreshnessAsker::Step::kNone:
+      return;
+    case serving::FreshnessAsker::Step::kRead:
+      ReadConfiguration();
+      return;
+    case serving::FreshnessAsker::Step::kAsk: {
+      // Routers divide themselves among the helpers, and try another one after
+      // a question without an answer.
+      const size_t index = XXH64(settings_.ip.data(), settings_.ip.size(), 0) +
+                           freshness_asker_.unanswered();
+      link_->Send(helpers_[index % helpers_.size()],
+                  Encode(FreshnessQuestion{freshness_asker_.OnAsk(boot_now)}));
+      return;
+    }
+  }
+}
+
+void Router::ReadConfiguration() {
+  const TimePoint now = BootNow();
+  if (!configuration_reader_->ListNow()) return;
+  freshness_asker_.OnReadStarted(now);
+  freshness_helper_.OnReadSent(now);
+}
+
+// Answers only if the read counts as a proof for this router itself.
+void Router::AnswerQuestions(TimePoint read_sent) {
+  const auto confirmed_at = view_.freshness().confirmed_at();
+  const bool is_proved = confirmed_at && *confirmed_at >= read_sent;
+  if (!is_proved || !link_ || !view_.configuration()) return;
+  FreshnessAnswer answer;
+  answer.configuration = view_.configuration()->version();
+  answer.era = view_.era().current();
+  answer.targets_revision = view_.newest_targets_revision();
+  answer.newest_fence = view_.newest_fence();
+  for (const auto& question : freshness_helper_.TakeAnswered(read_sent)) {
+    answer.nonce = question.nonce;
+    link_->Send(question.peer, Encode(answer));
+  }
+}
+
+void Router::OnFreshnessAnswer(const FreshnessAnswer& answer) {
+  const auto asked = freshness_asker_.OnAnswer(answer.nonce, BootNow());
+  if (!asked || answer.era < view_.era().current()) return;
+  if (answer.era > view_.era().current()) {
+    // The next answer of the store shows the new era to this router too.
+    ReadConfiguration();
+    return;
+  }
+  if (!view_.OnPeerProof(answer.configuration, *asked)) {
+    // The watch for the configuration may hang on a dead connection.
+    ReadConfiguration();
+  }
+  FollowPeerState(answer, SteadyNow());
+}
+
+// A watch on a connection that has silently died misses changes. The newest
+// state of another router shows it.
+void Router::FollowPeerState(const FreshnessAnswer& answer, TimePoint now) {
+  const bool is_behind =
+      answer.targets_revision > view_.newest_targets_revision() ||
+      answer.newest_fence > view_.newest_fence();
+  if (!is_behind) {
+    behind_peers_since_.reset();
+    return;
+  }
+  if (!behind_peers_since_) behind_peers_since_ = now;
+  if (now - *behind_peers_since_ < kMaxBehindPeers) return;
+  behind_peers_since_.reset();
+  if (answer.targets_revision > view_.newest_targets_revision()) {
+    target_feed_->Relist();
+  }
+  if (answer.newest_fence > view_.newest_fence()) weights_feed_->Relist();
+}
+
 void Router::OpenAgentLink() {
   auto link = AgentLink::Open(
       io_, settings_.ip, settings_.first_internal_port,
@@ -276,7 +426,8 @@
 void Router::Subscribe(TimePoint now) {
   if (!link_ || now < next_subscription_) return;
   next_subscription_ = now + kSubscriptionPeriod;
-  const std::vector<uint8_t> datagram = Encode(Subscription{});
+  const std::vector<uint8_t> datagram =
+      Encode(Subscription{view_.newest_fence()});
   for (const auto& [id, target] : view_.fleet().targets()) {
     const auto endpoint = dataplane::ParseEndpoint(target->record.address);
     if (!endpoint || !IsModelTarget(*target)) continue;
@@ -300,6 +451,12 @@
     subscribers_[from] = now;
     OnRoutersListed(
         {from.address().to_string() + ":" + std::to_string(from.port())}, now);
+  } else if (const auto* question =
+                 std::get_if<FreshnessQuestion>(&datagram.value())) {
+    freshness_helper_.OnQuestion(from, question->nonce, BootNow());
+  } else if (const auto* answer =
+                 std::get_if<FreshnessAnswer>(&datagram.value())) {
+    OnFreshnessAnswer(*answer);
   } else if (const auto* directory =
                  std::get_if<RouterDirectory>(&datagram.value())) {
     OnRoutersListed(directory->routers, now);
@@ -491,6 +648,7 @@
 void Router::Tick() {
   const TimePoint now = SteadyNow();
   view_.Tick(now);
+  KeepFresh(now);
   coordinator_.Tick(now);
   Subscribe(now);
   PublishDirectory(now);
--- a/src/libdataplane/byte_budget.cc
+++ b/src/libdataplane/byte_budget.cc
@@ -3,9 +3,8 @@
 namespace dogwoodlatch::dataplane {
 
 bool ByteReservation::Grow(size_t bytes, size_t limit) {
-  const size_t free = budget_.capacity_ > budget_.used_
-                          ? budget_.capacity_ - budget_.used_
-                          : 0;
+  const size_t free =
+      budget_.capacity_ > budget_.used_ ? budget_.capacity_ - budget_.used_ : 0;
   if (bytes > free || held_ + bytes > limit) return false;
   held_ += bytes;
   budget_.used_ += bytes;
--- a/src/libserving/coordination.cc
+++ b/src/libserving/coordination.cc
@@ -101,8 +101,7 @@
   std::ranges::sort(waiting, {}, [&](const UnattendedTarget* target) {
     return ComputeRolloutOrder(target->id, target->version, named);
   });
-  waiting.resize(
-      std::min(waiting.size(), most - std::min(most, in_progress)));
+  waiting.resize(std::min(waiting.size(), most - std::min(most, in_progress)));
   std::vector<std::string> chosen;
   std::ranges::transform(
       waiting, std::back_inserter(chosen),
