--- a/src/include/dogwoodlatch/daemon/coordinator.h
+++ b/src/include/dogwoodlatch/daemon/coordinator.h
@@ -31,6 +31,9 @@
   /// The agent next to the target has sent its status.
   void OnAgentHeard(const std::string& target_id, TimePoint now);
 
+  /// The coordinator has listed the routers.
+  void OnCoordinatorHeard();
+
   /// The store was restored from an older copy.
   void OnStoreRestored();
 
--- a/src/include/dogwoodlatch/serving/coordination.h
+++ b/src/include/dogwoodlatch/serving/coordination.h
@@ -27,9 +27,10 @@
 
 /// Decides when a router reads, takes and renews the lease. The holder stops to
 /// act half a lease after it sent its last successful renewal. Others take the
-/// lease by a conditional write once its revision has not changed for one and a
-/// half leases, so two holders act at least one lease apart. All times come
-/// from a clock that also runs while the VM is suspended.
+/// lease by a conditional write once its revision has not changed, or it has
+/// been absent, for one and a half leases, so two holders act at least one
+/// lease apart. All times come from a clock that also runs while the VM is
+/// suspended.
 class CoordinatorElection {
  public:
   enum class Step {
@@ -52,6 +53,9 @@
   /// A write that was sent at `sent` has succeeded.
   void OnWritten(const CoordinatorLease& lease, TimePoint sent);
 
+  /// The holder has sent a sign of life, so there is nothing to read yet.
+  void OnHolderHeard(TimePoint now);
+
   /// A call had no usable answer. A write may take effect later.
   void OnFailed(TimePoint now);
 
@@ -66,15 +70,19 @@
 
  private:
   Duration Spread(Duration longest);
+  bool HasWaited(TimePoint now) const;
 
   std::string own_name_;
   Duration lease_;
   std::minstd_rand random_;
   std::optional<CoordinatorLease> known_;
-  bool is_absent_ = false;     ///< the last read found no lease
+  bool may_take_ =
+      false;  ///< the last read found the same state after the wait
   bool is_own_write_ = false;  ///< `known_` was written by this process
+  bool has_written_ = false;   ///< in the current era, with or without success
   bool was_needed_ = false;
-  TimePoint known_since_{};  ///< when the revision of `known_` was first seen
+  /// When the present state was first seen: `known_`, or its absence.
+  std::optional<TimePoint> unchanged_since_;
   TimePoint renewal_sent_{};
   TimePoint next_call_{};
 };
--- a/src/include/dogwoodlatch/serving/freshness_relay.h
+++ b/src/include/dogwoodlatch/serving/freshness_relay.h
@@ -1,11 +1,12 @@
-/// Shares proofs of the configuration's freshness among routers, so that calls to
-/// the store do not grow with the number of routers.
+/// Shares proofs of the configuration's freshness among routers, so that calls
+/// to the store do not grow with the number of routers.
 ///
-/// A router sends a question with a nonce to a helper, another router. The helper
-/// answers after a linearizable read that it sent after the question arrived. The
-/// read thus proves the state of the store at a time after the question was sent,
-/// however long either message or either process was delayed, and the asker counts
-/// the age of the proof from its own clock at the time of its question.
+/// A router sends a question with a nonce to a helper, another router. The
+/// helper answers after a linearizable read that it sent after the question
+/// arrived. The read thus proves the state of the store at a time after the
+/// question was sent, however long either message or either process was
+/// delayed, and the asker counts the age of the proof from its own clock at the
+/// time of its question.
 #pragma once
 
 #include <cstddef>
@@ -28,15 +29,16 @@
   static FreshnessPlan ForRevocationBound(Duration bound);
 };
 
-/// The asking side. Times are of a clock that also runs while the VM is suspended.
+/// The asking side. Times are of a clock that also runs while the VM is
+/// suspended.
 class FreshnessAsker {
  public:
   enum class Step { kNone, kAsk, kRead };
 
   FreshnessAsker(FreshnessPlan plan, uint64_t seed);
 
-  /// What to do now. `age` is that of the last proof. A helper, and a router that
-  /// knows no helper, reads by itself.
+  /// What to do now. `age` is that of the last proof. A helper, and a router
+  /// that knows no helper, reads by itself.
   Step NextStep(std::optional<Duration> age, bool has_helper, TimePoint now);
 
   /// Registers a question that is sent now; returns its nonce.
@@ -60,8 +62,8 @@
   size_t unanswered_ = 0;
 };
 
-/// The answering side: collects questions until a read is due. `Peer` identifies
-/// the asker.
+/// The answering side: collects questions until a read is due. `Peer`
+/// identifies the asker.
 template <typename Peer>
 class FreshnessHelper {
  public:
@@ -84,8 +86,8 @@
 
   void OnReadSent(TimePoint now) { read_sent_ = now; }
 
-  /// A linearizable read that was sent at `sent` has confirmed the configuration.
-  /// Returns the questions that it answers.
+  /// A linearizable read that was sent at `sent` has confirmed the
+  /// configuration. Returns the questions that it answers.
   std::vector<Question> TakeAnswered(TimePoint sent) {
     std::vector<Question> answered;
     std::erase_if(questions_, [&](const Question& question) {
--- a/src/libdaemon/coordinator.cc
+++ b/src/libdaemon/coordinator.cc
@@ -5,7 +5,7 @@
 
 #include "dogwoodlatch/daemon/boot_clock.h"
 #include "dogwoodlatch/util/log.h"
-#include "platform/coordination.h"
+#include "platform/coordinator_lease.h"
 #include "platform/requests.h"
 
 namespace dogwoodlatch::daemon {
@@ -66,6 +66,8 @@
       .first->second.heard = now;
 }
 
+void Coordinator::OnCoordinatorHeard() { election_.OnHolderHeard(BootNow()); }
+
 void Coordinator::OnStoreRestored() {
   lease_client_.Cancel();
   is_lease_call_pending_ = false;
--- a/src/libdaemon/platform_view_test.cc
+++ b/src/libdaemon/platform_view_test.cc
@@ -123,4 +123,83 @@
   CHECK(view.OldestUsableWeights("w", At(102500)) == 5);
 }
 
+TEST_CASE("a restored store proves nothing before the lost writes are back") {
+  PlatformView view = MakeView();
+  view.OnEra(1, At(0), At(0));
+  view.OnList(ObjectKind::kConfiguration, {Configuration(7)}, At(1000),
+              At(1005));
+  view.OnChanges(ObjectKind::kConfiguration, {Configuration(9)}, At(2000),
+                 At(2005));
+  CHECK(view.OnEra(2, At(3000), At(3000)) == serving::EraVerdict::kRestored);
+  // The copy lacks version 9, which took a key away: it stays in force, and
+  // version 7 does not confirm it.
+  view.OnList(ObjectKind::kConfiguration, {Configuration(7)}, At(3100),
+              At(3105));
+  CHECK(view.configuration()->version() == 9);
+  view.OnList(ObjectKind::kConfiguration, {Configuration(7)}, At(6000),
+              At(6005));
+  CHECK(view.freshness().confirmed_at() == At(2000));
+  CHECK_FALSE(view.OnPeerProof(10, At(6050)));
+  // A configuration that was never seen here may have been lost too, so nothing
+  // counts in the first two seconds.
+  view.OnChanges(ObjectKind::kConfiguration, {Configuration(9)}, At(4900),
+                 At(6100));
+  CHECK(view.freshness().confirmed_at() == At(2000));
+  view.OnChanges(ObjectKind::kConfiguration, {}, At(6200), At(6205));
+  CHECK(view.freshness().confirmed_at() == At(6200));
+  CHECK(view.OnEra(1, At(6300), At(6300)) == serving::EraVerdict::kOutdated);
+  CHECK(view.OnPeerProof(9, At(6400)));
+  CHECK(view.freshness().confirmed_at() == At(6400));
+}
+
+TEST_CASE(
+    "an operator whose writes do not come back does not end the service") {
+  PlatformView view = MakeView();
+  view.OnEra(1, At(0), At(0));
+  view.OnList(ObjectKind::kConfiguration, {Configuration(9)}, At(1000),
+              At(1005));
+  view.OnEra(2, At(3000), At(3000));
+  view.OnList(ObjectKind::kConfiguration, {Configuration(7)}, At(17900),
+              At(17905));
+  CHECK(view.freshness().confirmed_at() == At(1000));
+  view.OnList(ObjectKind::kConfiguration, {Configuration(7)}, At(18100),
+              At(18105));
+  CHECK(view.freshness().confirmed_at() == At(18100));
+  CHECK(view.configuration()->version() == 9);
+}
+
+TEST_CASE("revisions of an earlier era do not hide entries of the new one") {
+  PlatformView view = MakeView();
+  view.OnEra(1, At(0), At(0));
+  view.OnList(ObjectKind::kTargets, {TargetEntry("a", 500)}, At(5000),
+              At(5005));
+  view.OnList(ObjectKind::kWeights, {Weights(4, 490)}, At(5000), At(5005));
+  const uint64_t fence = view.newest_fence();
+  view.OnEra(2, At(9000), At(9000));
+  view.OnList(ObjectKind::kTargets, {TargetEntry("a", 300)}, At(9100),
+              At(9105));
+  StoredObject draining = TargetEntry("a", 310);
+  draining.content["state"] = "draining";
+  view.OnChanges(ObjectKind::kTargets, {draining}, At(9200), At(9205));
+  CHECK(view.fleet().Serving("m", At(9300)).empty());
+  view.OnList(ObjectKind::kWeights, {Weights(3, 280)}, At(9200), At(9205));
+  CHECK(view.weights().at("w").newest() == 4);
+  CHECK(view.newest_fence() > fence);
+}
+
+TEST_CASE("targets that the copy lacks are kept until they are written again") {
+  PlatformView view = MakeView();
+  view.OnEra(1, At(0), At(0));
+  view.OnList(ObjectKind::kTargets, {TargetEntry("a", 1), TargetEntry("b", 2)},
+              At(10000), At(10005));
+  view.OnEra(2, At(20000), At(20000));
+  view.OnList(ObjectKind::kTargets, {TargetEntry("a", 1)}, At(20100),
+              At(20105));
+  CHECK(view.fleet().Serving("m", At(20200)).size() == 2);
+  view.OnChanges(ObjectKind::kTargets, {TargetEntry("b", 3)}, At(21000),
+                 At(21005));
+  view.Tick(At(24000));
+  CHECK(view.fleet().Serving("m", At(24000)).size() == 2);
+}
+
 }  // namespace dogwoodlatch::daemon
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -31,7 +31,7 @@
 // Targets change in groups, for example while weights are rolled out. A target
 // that leaves the list still serves for the promised drain time, of which
 // changes may be collected for this share.
-constexpr double kCoalesceShareOfDrain = 0.4;
+constexpr double kCoalesceShareOfDrain = 0.5;
 constexpr milliseconds kMinCoalesceDelay{250};
 constexpr milliseconds kMaxCoalesceDelay{2000};
 
@@ -459,6 +459,7 @@
     OnFreshnessAnswer(*answer);
   } else if (const auto* directory =
                  std::get_if<RouterDirectory>(&datagram.value())) {
+    coordinator_.OnCoordinatorHeard();
     OnRoutersListed(directory->routers, now);
   } else if (const auto* status =
                  std::get_if<TargetStatus>(&datagram.value())) {
--- a/src/libdataplane/http_reader_test.cc
+++ b/src/libdataplane/http_reader_test.cc
@@ -159,4 +159,64 @@
   CHECK(collector.heads == std::vector<int>{204});
 }
 
+// A peer that never ends a head, a chunk header, a trailer, interim responses
+// or a response that nobody waits for.
+TEST_CASE("responses without end are cut at a small size") {
+  constexpr size_t kConnections = 200;
+  constexpr size_t kMostBuffered = 80UL * 1024;
+  const std::string chunked_head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string skipped_head =
+      "HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+  struct Peer {
+    std::string first;
+    std::string repeated;
+  };
+  const std::vector<Peer> peers = {
+      {"HTTP/1.1 200 OK\r\nX: ", std::string(1000, 'x')},
+      {"HTTP/1.1 200 OK\r\n", "X-Field: " + std::string(500, 'y') + "\r\n"},
+      {chunked_head + "5;", std::string(1000, 'e')},
+      {chunked_head + "0\r\n", "T: " + std::string(500, 't') + "\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {skipped_head, "400\r\n" + std::string(1024, 's') + "\r\n"},
+      {std::string(1000, 'z'), std::string(1000, 'z')}};
+  size_t buffered = 0;
+  for (size_t i = 0; i < kConnections; ++i) {
+    const Peer& peer = peers[i % peers.size()];
+    ResponseReader reader;
+    Collector collector;
+    collector.skipped_status = 500;
+    std::string input = peer.first;
+    size_t received = input.size();
+    bool is_valid = reader.Feed(input, collector);
+    while (is_valid && received < 4UL * 1024 * 1024) {
+      input += peer.repeated;
+      received += peer.repeated.size();
+      is_valid = reader.Feed(input, collector);
+      REQUIRE(input.size() <= kMostBuffered);
+    }
+    INFO("peer " << i % peers.size());
+    CHECK_FALSE(is_valid);
+    buffered += input.size();
+  }
+  CHECK(buffered <= kConnections * kMostBuffered);
+}
+
+TEST_CASE("requests whose chunk headers or trailers never end are refused") {
+  for (const std::string& start :
+       {std::string("5;"), std::string("0\r\nT: ")}) {
+    RequestReader reader(ReaderLimits{});
+    std::string input =
+        "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        start;
+    ReadState state = reader.Feed(input);
+    for (int i = 0; i < 100 && state == ReadState::kNeedMore; ++i) {
+      input += std::string(1000, 'e');
+      state = reader.Feed(input);
+    }
+    CHECK(state != ReadState::kNeedMore);
+    CHECK(state != ReadState::kDone);
+  }
+}
+
 }  // namespace dogwoodlatch::dataplane
--- a/src/libserving/admission_test.cc
+++ b/src/libserving/admission_test.cc
@@ -3,7 +3,11 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <memory>
 #include <random>
+#include <vector>
+
+#include "dogwoodlatch/testing/virtual_time.h"
 
 namespace dogwoodlatch::serving {
 namespace {
@@ -90,4 +94,15 @@
   CHECK(*retry_after == milliseconds(1000));
 }
 
+TEST_CASE("callers are told when the first target takes requests again") {
+  std::vector<Fleet::TargetPtr> serving;
+  CHECK_FALSE(RetryAfterPushback(serving, At(0)));
+  for (const int64_t pause_ms : {900, 2500, 400}) {
+    serving.push_back(std::make_shared<Target>());
+    serving.back()->signals.OnPushback(milliseconds(pause_ms), At(0));
+  }
+  CHECK(RetryAfterPushback(serving, At(100)) == milliseconds(300));
+  CHECK_FALSE(RetryAfterPushback(serving, At(400)));
+}
+
 }  // namespace dogwoodlatch::serving
--- a/src/libserving/coordination.cc
+++ b/src/libserving/coordination.cc
@@ -12,6 +12,9 @@
 // Pause after a failed call.
 constexpr Duration kRetryPause = std::chrono::milliseconds(300);
 
+// The holder sends a sign of life every second; one may be lost.
+constexpr Duration kSilenceBeforeRead = std::chrono::milliseconds(2200);
+
 }  // namespace
 
 CoordinatorElection::CoordinatorElection(std::string own_name, Duration lease,
@@ -36,32 +39,44 @@
   }
   if (now < next_call_) return Step::kNone;
   if (is_own_write_) return Step::kReplace;
-  if (is_absent_) return Step::kCreate;
-  const bool is_expired = known_ && now - known_since_ >= lease_ * 3 / 2;
-  return is_expired ? Step::kReplace : Step::kRead;
+  if (!may_take_) return Step::kRead;
+  return known_ ? Step::kReplace : Step::kCreate;
+}
+
+bool CoordinatorElection::HasWaited(TimePoint now) const {
+  return unchanged_since_ && now - *unchanged_since_ >= lease_ * 3 / 2;
 }
 
+// An absent lease may have been lost with the state of the store, so it is not
+// created at once either.
 void CoordinatorElection::OnRead(const std::optional<CoordinatorLease>& lease,
                                  TimePoint now) {
-  is_own_write_ = false;
-  is_absent_ = !lease;
-  if (!lease) {
-    known_.reset();
-    next_call_ = now;
-    return;
-  }
-  const bool is_unchanged = known_ && known_->revision == lease->revision;
-  if (!is_unchanged) known_since_ = now;
+  const bool is_unchanged = unchanged_since_ &&
+                            lease.has_value() == known_.has_value() &&
+                            (!lease || lease->revision == known_->revision);
+  if (!is_unchanged) unchanged_since_ = now;
   known_ = lease;
-  next_call_ = now + lease_ * 3 / 2 + Spread(lease_ / 4);
+  may_take_ = HasWaited(now);
+  // The answer of a write by this process was lost.
+  is_own_write_ = lease && lease->holder == own_name_ && has_written_;
+  next_call_ =
+      may_take_ || is_own_write_ ? now : now + lease_ / 2 + Spread(lease_ / 4);
+}
+
+void CoordinatorElection::OnHolderHeard(TimePoint now) {
+  if (is_own_write_) return;
+  may_take_ = false;
+  next_call_ =
+      std::max(next_call_, now + kSilenceBeforeRead + Spread(kRetryPause));
 }
 
 void CoordinatorElection::OnWritten(const CoordinatorLease& lease,
                                     TimePoint sent) {
   known_ = lease;
-  known_since_ = sent;
-  is_absent_ = false;
+  unchanged_since_ = sent;
+  may_take_ = false;
   is_own_write_ = true;
+  has_written_ = true;
   renewal_sent_ = sent;
   next_call_ = sent + lease_ / 4;
 }
@@ -69,14 +84,19 @@
 // A write without an answer may have taken effect. The next read or conditional
 // write shows which lease is there now.
 void CoordinatorElection::OnFailed(TimePoint now) {
-  is_absent_ = false;
+  if (may_take_) has_written_ = true;
+  may_take_ = false;
   next_call_ = now + kRetryPause + Spread(kRetryPause);
 }
 
+// Another router may have held the lease in the lost seconds, also if the copy
+// names this one.
 void CoordinatorElection::OnStoreRestored(TimePoint now) {
   known_.reset();
-  is_absent_ = false;
+  unchanged_since_.reset();
+  may_take_ = false;
   is_own_write_ = false;
+  has_written_ = false;
   renewal_sent_ = {};
   next_call_ = now + kRetryPause + Spread(kFirstCallSpread);
 }
--- a/src/libserving/event_stream_test.cc
+++ b/src/libserving/event_stream_test.cc
@@ -63,4 +63,16 @@
   CHECK(splitter.events() == 2);
 }
 
+TEST_CASE("an event that never ends is noticed") {
+  EventStreamSplitter splitter;
+  CHECK(splitter.Feed("id: 1\ndata: a\n\n").size() == 15);
+  size_t bytes = 0;
+  while (!splitter.is_too_long() && bytes < 4UL * 1024 * 1024) {
+    splitter.Feed("data: " + std::string(1000, 'x') + "\n");
+    bytes += 1007;
+  }
+  CHECK(splitter.is_too_long());
+  CHECK(bytes <= EventStreamSplitter::kMaxEventBytes + 2048);
+}
+
 }  // namespace dogwoodlatch::serving
--- a/src/libserving/fleet_test.cc
+++ b/src/libserving/fleet_test.cc
@@ -129,4 +129,50 @@
   CHECK(signals.TotalBacklog(At(1000)) == milliseconds(0));
 }
 
+TEST_CASE("an incarnation that drains or leaves never serves again") {
+  Fleet fleet;
+  TargetRecord draining = Record("a");
+  draining.draining = true;
+  fleet.Upsert(draining, At(0));
+  // A restored store may list an older entry of the same incarnation.
+  fleet.Upsert(Record("a"), At(100));
+  CHECK(CountServing(fleet, 100) == 0);
+  fleet.Upsert(Record("b", 7), At(100));
+  CHECK_FALSE(fleet.OnLeaving("b", WallTime(milliseconds(8))));
+  CHECK(CountServing(fleet, 100) == 1);
+  CHECK(fleet.OnLeaving("b", WallTime(milliseconds(7))));
+  CHECK_FALSE(fleet.OnLeaving("b", WallTime(milliseconds(7))));
+  fleet.Upsert(Record("b", 7), At(200));
+  CHECK(CountServing(fleet, 200) == 0);
+  // Another start under the same id and address is another target.
+  fleet.Upsert(Record("b", 9), At(300));
+  CHECK(CountServing(fleet, 300) == 1);
+  // Neither does a removed entry that returns make it serve.
+  fleet.Remove("a", At(400), true);
+  fleet.Upsert(Record("a"), At(500));
+  CHECK(CountServing(fleet, 500) == 1);
+}
+
+TEST_CASE("a restored store does not bring back targets that were gone") {
+  Fleet fleet;
+  fleet.Upsert(Record("a"), At(0));
+  fleet.Upsert(Record("b"), At(0));
+  fleet.Remove("a", At(1000), true);
+  fleet.OnStoreRestored(milliseconds(4200), At(5000));
+  fleet.Replace({Record("a"), Record("b"), Record("c")}, At(5100), false);
+  CHECK(CountServing(fleet, 5200) == 2);
+  // The entry of a target that lives is still there when a dead one's has
+  // lapsed.
+  CHECK(CountServing(fleet, 9300) == 3);
+}
+
+TEST_CASE("a target that pushes back says for how long") {
+  TargetSignals signals;
+  CHECK(signals.PushbackLeft(At(0)) == Duration{0});
+  signals.OnPushback(milliseconds(1500), At(100));
+  signals.OnPushback(milliseconds(200), At(200));
+  CHECK(signals.PushbackLeft(At(1000)) == milliseconds(600));
+  CHECK(signals.PushbackLeft(At(1600)) == Duration{0});
+}
+
 }  // namespace dogwoodlatch::serving
--- a/src/libserving/freshness_relay.cc
+++ b/src/libserving/freshness_relay.cc
@@ -5,10 +5,10 @@
 namespace dogwoodlatch::serving {
 namespace {
 
-// Operators expect keyed requests to be served for three fifths of the revocation
-// bound after the store was lost, so a proof may be two fifths old by then, less
-// the time that a request needs to reach its target. A question is asked early
-// enough for a helper's answer, and after that for a read.
+// Operators expect keyed requests to be served for three fifths of the
+// revocation bound after the store was lost, so a proof may be two fifths old
+// by then, less the time that a request needs to reach its target. A question
+// is asked early enough for a helper's answer, and after that for a read.
 constexpr double kAskShare = 0.18;
 constexpr double kReadShare = 0.27;
 
@@ -36,8 +36,8 @@
 
 FreshnessAsker::Step FreshnessAsker::NextStep(std::optional<Duration> age,
                                               bool has_helper, TimePoint now) {
-  const bool is_read_due = !age || *age >= plan_.read_age ||
-                           (!has_helper && *age >= plan_.ask_age);
+  const bool is_read_due =
+      !age || *age >= plan_.read_age || (!has_helper && *age >= plan_.ask_age);
   if (is_read_due && now - read_at_ >= kMinReadPeriod) return Step::kRead;
   const bool is_question_due = has_helper && age && *age >= plan_.ask_age;
   if (is_question_due && now - asked_at_ >= kMinAskPeriod) return Step::kAsk;
--- a/src/libserving/placement_test.cc
+++ b/src/libserving/placement_test.cc
@@ -238,4 +238,16 @@
   CHECK(policy.Choose(targets, {}, At(0))->target != first);
 }
 
+TEST_CASE("a target that pushes back gets nothing, even as the last one") {
+  const auto targets = MakeTargets(2, 0);
+  const PlacementPolicy policy("a");
+  targets[0]->signals.OnPushback(milliseconds(1000), At(0));
+  for (int i = 0; i < 20; ++i) {
+    CHECK(policy.Choose(targets, {}, At(500))->target == targets[1]);
+  }
+  targets[1]->signals.OnPushback(milliseconds(1000), At(0));
+  CHECK_FALSE(policy.Choose(targets, {}, At(500)));
+  CHECK(policy.Choose(targets, {}, At(1000)));
+}
+
 }  // namespace dogwoodlatch::serving
