Router directory without agents, retry share of unknown fleets, end-to-end cases

Cause: without agents a router took itself for the only one and used the whole retry budget; with very many routers the share of each was under one retry and could never be used. Now an unknown number counts as 64 routers until an agent or the coordinator lists them, a router can always save up one retry, and the coordinator also lists routers where no agent does.

--- a/src/include/dogwoodlatch/daemon/coordinator.h
+++ b/src/include/dogwoodlatch/daemon/coordinator.h
@@ -37,8 +37,9 @@
   /// The store was restored from an older copy.
   void OnStoreRestored();
 
-  /// Advances the election and the orders.
-  void Tick(TimePoint now);
+  /// Advances the election and the orders. `agents_list_routers`: agents tell
+  /// the routers of each other, so no directory is needed.
+  void Tick(bool agents_list_routers, TimePoint now);
 
   /// True while this router is the coordinator.
   bool IsActive() const;
@@ -70,7 +71,7 @@
   };
 
   bool IsUnattended(const std::string& target_id, TimePoint now) const;
-  void UpdateAttendance(TimePoint now);
+  void UpdateAttendance(bool agents_list_routers, TimePoint now);
   void AdvanceElection(TimePoint now);
   void ReadLease();
   void WriteLease(serving::CoordinatorElection::Step step);
@@ -97,7 +98,8 @@
   uint64_t renewals_ = 0;
   bool was_active_ = false;
   bool is_needed_ = false;
-  TimePoint last_unattended_{};  ///< when a target had no agent, last
+  TimePoint started_{};
+  TimePoint last_needed_{};  ///< when a duty was last without an agent
   std::map<std::string, Attendance> attendance_;          ///< by target id
   std::map<std::string, std::unique_ptr<Order>> orders_;  ///< by target id
 };
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -110,6 +110,7 @@
   /// listed them.
   std::map<asio::ip::udp::endpoint, TimePoint> routers_;
   TimePoint routers_listed_at_{};
+  TimePoint agents_listed_at_{};  ///< when an agent last listed the routers
   Coordinator coordinator_;
   /// Routers that take this one for the coordinator, with the time of their
   /// last subscription.
@@ -121,6 +122,7 @@
   TimePoint next_update_{};
   serving::RoundRobinSelector update_rotation_{kMaxRoutersPerUpdate};
   size_t retry_budget_routers_ = 0;
+  bool has_known_routers_ = false;  ///< the number of routers was ever known
   bool is_stopping_ = false;
 };
 
--- a/src/libdaemon/coordinator.cc
+++ b/src/libdaemon/coordinator.cc
@@ -23,8 +23,7 @@
 constexpr Duration kNeverHeardLimit = milliseconds(3000);
 constexpr Duration kSilenceLimit = milliseconds(6000);
 
-// The coordinator keeps its lease for this time after the last target without
-// an agent was seen.
+// The coordinator keeps its lease for this time after it was last needed.
 constexpr Duration kReleaseDelay = std::chrono::seconds(10);
 
 // Period of the calls for one order: reports until it may be sent and has taken
@@ -91,24 +90,25 @@
                      : now - agent.listed > kNeverHeardLimit;
 }
 
-void Coordinator::UpdateAttendance(TimePoint now) {
+void Coordinator::UpdateAttendance(bool agents_list_routers, TimePoint now) {
   const auto& targets = view_.fleet().targets();
   std::erase_if(attendance_, [&](const auto& entry) {
     return !targets.contains(entry.first);
   });
-  bool is_any_unattended = false;
+  if (started_ == TimePoint{}) started_ = now;
+  bool is_needed = !agents_list_routers && now - started_ > kNeverHeardLimit;
   for (const auto& [id, target] : targets) {
     if (!RunsModel(*target) || target->IsLeaving()) continue;
     attendance_.try_emplace(id, Attendance{.listed = now, .heard = {}});
-    is_any_unattended |= IsUnattended(id, now);
+    is_needed |= IsUnattended(id, now);
   }
-  if (is_any_unattended) last_unattended_ = now;
+  if (is_needed) last_needed_ = now;
   is_needed_ =
-      last_unattended_ != TimePoint{} && now - last_unattended_ < kReleaseDelay;
+      last_needed_ != TimePoint{} && now - last_needed_ < kReleaseDelay;
 }
 
-void Coordinator::Tick(TimePoint now) {
-  UpdateAttendance(now);
+void Coordinator::Tick(bool agents_list_routers, TimePoint now) {
+  UpdateAttendance(agents_list_routers, now);
   AdvanceElection(BootNow());
   const bool is_active = IsActive();
   if (is_active != std::exchange(was_active_, is_active)) {
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -91,7 +91,9 @@
       std::chrono::duration<double>(bounds.retry_window).count();
   return {.share = bounds.retry_share * kRetrySafetyFactor,
           .per_second = extra / 2 / window_s,
-          .max_burst = extra / 2};
+          // At least one, or the share of the traffic could never be used.
+          .max_burst = std::max(1.0, extra / 2),
+          .initial = extra / 2};
 }
 
 bool IsModelTarget(const serving::Target& target) {
@@ -174,6 +176,16 @@
     const auto age = view_.freshness().Age(BootNow());
     return age ? std::chrono::duration<double>(*age).count() : -1.0;
   });
+  metrics_.RegisterGauge("dogwoodlatch_store_era", [this] {
+    return static_cast<double>(view_.era().current());
+  });
+  metrics_.RegisterGauge("dogwoodlatch_coordinator", [this] {
+    return coordinator_.IsActive() ? 1.0 : 0.0;
+  });
+  metrics_.RegisterGauge("dogwoodlatch_routers_known", [this] {
+    return has_known_routers_ ? static_cast<double>(retry_budget_routers_)
+                              : 0.0;
+  });
   metrics_.RegisterGauge("dogwoodlatch_targets", [this] {
     return static_cast<double>(view_.fleet().targets().size());
   });
@@ -522,6 +534,7 @@
 
 void Router::OnTargetStatus(const TargetStatus& status) {
   const TimePoint now = SteadyNow();
+  if (!status.routers.empty()) agents_listed_at_ = now;
   OnRoutersListed(status.routers, now);
   const auto target = view_.fleet().Find(status.target_id);
   if (!target) return;
@@ -591,8 +604,14 @@
   });
   next_update_ = now + serving::RouterUpdatePeriod(routers_.size());
   const std::vector<size_t> receivers = update_rotation_.Next(routers_.size());
-  const bool knows_routers = routers_listed_at_ != TimePoint{} &&
-                             now - routers_listed_at_ < kRouterLifetime;
+  const bool is_listed = routers_listed_at_ != TimePoint{} &&
+                         now - routers_listed_at_ < kRouterLifetime;
+  const bool knows_routers = is_listed || coordinator_.IsActive();
+  // The first real share replaces the budgets of the assumed one, which were
+  // nearly empty.
+  if (knows_routers && !std::exchange(has_known_routers_, true)) {
+    context_.retry_budgets.clear();
+  }
   DivideRetryBudget(knows_routers
                         ? routers_.size() + 1
                         : std::max(kUnknownRouterCount, routers_.size() + 1));
@@ -650,7 +669,9 @@
   const TimePoint now = SteadyNow();
   view_.Tick(now);
   KeepFresh(now);
-  coordinator_.Tick(now);
+  const bool agents_list_routers = agents_listed_at_ != TimePoint{} &&
+                                   now - agents_listed_at_ < kRouterLifetime;
+  coordinator_.Tick(agents_list_routers, now);
   Subscribe(now);
   PublishDirectory(now);
   PublishUpdate(now);
--- a/src/libdogwoodlatch/retry_budget_test.cc
+++ b/src/libdogwoodlatch/retry_budget_test.cc
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "dogwoodlatch/testing/virtual_time.h"
+
 namespace dogwoodlatch {
 
 TEST_CASE("retries stay within a share of recent traffic") {
@@ -42,4 +44,14 @@
   CHECK(budget.Withdraw(start + std::chrono::seconds(1)));
 }
 
+TEST_CASE("one of very many routers can save up for a retry") {
+  // Its share of the extra retries is a quarter of one.
+  RetryBudget budget(
+      {.share = 0.17, .per_second = 0.025, .max_burst = 1, .initial = 0.25});
+  CHECK_FALSE(budget.Withdraw(At(1)));
+  for (int i = 0; i < 5; ++i) budget.OnFirstAttempt(At(2));
+  CHECK(budget.Withdraw(At(3)));
+  CHECK_FALSE(budget.Withdraw(At(4)));
+}
+
 }  // namespace dogwoodlatch
--- a/testsuite/fleet_path/run.py
+++ b/testsuite/fleet_path/run.py
@@ -40,6 +40,8 @@
 
 def run_checks(store, model_targets, plain_targets, router):
     print("ready", fleet.wait_until(lambda: fleet.is_ready(ROUTER)))
+    # Until then the router assumes that it shares the retry budget with many others.
+    print("knows its share of retries", fleet.wait_until(lambda: fleet.knows_routers(ROUTER)))
     status, headers, body = fleet.request(ROUTER, "/read/x?q=1", headers=fleet.FORGED_WORKSPACE)
     print("read", status, fleet.seal_of(headers).startswith("seal-p"), body)
     forwarded_headers = [headers for plain in plain_targets for headers in plain.seen_headers][0]
