Ask a store that is down less often

Cause: while the store is down each router made nine calls a second: the read on demand four, the watch of the configuration three. Refused calls are charged like others.

--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -17,7 +17,7 @@
 
 constexpr milliseconds kTickPeriod{50};
 constexpr milliseconds kWatchWait{20000};
-constexpr milliseconds kMaxRetryPause{800};
+constexpr milliseconds kMaxRetryPause{1500};
 
 // A target's report is about 100 ms old when it is read. Reading it costs
 // little, as the agent runs on the target's own VM.
--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -13,6 +13,9 @@
 
 constexpr std::chrono::milliseconds kListTimeout{1500};
 
+// Timeout of a list on demand, whose proof is worth less the later it comes.
+constexpr std::chrono::milliseconds kDemandedListTimeout{800};
+
 // The HTTP timeout of a watch exceeds its wait by this margin, as a store that
 // usually answers within 4 ms may become slower by a factor of 60.
 constexpr std::chrono::milliseconds kWatchTimeoutMargin{700};
@@ -103,7 +106,7 @@
                          options_.poll_period
                              ? platform::ReadConsistency::kSerializable
                              : platform::ReadConsistency::kLinearizable),
-      kListTimeout);
+      options_.is_on_demand ? kDemandedListTimeout : kListTimeout);
   call.max_body_bytes = kMaxPageBytes;
   client_.Start(std::move(call),
                 [this](Result<dataplane::CallResponse> response) {
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -26,7 +26,6 @@
 // Long-poll time of the watches. A watch on a dead connection is noticed
 // sooner, by the state of other routers.
 constexpr milliseconds kWatchWait{20000};
-constexpr milliseconds kMaxConfigurationRetryPause{300};
 
 // Targets change in groups, for example while weights are rolled out. A target
 // that leaves the list still serves for the promised drain time, of which
@@ -43,7 +42,7 @@
 // How long this router may know less than another one before it lists again. It
 // exceeds the time for which changes are collected.
 constexpr Duration kMaxBehindPeers = milliseconds(2500);
-constexpr milliseconds kMaxOtherRetryPause{1500};
+constexpr milliseconds kMaxRetryPause{1500};
 
 // Share of the promised retries that routers use. The promised bound applies to
 // every time window, and also to targets that this process does not know.
@@ -287,13 +286,12 @@
   options.store_address = settings_.store_address;
   options.wait = kWatchWait;
   options.kind = ObjectKind::kConfiguration;
-  options.max_retry_pause = kMaxConfigurationRetryPause;
+  options.max_retry_pause = kMaxRetryPause;
   AddFeed(options);
   options.is_on_demand = true;
   AddFeed(options);
   configuration_reader_ = feeds_.back().get();
   options.is_on_demand = false;
-  options.max_retry_pause = kMaxOtherRetryPause;
   options.kind = ObjectKind::kWeights;
   AddFeed(options);
   weights_feed_ = feeds_.back().get();
--- a/src/libserving/freshness_relay.cc
+++ b/src/libserving/freshness_relay.cc
@@ -12,9 +12,11 @@
 constexpr double kAskShare = 0.18;
 constexpr double kReadShare = 0.27;
 
-// Pauses between two questions and between two reads.
+// Pauses between two questions, and between two reads while reads fail. A
+// router with helpers learns from them when the store is back.
 constexpr Duration kMinAskPeriod = std::chrono::milliseconds(300);
-constexpr Duration kMinReadPeriod = std::chrono::milliseconds(250);
+constexpr Duration kMinReadPeriod = std::chrono::milliseconds(400);
+constexpr Duration kMinReadPeriodWithHelper = std::chrono::milliseconds(1000);
 
 // An answer that comes later proves little and is dropped.
 constexpr Duration kQuestionLifetime = std::chrono::seconds(3);
@@ -38,7 +40,9 @@
                                               bool has_helper, TimePoint now) {
   const bool is_read_due =
       !age || *age >= plan_.read_age || (!has_helper && *age >= plan_.ask_age);
-  if (is_read_due && now - read_at_ >= kMinReadPeriod) return Step::kRead;
+  const Duration read_period =
+      has_helper ? kMinReadPeriodWithHelper : kMinReadPeriod;
+  if (is_read_due && now - read_at_ >= read_period) return Step::kRead;
   const bool is_question_due = has_helper && age && *age >= plan_.ask_age;
   if (is_question_due && now - asked_at_ >= kMinAskPeriod) return Step::kAsk;
   return Step::kNone;
