--- a/src/include/dogwoodlatch/serving/saved_parts.h
+++ b/src/include/dogwoodlatch/serving/saved_parts.h
@@ -28,9 +28,9 @@
   void SetCapacity(int64_t tokens);
 
   /// True if a request should save its parts now. `deepest` is its deepest
-  /// shared part, which is then recorded as saved. The store keeps the
-  /// request's own part too, so a request whose own part is larger than the
-  /// shared ones saves only if that evicts nothing that was used lately.
+  /// shared part, which is then recorded as saved. Requests whose own part is
+  /// larger than the shared ones do not save, as the store would keep their own
+  /// part too.
   bool ShouldSave(uint64_t deepest, uint32_t shared_tokens, uint32_t own_tokens,
                   TimePoint now);
 
@@ -38,13 +38,13 @@
   bool IsSaved(uint64_t deepest, TimePoint now) const;
 
   /// Records that a request of this router fetches the part.
-  void OnFetch(uint64_t deepest, TimePoint now);
+  void OnFetch(uint64_t deepest);
 
   /// Records that a request of another router has saved the part.
   void OnSaved(const PartSave& save, TimePoint now);
 
   /// Records that a request of another router has fetched the part.
-  void OnFetchedByPeer(uint64_t deepest, TimePoint now);
+  void OnFetchedByPeer(uint64_t deepest);
 
   /// Saves granted by ShouldSave since the last call.
   std::vector<PartSave> TakeGranted() { return std::exchange(granted_, {}); }
@@ -58,12 +58,10 @@
     uint32_t tokens = 0;
     TimePoint saved_at{};        ///< when a request was last told to save it
     TimePoint available_from{};  ///< when the store should have it
-    TimePoint used_at{};         ///< when it was last saved or fetched
   };
   using Records = std::list<Record>;
 
   void EvictToCapacity();
-  bool HasRoom(int64_t tokens, TimePoint now) const;
 
   int64_t capacity_ = 0;
   int64_t stored_tokens_ = 0;
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -226,7 +226,7 @@
   if (progress_.sends == 0) budget.OnFirstAttempt(now);
   ++progress_.sends;
   if (!shared_parts.empty() && attempt_->placement().fetches_from_store) {
-    context_.saved_parts.OnFetch(shared_parts.back(), now);
+    context_.saved_parts.OnFetch(shared_parts.back());
   }
   for (const uint64_t part : shared_parts) {
     attempt_->target().signals.OnPartUsed(part, now);
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -571,8 +571,8 @@
   for (const serving::PartSave& save : update.parts_saved) {
     context_.saved_parts.OnSaved(save, now);
   }
-  std::ranges::for_each(update.parts_fetched, [this, now](uint64_t part) {
-    context_.saved_parts.OnFetchedByPeer(part, now);
+  std::ranges::for_each(update.parts_fetched, [this](uint64_t part) {
+    context_.saved_parts.OnFetchedByPeer(part);
   });
   for (const serving::BrokenRun& run : update.runs_broken) {
     context_.poison.OnBrokenAtPeer(run, now);
--- a/src/libserving/saved_parts.cc
+++ b/src/libserving/saved_parts.cc
@@ -16,9 +16,9 @@
 // load.
 constexpr Duration kSaveLatency = std::chrono::milliseconds(400);
 
-// Parts that were neither saved nor fetched for this time are no longer missed.
-// It is the time within which a part that is read again counts as a loss.
-constexpr Duration kColdAfter = std::chrono::seconds(10);
+// A request saves its parts only if its own tokens do not exceed its shared
+// tokens times this factor.
+constexpr double kMaxOwnTokensPerShared = 1.0;
 
 }  // namespace
 
@@ -30,15 +30,13 @@
 
 bool SavedParts::ShouldSave(uint64_t deepest, uint32_t shared_tokens,
                             uint32_t own_tokens, TimePoint now) {
-  if (capacity_ <= 0) return false;
+  if (capacity_ <= 0 || own_tokens > shared_tokens * kMaxOwnTokensPerShared) {
+    return false;
+  }
   const auto known = by_part_.find(deepest);
   const bool is_kept = known != by_part_.end() &&
                        now - known->second->saved_at <= kResaveInterval;
   if (is_kept) return false;
-  const bool is_mostly_shared = own_tokens <= shared_tokens;
-  if (!is_mostly_shared && !HasRoom(shared_tokens + own_tokens, now)) {
-    return false;
-  }
   const PartSave save{deepest, shared_tokens + own_tokens};
   OnSaved(save, now);
   granted_.push_back(save);
@@ -50,22 +48,14 @@
   return found != by_part_.end() && now >= found->second->available_from;
 }
 
-// After weights have changed, the stores are full of parts that nobody asks
-// for.
-bool SavedParts::HasRoom(int64_t tokens, TimePoint now) const {
-  return stored_tokens_ + tokens <= capacity_ || records_.empty() ||
-         now - records_.back().used_at > kColdAfter;
-}
-
-void SavedParts::OnFetch(uint64_t deepest, TimePoint now) {
-  OnFetchedByPeer(deepest, now);
+void SavedParts::OnFetch(uint64_t deepest) {
+  OnFetchedByPeer(deepest);
   fetched_.push_back(deepest);
 }
 
-void SavedParts::OnFetchedByPeer(uint64_t deepest, TimePoint now) {
+void SavedParts::OnFetchedByPeer(uint64_t deepest) {
   const auto found = by_part_.find(deepest);
   if (found == by_part_.end()) return;
-  found->second->used_at = now;
   records_.splice(records_.begin(), records_, found->second);
 }
 
@@ -75,10 +65,9 @@
   if (known != by_part_.end()) {
     records_.splice(records_.begin(), records_, known->second);
     known->second->saved_at = now;
-    known->second->used_at = now;
     return;
   }
-  records_.push_front({save.part, save.tokens, now, now + kSaveLatency, now});
+  records_.push_front({save.part, save.tokens, now, now + kSaveLatency});
   by_part_[save.part] = records_.begin();
   stored_tokens_ += save.tokens;
   EvictToCapacity();
