--- a/src/include/dogwoodlatch/retry_budget.h
+++ b/src/include/dogwoodlatch/retry_budget.h
@@ -2,7 +2,8 @@
 /// targets does not multiply the load on the rest.
 #pragma once
 
-#include <optional>
+#include <algorithm>
+#include <limits>
 
 #include "dogwoodlatch/time.h"
 
@@ -12,15 +13,15 @@
   double share = 0.2;      ///< retries earned by each first attempt
   double per_second = 10;  ///< retries earned with or without traffic
   double max_burst = 100;  ///< most retries that can be saved up for a burst
-  /// Retries saved up at the start; `max_burst` when absent.
-  std::optional<double> initial{};
+  /// Retries saved up at the start, `max_burst` at most.
+  double initial = std::numeric_limits<double>::infinity();
 };
 
 /// Token bucket. Not thread-safe; the daemon serializes access.
 class RetryBudget {
  public:
   explicit RetryBudget(RetryBudgetLimits limits)
-      : limits_(limits), saved_(limits.initial.value_or(limits.max_burst)) {}
+      : limits_(limits), saved_(std::min(limits.initial, limits.max_burst)) {}
 
   /// Replaces the limits; saved retries are capped to the new burst.
   void SetLimits(RetryBudgetLimits limits);
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -31,7 +31,9 @@
 # Allowance for the time between the sending of a request by the caller and the record of its run at the target.
 TRANSFER_SECONDS = 0.3
 RECOVERY_SECONDS = 8.0
-BAD_BEHAVIOURS = ["broken", "lost", "full", "failing", "unsealed", "extra", "mute", "reset"]
+BAD_BEHAVIOURS = ["broken", "lost", "full", "failing", "unsealed", "extra", "mute", "reset", "busy 0.6", "busy soon",
+                  "endless_body", "endless_head", "endless_chunk_header"]
+ENTRY_LIFETIME_SECONDS = 3.6  # entries of targets that are gone lapse after three heartbeats
 
 
 class Observations:
@@ -82,7 +84,10 @@
                                            port=fleet.TARGET_PORT + 1)
                               for number, ip in enumerate(PLAIN_IPS)]
         self.routers = [fleet.start_router(bin_dir, ip) for ip in ROUTER_IPS]
-        self.agents = [fleet.start_agent(bin_dir, ip) for ip in MODEL_IPS]
+        # Some fleets run agents beside a few of their targets, or beside none.
+        agent_ips = MODEL_IPS[:self.random.choice([3, 3, 1, 0])]
+        self.agents = [fleet.start_agent(bin_dir, ip) for ip in agent_ips]
+        self.store_copy = self.store.copy()
 
     def choose_behaviour(self):
         if self.behaviour_random.random() >= self.bad_share:
@@ -106,7 +111,8 @@
         self.restart([self.random.choice(self.routers)], signal.SIGTERM)
 
     def kill_agent(self):
-        self.restart([self.random.choice(self.agents)], signal.SIGKILL)
+        if self.agents:
+            self.restart([self.random.choice(self.agents)], signal.SIGKILL)
 
     def kill_all_daemons(self):
         self.restart([*self.routers, *self.agents], signal.SIGKILL)
@@ -155,6 +161,33 @@
         self.store.hides_since = self.store.revision
         self.schedule(1.5, lambda: setattr(self.store, "hides_since", None))
 
+    def restore_store(self):
+        """Brings the store back from an older copy; the operator and the targets then write again."""
+        self.log_event("store comes back from an older copy")
+        self.store.restore(self.store_copy)
+        time.sleep(self.random.uniform(0.1, 1.0))
+        version, keys = (1, self.keys) if self.revoked_at is None else (2, self.keys[:1])
+        self.store.put("config", "main", fleet.configuration(version, keys))
+        if self.version > 1:
+            self.store.put("versions", "m", {"model": "m", "version": self.version})
+        for target in [*self.model_targets, *self.plain_targets]:
+            target.register()
+        self.schedule(ENTRY_LIFETIME_SECONDS, self.remove_lapsed_entries)
+
+    def remove_lapsed_entries(self):
+        live = {target.name for target in [*self.model_targets, *self.plain_targets]}
+        for name in [name for name in self.store.objects["servers"] if name not in live]:
+            self.store.delete("servers", name)
+
+    def let_target_leave(self):
+        """A target says that it leaves; another one takes its address later."""
+        target = self.random.choice([*self.model_targets, *self.plain_targets])
+        self.incarnations += 1
+        name = f"r{self.incarnations}"
+        self.log_event(f"{target.name} leaves, then {name} comes")
+        target.leaves = True
+        self.schedule(self.random.uniform(0.3, 1.5), lambda: target.replace(name))
+
     def delay_link(self):
         self.disturb_link("max_delay_seconds", self.random.choice([0.02, 0.2, 0.6]), 0.0)
 
@@ -239,13 +272,16 @@
                   self.refuse_store_requests, self.delay_store, self.serve_stale_store,
                   self.replace_target, self.replace_target, self.publish_weights, self.revoke_key,
                   self.kill_all_daemons, self.delay_link, self.hold_requests, self.hold_responses,
-                  self.hold_both_directions, self.reset_link]
+                  self.hold_both_directions, self.reset_link, self.restore_store, self.restore_store,
+                  self.let_target_leave, self.let_target_leave]
         callers = [threading.Thread(target=self.run_caller, args=(number,)) for number in range(CALLERS)]
         for caller in callers:
             caller.start()
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             time.sleep(self.random.uniform(0.1, 0.8))
+            if self.random.random() < 0.3:
+                self.store_copy = self.store.copy()
             self.random.choice(faults)()
         for timer in self.timers:
             timer.join()
