--- a/src/include/dogwoodlatch/daemon/agent.h
+++ b/src/include/dogwoodlatch/daemon/agent.h
@@ -14,6 +14,7 @@
 #include "dogwoodlatch/daemon/object_feed.h"
 #include "dogwoodlatch/daemon/platform_view.h"
 #include "dogwoodlatch/dataplane/http_client.h"
+#include "dogwoodlatch/serving/lag_detector.h"
 #include "dogwoodlatch/serving/rollout.h"
 #include "dogwoodlatch/serving/update_period.h"
 #include "platform/node_settings.h"
@@ -65,7 +66,7 @@
   PlatformView view_;
   std::vector<std::unique_ptr<ObjectFeed>> feeds_;
   ObjectFeed* weights_feed_ = nullptr;  ///< one of `feeds_`
-  std::optional<TimePoint> behind_routers_since_;
+  serving::LagDetector weights_lag_;
   std::unique_ptr<AgentLink> link_;
   dataplane::HttpClient report_client_;
   dataplane::HttpClient order_client_;
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -14,6 +14,7 @@
 #include "dogwoodlatch/daemon/platform_view.h"
 #include "dogwoodlatch/dataplane/http_server_session.h"
 #include "dogwoodlatch/serving/freshness_relay.h"
+#include "dogwoodlatch/serving/lag_detector.h"
 #include "dogwoodlatch/serving/update_period.h"
 #include "platform/node_settings.h"
 
@@ -101,7 +102,8 @@
   std::vector<asio::ip::udp::endpoint> helpers_;  ///< without this router
   bool is_helper_ = false;
   TimePoint next_helper_choice_{};
-  std::optional<TimePoint> behind_peers_since_;
+  serving::LagDetector targets_lag_;
+  serving::LagDetector weights_lag_;
   std::unique_ptr<AgentLink> link_;
   asio::steady_timer tick_timer_;
   TimePoint next_subscription_{};
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -56,6 +56,7 @@
       settings_(std::move(settings)),
       view_(settings_.bounds.key_revocation, settings_.bounds.settling,
             settings_.bounds.weights),
+      weights_lag_(kMaxBehindRouters),
       report_client_(context, settings_.target_address),
       order_client_(context, settings_.target_address),
       tick_timer_(context) {}
@@ -134,14 +135,10 @@
 
 // A watch on a connection that has silently died misses new weights.
 void Agent::FollowRouterState(const Subscription& subscription, TimePoint now) {
-  if (subscription.newest_fence <= view_.newest_fence()) {
-    behind_routers_since_.reset();
-    return;
+  if (weights_lag_.OnPeerRevision(view_.newest_fence(),
+                                  subscription.newest_fence, now)) {
+    weights_feed_->Relist();
   }
-  if (!behind_routers_since_) behind_routers_since_ = now;
-  if (now - *behind_routers_since_ < kMaxBehindRouters) return;
-  behind_routers_since_.reset();
-  weights_feed_->Relist();
 }
 
 void Agent::Tick() {
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -125,6 +125,8 @@
       freshness_asker_(serving::FreshnessPlan::ForRevocationBound(
                            settings_.bounds.key_revocation),
                        std::random_device{}()),
+      targets_lag_(kMaxBehindPeers),
+      weights_lag_(kMaxBehindPeers),
       tick_timer_(context),
       coordinator_(
           context, settings_,
@@ -405,20 +407,14 @@
 // A watch on a connection that has silently died misses changes. The newest
 // state of another router shows it.
 void Router::FollowPeerState(const FreshnessAnswer& answer, TimePoint now) {
-  const bool is_behind =
-      answer.targets_revision > view_.newest_targets_revision() ||
-      answer.newest_fence > view_.newest_fence();
-  if (!is_behind) {
-    behind_peers_since_.reset();
-    return;
-  }
-  if (!behind_peers_since_) behind_peers_since_ = now;
-  if (now - *behind_peers_since_ < kMaxBehindPeers) return;
-  behind_peers_since_.reset();
-  if (answer.targets_revision > view_.newest_targets_revision()) {
+  if (targets_lag_.OnPeerRevision(view_.newest_targets_revision(),
+                                  answer.targets_revision, now)) {
     target_feed_->Relist();
   }
-  if (answer.newest_fence > view_.newest_fence()) weights_feed_->Relist();
+  if (weights_lag_.OnPeerRevision(view_.newest_fence(), answer.newest_fence,
+                                  now)) {
+    weights_feed_->Relist();
+  }
 }
 
 void Router::OpenAgentLink() {
