--- a/src/include/dogwoodlatch/daemon/coordinator.h
+++ b/src/include/dogwoodlatch/daemon/coordinator.h
@@ -1,6 +1,6 @@
 /// The part of a router that stands in for agents that do not exist or do not
 /// respond. One router, the holder of a lease in the platform's store, orders
-/// weights for their targets and tells the other routers of each other.
+/// weights for their targets and sends the routers a directory of them all.
 #pragma once
 
 #include <asio.hpp>
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -10,11 +10,10 @@
 #include "dogwoodlatch/daemon/agent_link.h"
 #include "dogwoodlatch/daemon/coordinator.h"
 #include "dogwoodlatch/daemon/exchange.h"
+#include "dogwoodlatch/daemon/freshness_keeper.h"
 #include "dogwoodlatch/daemon/object_feed.h"
 #include "dogwoodlatch/daemon/platform_view.h"
 #include "dogwoodlatch/dataplane/http_server_session.h"
-#include "dogwoodlatch/serving/freshness_relay.h"
-#include "dogwoodlatch/serving/lag_detector.h"
 #include "dogwoodlatch/serving/update_period.h"
 #include "platform/node_settings.h"
 
@@ -57,13 +56,6 @@
   void Accept(Listener& listener);
   void FollowPlatform();
   void AddFeed(const FeedOptions& options);
-  /// Follows the store's proofs of freshness: asks a helper, or reads.
-  void KeepFresh(TimePoint now);
-  void ReadConfiguration();
-  void ChooseHelpers(TimePoint now);
-  void AnswerQuestions(TimePoint read_sent);
-  void OnFreshnessAnswer(const FreshnessAnswer& answer);
-  void FollowPeerState(const FreshnessAnswer& answer, TimePoint now);
   void OpenAgentLink();
   void Subscribe(TimePoint now);
   void OnDatagram(const asio::ip::udp::endpoint& from,
@@ -97,13 +89,7 @@
   ObjectFeed* configuration_reader_ = nullptr;  ///< one of `feeds_`
   ObjectFeed* target_feed_ = nullptr;           ///< one of `feeds_`
   ObjectFeed* weights_feed_ = nullptr;          ///< one of `feeds_`
-  serving::FreshnessAsker freshness_asker_;
-  serving::FreshnessHelper<asio::ip::udp::endpoint> freshness_helper_;
-  std::vector<asio::ip::udp::endpoint> helpers_;  ///< without this router
-  bool is_helper_ = false;
-  TimePoint next_helper_choice_{};
-  serving::LagDetector targets_lag_;
-  serving::LagDetector weights_lag_;
+  FreshnessKeeper freshness_keeper_;
   std::unique_ptr<AgentLink> link_;
   asio::steady_timer tick_timer_;
   TimePoint next_subscription_{};
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -462,8 +462,8 @@
   }
 }
 
-// When all targets have asked for a pause, the caller is told to return after
-// the shortest one, and never sooner.
+// When all targets have asked for a pause, Retry-After is the shortest one or a
+// little longer, never less.
 void Exchange::RefuseForLackOfTargets() {
   const TimePoint now = SteadyNow();
   const auto pause = serving::RetryAfterPushback(
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -1,7 +1,5 @@
 #include "dogwoodlatch/daemon/router.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <array>
 #include <cstddef>
@@ -34,14 +32,6 @@
 constexpr milliseconds kMinCoalesceDelay{250};
 constexpr milliseconds kMaxCoalesceDelay{2000};
 
-// Number of routers that read proofs of freshness for all, and how often they
-// are chosen anew.
-constexpr size_t kFreshnessHelpers = 2;
-constexpr milliseconds kHelperChoicePeriod{500};
-
-// How long this router may know less than another one before it lists again. It
-// exceeds the time for which changes are collected.
-constexpr Duration kMaxBehindPeers = milliseconds(2500);
 constexpr milliseconds kMaxRetryPause{1500};
 
 // Share of the promised retries that routers use. The promised bound applies to
@@ -122,11 +112,17 @@
       frontend_(context),
       readiness_(context),
       metrics_endpoint_(context),
-      freshness_asker_(serving::FreshnessPlan::ForRevocationBound(
-                           settings_.bounds.key_revocation),
-                       std::random_device{}()),
-      targets_lag_(kMaxBehindPeers),
-      weights_lag_(kMaxBehindPeers),
+      freshness_keeper_(
+          settings_.bounds.key_revocation, view_,
+          {.read_configuration =
+               [this] { return configuration_reader_->ListNow(); },
+           .list_targets = [this] { target_feed_->Relist(); },
+           .list_weights = [this] { weights_feed_->Relist(); },
+           .send =
+               [this](const asio::ip::udp::endpoint& to,
+                      std::span<const uint8_t> bytes) {
+                 if (link_) link_->Send(to, bytes);
+               }}),
       tick_timer_(context),
       coordinator_(
           context, settings_,
@@ -256,7 +252,7 @@
     const bool was_unreachable = !view_.is_reachable();
     view_.OnList(kind, objects, sent, SteadyNow());
     if (was_unreachable) std::ranges::for_each(feeds_, &ObjectFeed::RetryNow);
-    if (answers_questions) AnswerQuestions(sent);
+    if (answers_questions) freshness_keeper_.OnConfigurationRead(sent);
   };
   handlers.on_changes = [this, kind](const auto& objects, TimePoint sent) {
     const bool was_unreachable = !view_.is_reachable();
@@ -307,116 +303,6 @@
   std::ranges::for_each(feeds_, &ObjectFeed::Start);
 }
 
-// All routers choose nearly the same helpers, by a hash of their addresses.
-void Router::ChooseHelpers(TimePoint now) {
-  if (now < next_helper_choice_ || !link_) return;
-  next_helper_choice_ = now + kHelperChoicePeriod;
-  std::error_code ignored;  // the address was parsed when the socket was bound
-  const asio::ip::udp::endpoint self(
-      asio::ip::make_address_v4(settings_.ip, ignored), link_->port());
-  std::vector<std::pair<uint64_t, asio::ip::udp::endpoint>> ranked;
-  const auto add = [&](const asio::ip::udp::endpoint& router) {
-    const uint64_t key =
-        (uint64_t{router.address().to_v4().to_uint()} << 16) | router.port();
-    ranked.emplace_back(XXH64(&key, sizeof(key), 0), router);
-  };
-  add(self);
-  for (const auto& [router, listed] : routers_) {
-    if (now - listed <= kRouterLifetime) add(router);
-  }
-  std::ranges::sort(ranked);
-  ranked.resize(std::min(ranked.size(), kFreshnessHelpers));
-  helpers_.clear();
-  is_helper_ = false;
-  for (const auto& [hash, router] : ranked) {
-    if (router == self) {
-      is_helper_ = true;
-    } else {
-      helpers_.push_back(router);
-    }
-  }
-}
-
-void Router::KeepFresh(TimePoint now) {
-  if (!view_.configuration()) return;
-  ChooseHelpers(now);
-  const TimePoint boot_now = BootNow();
-  freshness_helper_.DropOld(boot_now);
-  if (freshness_helper_.NeedsRead(boot_now)) {
-    ReadConfiguration();
-    return;
-  }
-  const bool has_helper = !is_helper_ && !helpers_.empty();
-  switch (freshness_asker_.NextStep(view_.freshness().Age(boot_now), has_helper,
-                                    boot_now)) {
-    case serving::FreshnessAsker::Step::kNone:
-      return;
-    case serving::FreshnessAsker::Step::kRead:
-      ReadConfiguration();
-      return;
-    case serving::FreshnessAsker::Step::kAsk: {
-      // Routers divide themselves among the helpers, and try another one after
-      // a question without an answer.
-      const size_t index = XXH64(settings_.ip.data(), settings_.ip.size(), 0) +
-                           freshness_asker_.unanswered();
-      link_->Send(helpers_[index % helpers_.size()],
-                  Encode(FreshnessQuestion{freshness_asker_.OnAsk(boot_now)}));
-      return;
-    }
-  }
-}
-
-void Router::ReadConfiguration() {
-  const TimePoint now = BootNow();
-  if (!configuration_reader_->ListNow()) return;
-  freshness_asker_.OnReadStarted(now);
-  freshness_helper_.OnReadSent(now);
-}
-
-// Answers only if the read counts as a proof for this router itself.
-void Router::AnswerQuestions(TimePoint read_sent) {
-  const auto confirmed_at = view_.freshness().confirmed_at();
-  const bool is_proved = confirmed_at && *confirmed_at >= read_sent;
-  if (!is_proved || !link_ || !view_.configuration()) return;
-  FreshnessAnswer answer;
-  answer.configuration = view_.configuration()->version();
-  answer.era = view_.era().current();
-  answer.targets_revision = view_.newest_targets_revision();
-  answer.newest_fence = view_.newest_fence();
-  for (const auto& question : freshness_helper_.TakeAnswered(read_sent)) {
-    answer.nonce = question.nonce;
-    link_->Send(question.peer, Encode(answer));
-  }
-}
-
-void Router::OnFreshnessAnswer(const FreshnessAnswer& answer) {
-  const auto asked = freshness_asker_.OnAnswer(answer.nonce, BootNow());
-  if (!asked || answer.era < view_.era().current()) return;
-  if (answer.era > view_.era().current()) {
-    // The next answer of the store shows the new era to this router too.
-    ReadConfiguration();
-    return;
-  }
-  if (!view_.OnPeerProof(answer.configuration, *asked)) {
-    // The watch for the configuration may hang on a dead connection.
-    ReadConfiguration();
-  }
-  FollowPeerState(answer, SteadyNow());
-}
-
-// A watch on a connection that has silently died misses changes. The newest
-// state of another router shows it.
-void Router::FollowPeerState(const FreshnessAnswer& answer, TimePoint now) {
-  if (targets_lag_.OnPeerRevision(view_.newest_targets_revision(),
-                                  answer.targets_revision, now)) {
-    target_feed_->Relist();
-  }
-  if (weights_lag_.OnPeerRevision(view_.newest_fence(), answer.newest_fence,
-                                  now)) {
-    weights_feed_->Relist();
-  }
-}
-
 void Router::OpenAgentLink() {
   auto link = AgentLink::Open(
       io_, settings_.ip, settings_.first_internal_port,
@@ -427,6 +313,9 @@
     return;
   }
   link_ = std::move(link).value();
+  std::error_code ignored;  // the address was parsed when the socket was bound
+  freshness_keeper_.SetOwnEndpoint(
+      {asio::ip::make_address_v4(settings_.ip, ignored), link_->port()});
 }
 
 void Router::Subscribe(TimePoint now) {
@@ -459,10 +348,10 @@
         {from.address().to_string() + ":" + std::to_string(from.port())}, now);
   } else if (const auto* question =
                  std::get_if<FreshnessQuestion>(&datagram.value())) {
-    freshness_helper_.OnQuestion(from, question->nonce, BootNow());
+    freshness_keeper_.OnQuestion(from, *question);
   } else if (const auto* answer =
                  std::get_if<FreshnessAnswer>(&datagram.value())) {
-    OnFreshnessAnswer(*answer);
+    freshness_keeper_.OnAnswer(*answer);
   } else if (const auto* directory =
                  std::get_if<RouterDirectory>(&datagram.value())) {
     coordinator_.OnCoordinatorHeard();
@@ -662,7 +551,7 @@
 void Router::Tick() {
   const TimePoint now = SteadyNow();
   view_.Tick(now);
-  KeepFresh(now);
+  freshness_keeper_.Tick(routers_, now);
   const bool agents_list_routers = agents_listed_at_ != TimePoint{} &&
                                    now - agents_listed_at_ < kRouterLifetime;
   coordinator_.Tick(agents_list_routers, now);
--- a/src/libserving/admission_test.cc
+++ b/src/libserving/admission_test.cc
@@ -94,7 +94,7 @@
   CHECK(*retry_after == milliseconds(1000));
 }
 
-TEST_CASE("callers are told when the first target takes requests again") {
+TEST_CASE("callers wait until the first target takes requests again") {
   std::vector<Fleet::TargetPtr> serving;
   CHECK_FALSE(RetryAfterPushback(serving, At(0)));
   for (const int64_t pause_ms : {900, 2500, 400}) {
