--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -60,11 +60,10 @@
   const uint64_t previous = era_.current();
   const serving::EraVerdict verdict = era_.OnAnswer(era, now);
   if (verdict != serving::EraVerdict::kRestored) return verdict;
-  LogEvent(EventId::kStoreRestored,
-           {{"era", std::to_string(era)},
-            {"previous", std::to_string(previous)},
-            {"configuration",
-             std::to_string(configuration_ ? configuration_->version() : 0)}});
+  const uint64_t kept = configuration_ ? configuration_->version() : 0;
+  LogEvent(EventId::kStoreRestored, {{"era", std::to_string(era)},
+                                     {"previous", std::to_string(previous)},
+                                     {"configuration", std::to_string(kept)}});
   target_revisions_.clear();
   newest_targets_revision_ = 0;
   stored_configuration_ = 0;
@@ -88,8 +87,9 @@
 }
 
 bool PlatformView::OnPeerProof(uint64_t configuration, TimePoint sent) {
-  if (!configuration_ || configuration > configuration_->version())
-    return false;
+  const bool is_known =
+      configuration_ && configuration <= configuration_->version();
+  if (!is_known) return false;
   stored_configuration_ = std::max(stored_configuration_, configuration);
   ConfirmConfiguration(sent);
   return true;
--- a/src/libserving/coordination_test.cc
+++ b/src/libserving/coordination_test.cc
@@ -246,6 +246,7 @@
 
 TEST_CASE("targets on the oldest weights are ordered first, a few at a time") {
   std::vector<UnattendedTarget> targets;
+  targets.reserve(12);
   for (int i = 0; i < 12; ++i) {
     targets.push_back({.id = "t" + std::to_string(i),
                        .version = i < 3 ? uint64_t{1} : uint64_t{2},
