Logs tell how attempts end and how long the store has been back

E406 attempt_withdrawn says that a request ended while a target had it, and E403 and E406 carry the bytes that the target's VM had not acknowledged. E222 target_unlisted carries the time since the store's return.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -89,6 +89,7 @@
   void OnResponseLost(std::string_view why);
   void RecordLostRun(std::string_view why);
   void AbandonAttempt();
+  void WithdrawAttempt();
   bool MayRunAgain() const;
   bool WithdrawRetry();
   void EndWithoutResponse();
--- a/src/include/dogwoodlatch/daemon/target_attempt.h
+++ b/src/include/dogwoodlatch/daemon/target_attempt.h
@@ -79,8 +79,12 @@
   serving::Target& target() const { return *placement_.target; }
   const std::string& target_id() const { return target().record.id; }
   bool is_on_new_connection() const { return is_on_new_connection_; }
+  bool is_sent() const { return is_sent_; }
   TimePoint sent_at() const { return sent_at_; }
 
+  /// How many bytes the target's VM has not acknowledged, for logs.
+  std::string FormatUnacknowledged() const;
+
   /// The response, valid once its head has been received.
   const dataplane::ResponseHead& head() const { return head_; }
   const platform::ResponseMetadata& response() const { return response_; }
--- a/src/include/dogwoodlatch/dataplane/upstream_connection.h
+++ b/src/include/dogwoodlatch/dataplane/upstream_connection.h
@@ -64,6 +64,10 @@
   /// Idle timeout that the peer announced in its last response, if any.
   std::optional<std::chrono::seconds> idle_limit() const { return idle_limit_; }
 
+  /// Returns how many of the bytes sent the peer's VM has not acknowledged, or
+  /// nothing where the system does not tell.
+  std::optional<size_t> UnacknowledgedBytes();
+
   /// True once a response has been completed on this connection.
   bool is_used() const { return is_used_; }
 
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -52,6 +52,7 @@
   kAttemptLost = 403,
   kAnswerSkipped = 404,
   kRequestTooLate = 405,
+  kAttemptWithdrawn = 406,
   kTargetCrashed = 500,
   kCrashSuspects = 501,
   kQuarantined = 502,
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -423,7 +423,8 @@
             {"target", attempt_->target_id()},
             {"why", std::string(why)},
             {"after_ms", FormatMilliseconds(SteadyNow() - attempt_->sent_at())},
-            {"events", std::to_string(splitter_.events())}});
+            {"events", std::to_string(splitter_.events())},
+            {"unacknowledged", attempt_->FormatUnacknowledged()}});
   AbandonAttempt();
 }
 
@@ -433,6 +434,20 @@
   attempt_.reset();
 }
 
+void Exchange::WithdrawAttempt() {
+  if (!attempt_) return;
+  if (attempt_->is_sent()) {
+    LogEvent(
+        EventId::kAttemptWithdrawn,
+        {{"request", routed_.metadata.id},
+         {"target", attempt_->target_id()},
+         {"after_ms", FormatMilliseconds(SteadyNow() - attempt_->sent_at())},
+         {"unacknowledged", attempt_->FormatUnacknowledged()}});
+  }
+  attempt_->Cancel();
+  attempt_.reset();
+}
+
 bool Exchange::MayRunAgain() const {
   return serving::MayRunAgain(*routed_.route, progress_, TimeLeft()) &&
          !context_.poison.IsBlocked(fingerprint_, SteadyNow());
@@ -509,8 +524,7 @@
 
 void Exchange::Finish(Outcome outcome, int status) {
   if (std::exchange(is_finished_, true)) return;
-  if (attempt_) attempt_->Cancel();
-  attempt_.reset();
+  WithdrawAttempt();
   deadline_timer_.cancel();
   const Duration took = SteadyNow() - arrived_at_;
   const std::string label = "outcome=\"" + std::string(ToString(outcome)) +
--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -182,9 +182,10 @@
     revision = std::max(revision, object.revision);
     if (object.deleted) {
       target_revisions_.erase(object.name);
-      LogEvent(
-          EventId::kTargetUnlisted,
-          {{"target", object.name}, {"settled", is_settled ? "yes" : "no"}});
+      LogEvent(EventId::kTargetUnlisted,
+               {{"target", object.name},
+                {"settled", is_settled ? "yes" : "no"},
+                {"store_back_ms", FormatMilliseconds(now - reachable_since_)}});
       fleet_.Remove(object.name, now, is_settled);
       if (target_removed_) target_removed_(object.name);
       continue;
--- a/src/libdaemon/target_attempt.cc
+++ b/src/libdaemon/target_attempt.cc
@@ -74,6 +74,12 @@
   if (request_.max_silence.count() > 0) StartSilenceTimer(request_.max_silence);
 }
 
+std::string TargetAttempt::FormatUnacknowledged() const {
+  const auto bytes = connection_ ? connection_->UnacknowledgedBytes()
+                                 : std::optional<size_t>{};
+  return bytes ? std::to_string(*bytes) : "unknown";
+}
+
 void TargetAttempt::Cancel() {
   is_cancelled_ = true;
   RecordEnd();
--- a/src/libdataplane/upstream_connection.cc
+++ b/src/libdataplane/upstream_connection.cc
@@ -1,6 +1,8 @@
 #include "dogwoodlatch/dataplane/upstream_connection.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -136,6 +138,14 @@
   socket_.close(ignored);
 }
 
+std::optional<size_t> UpstreamConnection::UnacknowledgedBytes() {
+  int bytes = 0;
+  const bool is_known =
+      is_open_ && ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0;
+  if (!is_known) return std::nullopt;
+  return static_cast<size_t>(bytes);
+}
+
 void UpstreamConnection::ResumeReading() {
   is_paused_ = false;
   if (is_open_) ReadMore();
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -117,6 +117,9 @@
     EventSpec{
         EventId::kRequestTooLate, Severity::kInfo, "request_too_late",
         "A request is refused because its response would arrive too late."},
+    EventSpec{
+        EventId::kAttemptWithdrawn, Severity::kInfo, "attempt_withdrawn",
+        "A request ended while a target had it; the attempt is cancelled."},
     EventSpec{EventId::kTargetCrashed, Severity::kWarning, "target_crashed",
               "A run failed and the target's incarnation has ended."},
     EventSpec{EventId::kCrashSuspects, Severity::kWarning, "crash_suspects",
