--- /dev/null
+++ b/src/libdaemon/target_departure_test.cc
@@ -0,0 +1,93 @@
+/// Targets that leave around an outage of the platform's store: an entry that
+/// could not be renewed may return, one that its target removed does not.
+#include <catch2/catch.hpp>
+
+#include "dogwoodlatch/daemon/platform_view.h"
+#include "dogwoodlatch/testing/virtual_time.h"
+
+namespace dogwoodlatch::daemon {
+namespace {
+
+using platform::ObjectKind;
+using platform::StoredObject;
+using std::chrono::milliseconds;
+
+StoredObject Entry(const std::string& id, uint64_t revision) {
+  StoredObject object;
+  object.name = id;
+  object.revision = revision;
+  object.content = {{"service", "m"},
+                    {"addr", "10.0.0.1:80"},
+                    {"state", "ready"},
+                    {"born", 1}};
+  return object;
+}
+
+StoredObject RemovedEntry(const std::string& id, uint64_t revision) {
+  StoredObject object = Entry(id, revision);
+  object.deleted = true;
+  return object;
+}
+
+// A view of two targets whose store answered last at `last_answer_ms`, failed
+// 300 ms later and answers again at `back_ms`.
+PlatformView ViewAfterOutage(int64_t last_answer_ms, int64_t back_ms) {
+  PlatformView view(milliseconds(4750), milliseconds(3000),
+                    milliseconds(12000));
+  view.OnList(ObjectKind::kTargets, {Entry("a", 1), Entry("b", 2)},
+              At(last_answer_ms - 4), At(last_answer_ms));
+  view.OnFailure(ObjectKind::kConfiguration, "no answer in time",
+                 At(last_answer_ms + 300));
+  view.OnChanges(ObjectKind::kTargets, {}, At(back_ms - 4), At(back_ms));
+  return view;
+}
+
+size_t CountServing(PlatformView& view, int64_t ms) {
+  view.Tick(At(ms));
+  return view.fleet().Serving("m", At(ms)).size();
+}
+
+}  // namespace
+
+// Guards against requests to a target 2.3 s after it had left: the grace period
+// of an entry that vanished 2.9 s after the store's return began only then.
+TEST_CASE("a target that leaves well after the store's return is not kept") {
+  PlatformView view = ViewAfterOutage(6000, 11400);
+  view.OnChanges(ObjectKind::kTargets, {RemovedEntry("a", 5)}, At(14300),
+                 At(14310));
+  CHECK(CountServing(view, 14311) == 1);
+}
+
+TEST_CASE("the grace period of lapsed entries counts from the store's return") {
+  PlatformView view = ViewAfterOutage(6000, 11400);
+  view.OnChanges(ObjectKind::kTargets, {RemovedEntry("a", 5)}, At(12900),
+                 At(12910));
+  CHECK(CountServing(view, 13000) == 2);
+  CHECK(CountServing(view, 13800) == 2);
+  CHECK(CountServing(view, 14000) == 1);
+}
+
+// Guards against the same fault without an outage of the store: one lost call
+// was taken for an outage in which entries may lapse.
+TEST_CASE("a target that leaves after a short failure of a call is not kept") {
+  PlatformView view = ViewAfterOutage(10000, 10700);
+  view.OnChanges(ObjectKind::kTargets, {RemovedEntry("a", 5)}, At(11000),
+                 At(11010));
+  CHECK(CountServing(view, 11011) == 1);
+}
+
+TEST_CASE("a complete list after a short failure of a call removes at once") {
+  PlatformView view = ViewAfterOutage(10000, 10700);
+  view.OnList(ObjectKind::kTargets, {Entry("b", 2)}, At(11000), At(11010));
+  CHECK(CountServing(view, 11011) == 1);
+}
+
+TEST_CASE("entries that lapsed in an outage may return within their time") {
+  PlatformView view = ViewAfterOutage(6000, 11400);
+  view.OnList(ObjectKind::kTargets, {Entry("b", 2)}, At(11400), At(11410));
+  CHECK(CountServing(view, 13300) == 2);
+  view.OnChanges(ObjectKind::kTargets, {Entry("a", 9)}, At(13400), At(13410));
+  CHECK(CountServing(view, 20000) == 2);
+}
+
+}  // namespace dogwoodlatch::daemon
