Targets that leave after an outage of the store are not used beyond it

Cause: a target whose entry vanished within 3.0 s of the store's return was kept for 2.5 s from the removal, in case its entry had only lapsed. The time counts from the store's return: lapsed entries are back two seconds after it, and one that is missing later is gone. A removal 2.9 s after the return was thus kept until 5.4 s after it. The router had noticed the return 0.3 s later than its neighbour, which removed the target at once.

The same fault without an outage: any failed call, also a single one that was reset, began such a period. Entries lapse after three heartbeats without a renewal, so none can in less than two heartbeats without an answer.

Fix: one deadline, 2.5 s after the store's return, until which lapsed entries may come back; none after an outage too short for a lapse. The heartbeat comes from the settings in place of a constant of 1.2 s. A removal that a complete list shows is logged too and drops the target's idle connections; it did neither. E222 tells the time since the return and for how long the target is kept.

--- a/src/include/dogwoodlatch/daemon/platform_view.h
+++ b/src/include/dogwoodlatch/daemon/platform_view.h
@@ -21,16 +21,22 @@
 
 namespace dogwoodlatch::daemon {
 
+struct ViewBounds {
+  /// Requests with keys are accepted while the configuration was confirmed as
+  /// current at most this long ago.
+  Duration max_key_age;
+  /// Until all targets run newly published weights.
+  Duration weights;
+  /// Targets renew their entries this often. Entries lapse after three times
+  /// without a renewal.
+  Duration target_heartbeat;
+};
+
 class PlatformView {
  public:
   using ConfigurationPtr = std::shared_ptr<const serving::Configuration>;
 
-  /// Requests with keys are accepted while the configuration was confirmed as
-  /// current at most `max_key_age` ago. The view is settled again when the time
-  /// `settling` has passed since the first response after an outage of the
-  /// store. `weights_bound` is the promised time until all targets run newly
-  /// published weights.
-  PlatformView(Duration max_key_age, Duration settling, Duration weights_bound);
+  explicit PlatformView(const ViewBounds& bounds);
 
   /// `changed` is called after a new configuration has come into force.
   void SetConfigurationListener(std::function<void()> changed) {
@@ -90,21 +96,18 @@
   uint64_t newest_targets_revision() const { return newest_targets_revision_; }
   bool is_reachable() const { return consecutive_failures_ == 0; }
 
-  /// True when the store is reachable and has been for longer than the settling
-  /// time.
-  bool IsSettled(TimePoint now) const;
-
  private:
   void OnStoreResponse(TimePoint now);
   void ConfirmConfiguration(TimePoint sent);
   void AdoptConfiguration(const platform::StoredObject& object);
   void AdoptTargets(const std::vector<platform::StoredObject>& objects,
                     TimePoint now, bool is_full_list);
+  void ReportUnlisted(const std::string& id, TimePoint now);
   void AdoptWeights(const platform::StoredObject& object, TimePoint now);
 
   Duration weights_bound_;  ///< the promised time less a margin
   serving::FreshnessGuard freshness_;
-  Duration settling_;
+  Duration target_heartbeat_;
   serving::StoreEra era_;
   ConfigurationPtr configuration_;
   /// Newest version that the store has returned in the current era.
@@ -118,8 +121,11 @@
   uint64_t newest_fence_ = 0;
   bool has_targets_ = false;
   int consecutive_failures_ = 0;
+  TimePoint last_response_{};
   TimePoint unreachable_since_{};
   TimePoint reachable_since_{};
+  /// Until when lapsed entries of live targets may return.
+  TimePoint relist_deadline_{};
   std::function<void()> configuration_changed_;
   std::function<void(const std::string&)> target_removed_;
 };
--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -136,13 +136,18 @@
 struct Target {
   TargetRecord record;
   TargetSignals signals;
-  bool listed = true;  ///< false if the platform no longer lists it
-  TimePoint unlisted_since{};
-  bool leaving = false;  ///< said so itself, in an answer or to a peer
+  bool listed = true;           ///< false if the platform no longer lists it
+  TimePoint relist_deadline{};  ///< until when an unlisted target is usable
+  bool leaving = false;         ///< said so itself, in an answer or to a peer
   /// An entry that was gone before the store was restored may be that of a dead
   /// target, and lapses by then if so.
   TimePoint usable_from{};
 
+  /// True if the platform has not listed the target again in time.
+  bool IsExpired(TimePoint now) const {
+    return !listed && now >= relist_deadline;
+  }
+
   /// True if the target must get no new requests, ever again.
   bool IsLeaving() const { return record.draining || leaving; }
 
@@ -173,16 +178,17 @@
   /// Returns false if it is unknown or known to be leaving.
   bool OnLeaving(std::string_view id, WallTime started);
 
-  /// The platform no longer lists the target. While the platform recovers from
-  /// an outage, a target that was not draining stays usable for `kRelistGrace`,
-  /// as its entry may have lapsed only because it could not be renewed.
-  void Remove(std::string_view id, TimePoint now, bool platform_settled);
+  /// The platform no longer lists the target. One that was not draining stays
+  /// usable until `relist_deadline`, as its entry may have lapsed only because
+  /// it could not be renewed. A deadline in the past removes it at once.
+  void Remove(std::string_view id, TimePoint relist_deadline, TimePoint now);
 
-  /// Applies a complete list; targets that it lacks are removed.
-  void Replace(const std::vector<TargetRecord>& records, TimePoint now,
-               bool platform_settled);
+  /// Applies a complete list; targets that it lacks are removed. Returns the
+  /// ids of those that were listed before.
+  std::vector<std::string> Replace(const std::vector<TargetRecord>& records,
+                                   TimePoint relist_deadline, TimePoint now);
 
-  /// Drops unlisted targets whose grace period has ended. Returns their ids.
+  /// Drops unlisted targets whose deadline has passed. Returns their ids.
   std::vector<std::string> DropExpired(TimePoint now);
 
   TargetPtr Find(std::string_view id) const;
@@ -194,10 +200,6 @@
     return targets_;
   }
 
-  /// After an outage the platform restores lapsed entries of live targets
-  /// within 2 s; the rest is for transmission.
-  static constexpr Duration kRelistGrace = std::chrono::milliseconds(2500);
-
  private:
   // A target that was removed. Kept for a while, as its entry may return.
   struct Departure {
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -54,8 +54,9 @@
 Agent::Agent(asio::io_context& context, platform::NodeSettings settings)
     : io_(context),
       settings_(std::move(settings)),
-      view_(settings_.bounds.key_revocation, settings_.bounds.settling,
-            settings_.bounds.weights),
+      view_({.max_key_age = settings_.bounds.key_revocation,
+             .weights = settings_.bounds.weights,
+             .target_heartbeat = settings_.target_heartbeat}),
       weights_lag_(kMaxBehindRouters),
       report_client_(context, settings_.target_address),
       order_client_(context, settings_.target_address),
--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -21,9 +21,17 @@
 // promised bounds apply again three seconds after a start.
 constexpr Duration kFirstListGrace = std::chrono::milliseconds(2500);
 
-// Entries of targets that do not renew them lapse after three heartbeat
-// intervals of 1.2 s; the rest is a margin.
-constexpr Duration kEntryLifetime = std::chrono::milliseconds(4200);
+// Entries of targets lapse after three heartbeats without a renewal; the rest
+// is a margin.
+constexpr double kEntryLifetimeHeartbeats = 3.5;
+
+// Entries were renewed at most one heartbeat before an outage, so that none
+// lapses in one that is shorter than this.
+constexpr int kShortestLapseHeartbeats = 2;
+
+// After an outage the platform restores lapsed entries of live targets within
+// 2 s; the rest is for transmission.
+constexpr Duration kRelistTime = std::chrono::milliseconds(2500);
 
 // A restored store that still has an older configuration than this process is
 // not taken as confirmation for at most this time. Operators repeat their
@@ -32,11 +40,10 @@
 
 }  // namespace
 
-PlatformView::PlatformView(Duration max_key_age, Duration settling,
-                           Duration weights_bound)
-    : weights_bound_(weights_bound - kWeightsMargin),
-      freshness_(max_key_age),
-      settling_(settling) {}
+PlatformView::PlatformView(const ViewBounds& bounds)
+    : weights_bound_(bounds.weights - kWeightsMargin),
+      freshness_(bounds.max_key_age),
+      target_heartbeat_(bounds.target_heartbeat) {}
 
 uint64_t PlatformView::OldestUsableWeights(const std::string& model,
                                            TimePoint now) const {
@@ -49,10 +56,14 @@
 void PlatformView::OnStoreResponse(TimePoint now) {
   if (consecutive_failures_ > 0) {
     reachable_since_ = now;
+    const bool may_have_lapsed =
+        now - last_response_ >= kShortestLapseHeartbeats * target_heartbeat_;
+    if (may_have_lapsed) relist_deadline_ = now + kRelistTime;
     LogEvent(EventId::kPlatformBack,
              {{"lost_ms", FormatMilliseconds(now - unreachable_since_)}});
   }
   consecutive_failures_ = 0;
+  last_response_ = now;
 }
 
 serving::EraVerdict PlatformView::OnEra(uint64_t era, TimePoint now,
@@ -69,8 +80,10 @@
   stored_configuration_ = 0;
   restored_at_ = boot_now;
   // Entries of live targets may be missing until they are written again.
-  reachable_since_ = now;
-  fleet_.OnStoreRestored(kEntryLifetime, now);
+  relist_deadline_ = now + kRelistTime;
+  fleet_.OnStoreRestored(std::chrono::duration_cast<Duration>(
+                             kEntryLifetimeHeartbeats * target_heartbeat_),
+                         now);
   // A read cannot show a revocation that was lost and not yet written again.
   freshness_.IgnoreUntil(boot_now + serving::kRewriteTime);
   return verdict;
@@ -103,22 +116,19 @@
            {{"feed", std::string(ToString(kind))}, {"reason", reason}});
 }
 
-bool PlatformView::IsSettled(TimePoint now) const {
-  return consecutive_failures_ == 0 && now - reachable_since_ > settling_;
-}
-
 void PlatformView::OnList(ObjectKind kind,
                           const std::vector<StoredObject>& objects,
                           TimePoint sent, TimePoint now) {
+  OnStoreResponse(now);
   if (kind == ObjectKind::kTargets) AdoptTargets(objects, now, true);
   if (kind != ObjectKind::kTargets) OnChanges(kind, objects, sent, now);
   if (kind == ObjectKind::kWeights) has_weights_ = true;
-  OnStoreResponse(now);
 }
 
 void PlatformView::OnChanges(ObjectKind kind,
                              const std::vector<StoredObject>& objects,
                              TimePoint sent, TimePoint now) {
+  OnStoreResponse(now);
   switch (kind) {
     case ObjectKind::kConfiguration:
       std::ranges::for_each(objects, [&](const StoredObject& object) {
@@ -135,7 +145,6 @@
       });
       break;
   }
-  OnStoreResponse(now);
 }
 
 void PlatformView::AdoptConfiguration(const StoredObject& object) {
@@ -171,7 +180,6 @@
 
 void PlatformView::AdoptTargets(const std::vector<StoredObject>& objects,
                                 TimePoint now, bool is_full_list) {
-  const bool is_settled = IsSettled(now);
   std::vector<serving::TargetRecord> present;
   for (const StoredObject& object : objects) {
     uint64_t& revision = target_revisions_[object.name];
@@ -182,12 +190,8 @@
     revision = std::max(revision, object.revision);
     if (object.deleted) {
       target_revisions_.erase(object.name);
-      LogEvent(EventId::kTargetUnlisted,
-               {{"target", object.name},
-                {"settled", is_settled ? "yes" : "no"},
-                {"store_back_ms", FormatMilliseconds(now - reachable_since_)}});
-      fleet_.Remove(object.name, now, is_settled);
-      if (target_removed_) target_removed_(object.name);
+      fleet_.Remove(object.name, relist_deadline_, now);
+      ReportUnlisted(object.name, now);
       continue;
     }
     Result<serving::TargetRecord> record = platform::DecodeTarget(object);
@@ -211,10 +215,24 @@
       fleet_.Upsert(record.value(), now);
     }
   }
-  if (is_full_list) fleet_.Replace(present, now, is_settled);
+  if (is_full_list) {
+    const std::vector<std::string> missing =
+        fleet_.Replace(present, relist_deadline_, now);
+    for (const std::string& id : missing) ReportUnlisted(id, now);
+  }
   has_targets_ = true;
 }
 
+void PlatformView::ReportUnlisted(const std::string& id, TimePoint now) {
+  const bool is_kept = fleet_.Find(id) != nullptr;
+  LogEvent(EventId::kTargetUnlisted,
+           {{"target", id},
+            {"store_back_ms", FormatMilliseconds(now - reachable_since_)},
+            {"kept_ms",
+             is_kept ? FormatMilliseconds(relist_deadline_ - now) : "0"}});
+  if (!is_kept && target_removed_) target_removed_(id);
+}
+
 void PlatformView::AdoptWeights(const StoredObject& object, TimePoint now) {
   if (object.deleted) return;
   const Result<platform::NamedWeights> named =
@@ -241,7 +259,8 @@
 
 void PlatformView::Tick(TimePoint now) {
   for (const std::string& id : fleet_.DropExpired(now)) {
-    LogEvent(EventId::kTargetUnlisted, {{"target", id}, {"settled", "late"}});
+    LogEvent(EventId::kTargetUnlisted,
+             {{"target", id}, {"kept_ms", "expired"}});
     if (target_removed_) target_removed_(id);
   }
 }
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -94,8 +94,10 @@
 Router::Router(asio::io_context& context, platform::NodeSettings settings)
     : io_(context),
       settings_(std::move(settings)),
-      view_(settings_.bounds.key_revocation - kKeyRevocationMargin,
-            settings_.bounds.settling, settings_.bounds.weights),
+      view_({.max_key_age =
+                 settings_.bounds.key_revocation - kKeyRevocationMargin,
+             .weights = settings_.bounds.weights,
+             .target_heartbeat = settings_.target_heartbeat}),
       pool_(context),
       context_{.io = context,
                .view = view_,
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -207,18 +207,19 @@
   targets_.erase(found);
 }
 
-void Fleet::Remove(std::string_view id, TimePoint now, bool platform_settled) {
+void Fleet::Remove(std::string_view id, TimePoint relist_deadline,
+                   TimePoint now) {
   const auto found = targets_.find(id);
   if (found == targets_.end()) return;
   Target& target = *found->second;
-  if (target.listed) target.unlisted_since = now;
+  if (target.listed) target.relist_deadline = relist_deadline;
   target.listed = false;
-  const bool is_lapse_possible = !platform_settled && !target.IsLeaving();
-  if (!is_lapse_possible) Erase(id, now);
+  if (target.IsLeaving() || target.IsExpired(now)) Erase(id, now);
 }
 
-void Fleet::Replace(const std::vector<TargetRecord>& records, TimePoint now,
-                    bool platform_settled) {
+std::vector<std::string> Fleet::Replace(
+    const std::vector<TargetRecord>& records, TimePoint relist_deadline,
+    TimePoint now) {
   std::set<std::string_view> present;
   for (const TargetRecord& record : records) {
     present.insert(record.id);
@@ -226,17 +227,16 @@
   }
   std::vector<std::string> missing;
   for (const auto& [id, target] : targets_) {
-    if (!present.contains(id)) missing.push_back(id);
+    if (target->listed && !present.contains(id)) missing.push_back(id);
   }
-  for (const std::string& id : missing) Remove(id, now, platform_settled);
+  for (const std::string& id : missing) Remove(id, relist_deadline, now);
+  return missing;
 }
 
 std::vector<std::string> Fleet::DropExpired(TimePoint now) {
   std::vector<std::string> dropped;
   for (const auto& [id, target] : targets_) {
-    const bool expired =
-        !target->listed && now - target->unlisted_since > kRelistGrace;
-    if (expired) dropped.push_back(id);
+    if (target->IsExpired(now)) dropped.push_back(id);
   }
   for (const std::string& id : dropped) Erase(id, now);
   return dropped;
@@ -251,10 +251,8 @@
                                              TimePoint now) const {
   std::vector<TargetPtr> serving;
   const auto usable = [&](const TargetPtr& target) {
-    const bool expired =
-        !target->listed && now - target->unlisted_since > kRelistGrace;
     return target->record.service == service && !target->IsLeaving() &&
-           !expired && now >= target->usable_from;
+           !target->IsExpired(now) && now >= target->usable_from;
   };
   for (const auto& [id, target] : targets_) {
     if (usable(target)) serving.push_back(target);
--- a/src/libserving/serving_fuzz_simulation.h
+++ b/src/libserving/serving_fuzz_simulation.h
@@ -192,7 +192,7 @@
       for (const Endpoint& endpoint : endpoints_) {
         records.push_back(endpoint.record);
       }
-      router.fleet.Replace(records, now_, true);
+      router.fleet.Replace(records, TimePoint{}, now_);
     }
   }
 
