Cancelled requests are not delivered to targets that go on later

Cause: the router cancelled each attempt in time, but with an orderly close. What the target's VM had not acknowledged stayed in the kernel's send queue, which goes on to deliver it ahead of the end of the connection.

Fix: connections to targets and to the store close by reset, which discards what the peer has not received. The option is set when the connection is made, so it holds for each way to its end: a cancelled request, a timed-out order to a target or call to the store, a stopped or killed router. Asio's destructor would close in an orderly way after all, so ours closes first.

The unused field response_ended_ is gone.

--- a/src/include/dogwoodlatch/dataplane/upstream_connection.h
+++ b/src/include/dogwoodlatch/dataplane/upstream_connection.h
@@ -33,7 +33,7 @@
   using Pointer = std::shared_ptr<UpstreamConnection>;
 
   explicit UpstreamConnection(asio::io_context& context);
-  ~UpstreamConnection() override = default;
+  ~UpstreamConnection() override;
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
 
@@ -48,7 +48,8 @@
   void Send(std::string head, std::shared_ptr<const std::string> body,
             ResponseListener* listener);
 
-  /// Closes the connection immediately. The listener is not called any more.
+  /// Closes the connection immediately. What the peer's VM has not received of
+  /// the request is discarded. The listener is not called any more.
   void Cancel();
 
   /// Stops or resumes reading, for flow control towards a slow consumer.
@@ -99,7 +100,6 @@
   bool is_reading_ = false;
   bool is_paused_ = false;
   bool is_writing_ = false;
-  bool response_ended_ = false;
   bool keeps_alive_ = true;
   std::optional<std::chrono::seconds> idle_limit_;
   TimePoint idle_since_{};
--- a/src/libdataplane/upstream_connection.cc
+++ b/src/libdataplane/upstream_connection.cc
@@ -36,6 +36,10 @@
 
 void ConfigureSocket(asio::ip::tcp::socket& socket) {
   std::error_code ignored;  // the connection works without these options too
+  // Closing resets the connection. An orderly close would have the kernel go on
+  // to deliver a request that was cancelled, or whose router has ended, to a
+  // target that reads again seconds later.
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket.set_option(IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(
                         static_cast<int>(kTcpUserTimeout.count())),
@@ -83,6 +87,9 @@
       connect_timer_(context),
       read_buffer_(kReadBufferBytes, '\0') {}
 
+// A socket that Asio's destructor closes would linger in the background.
+UpstreamConnection::~UpstreamConnection() { Cancel(); }
+
 void UpstreamConnection::Connect(const asio::ip::tcp::endpoint& endpoint,
                                  std::chrono::milliseconds timeout,
                                  std::function<void(std::error_code)> done) {
@@ -112,7 +119,6 @@
                               std::shared_ptr<const std::string> body,
                               ResponseListener* listener) {
   listener_ = listener;
-  response_ended_ = false;
   is_writing_ = true;
   is_paused_ = false;
   reader_.Reset();
--- a/src/libdataplane/withdrawn_request_test.cc
+++ b/src/libdataplane/withdrawn_request_test.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include "dogwoodlatch/dataplane/http_client.h"
 #include "dogwoodlatch/dataplane/upstream_connection.h"
 
 namespace dogwoodlatch::dataplane {
@@ -105,4 +106,25 @@
   CHECK(peer.ReadToEnd() < kLongBodyBytes);
 }
 
+// Guards against the same fault in orders to targets and calls to the store.
+TEST_CASE("a call that timed out is not delivered later") {
+  asio::io_context context{1};
+  StalledPeer peer(context);
+  HttpClient client(context,
+                    "127.0.0.1:" + std::to_string(peer.endpoint().port()));
+  bool has_failed = false;
+  Call call;
+  call.method = "PUT";
+  call.target = "/";
+  call.body = std::string(kLongBodyBytes, 'x');
+  call.timeout = milliseconds(50);
+  client.Start(std::move(call), [&](const Result<CallResponse>& response) {
+    has_failed = !response;
+  });
+  peer.Accept();
+  context.run_for(milliseconds(200));
+  CHECK(has_failed);
+  CHECK(peer.ReadToEnd() < kLongBodyBytes);
+}
+
 }  // namespace dogwoodlatch::dataplane
