--- a/src/include/dogwoodlatch/dataplane/upstream_connection.h
+++ b/src/include/dogwoodlatch/dataplane/upstream_connection.h
@@ -122,8 +122,8 @@
   /// closes it otherwise.
   void Return(const std::string& key, UpstreamConnection::Pointer connection);
 
-  /// Drops all idle connections of a target.
-  void Drop(const std::string& key) { idle_.erase(key); }
+  /// Closes all idle connections of a target.
+  void Drop(const std::string& key);
 
   /// Closes idle connections that are no longer reusable or that the peer is
   /// about to close.
--- a/src/libdataplane/upstream_connection.cc
+++ b/src/libdataplane/upstream_connection.cc
@@ -278,6 +278,16 @@
   connections.push_back(std::move(connection));
 }
 
+// A pending read would keep a connection open that is only released.
+void ConnectionPool::Drop(const std::string& key) {
+  const auto found = idle_.find(key);
+  if (found == idle_.end()) return;
+  for (const UpstreamConnection::Pointer& connection : found->second) {
+    connection->Cancel();
+  }
+  idle_.erase(found);
+}
+
 void ConnectionPool::Sweep(TimePoint now) {
   for (auto& [key, connections] : idle_) {
     std::erase_if(
--- a/src/libdataplane/upstream_connection_test.cc
+++ b/src/libdataplane/upstream_connection_test.cc
@@ -207,6 +207,32 @@
   CHECK(listener.endings == 0);
 }
 
+// Guards against connections to a removed target that stay open: the pool
+// released them, but a pending read kept them alive.
+TEST_CASE("dropping a target closes its idle connections") {
+  asio::io_context context{1};
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::address_v4::loopback(), 0});
+  ConnectionPool pool(context);
+  const UpstreamConnection::Pointer connection = pool.Make();
+  connection->Connect(acceptor.local_endpoint(), milliseconds(1000),
+                      [](std::error_code error) { REQUIRE_FALSE(error); });
+  context.run_for(milliseconds(20));
+  asio::ip::tcp::socket peer = acceptor.accept();
+  Recorder recorder;
+  recorder.expected_id = "1";
+  connection->Send(BuildRequestHead("GET", "/", {}, 0), nullptr, &recorder);
+  asio::write(peer, asio::buffer(MakeResponse("1", "one")));
+  context.restart();
+  context.run_for(milliseconds(20));
+  REQUIRE(recorder.has_ended);
+  pool.Return("target", connection);
+  REQUIRE(pool.idle_count() == 1);
+  pool.Drop("target");
+  CHECK(pool.idle_count() == 0);
+  CHECK_FALSE(connection->IsReusable());
+}
+
 TEST_CASE("endpoints need a numeric IPv4 address and a port") {
   CHECK(ParseEndpoint("10.0.0.1:80")->port() == 80);
   CHECK_FALSE(ParseEndpoint("10.0.0.1"));
