The first watch after a failed call is answered at once

Cause: the store was back at 22.09 s, and three routers noticed it at 25.80 s. Their first watch after the outage was held for its whole wait, as nothing changed; the answer that ended it was the removal itself, which then counted as one at the moment of the return (E222 store_back_ms=0 kept_ms=2500). Ruled out: the grace period, which was right for that moment, and late delivery, as the two other routers had the removal at once and kept nothing.

Fix: the first watch after a failed call waits 1 ms, so its answer dates the return; one more call a feed after a failure. It also proves the configuration's freshness seconds earlier.

object_feed_test failed before.

--- a/src/include/dogwoodlatch/daemon/object_feed.h
+++ b/src/include/dogwoodlatch/daemon/object_feed.h
@@ -90,6 +90,7 @@
   bool is_pausing_ = false;
   bool is_listing_ = false;
   bool has_list_ = false;        ///< the next call is a watch
+  bool has_failed_ = false;      ///< the last call
   uint64_t revision_ = 0;        ///< the next watch starts here
   std::optional<uint64_t> era_;  ///< in which `revision_` is valid
   uint64_t list_revision_ = 0;   ///< revision of the list's first page
--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -20,6 +20,10 @@
 // usually answers within 4 ms may become slower by a factor of 60.
 constexpr std::chrono::milliseconds kWatchTimeoutMargin{700};
 
+// Wait of the first watch after a failed call. It is answered at once, and so
+// shows when the store has returned.
+constexpr std::chrono::milliseconds kProbeWait{1};
+
 constexpr std::chrono::milliseconds kInitialRetryPause{100};
 
 // Spreads the lists of all processes after the store was restored.
@@ -141,6 +145,7 @@
     return;
   }
   retry_pause_ = kInitialRetryPause;
+  has_failed_ = false;
   has_list_ = !options_.poll_period;
   revision_ = list_revision_;
   handlers_.on_list(std::exchange(listed_, {}), list_sent_);
@@ -150,9 +155,9 @@
 void ObjectFeed::Watch() {
   call_sent_ = BootNow();
   if (handlers_.on_call) handlers_.on_call();
-  Call call =
-      Call::Get(platform::WatchPath(options_.kind, revision_, options_.wait),
-                options_.wait + kWatchTimeoutMargin);
+  const auto wait = has_failed_ ? kProbeWait : options_.wait;
+  Call call = Call::Get(platform::WatchPath(options_.kind, revision_, wait),
+                        wait + kWatchTimeoutMargin);
   call.max_body_bytes = kMaxPageBytes;
   client_.Start(std::move(call),
                 [this](Result<dataplane::CallResponse> response) {
@@ -182,6 +187,7 @@
     return;
   }
   retry_pause_ = kInitialRetryPause;
+  has_failed_ = false;
   // The revision only advances with changes. A store that has dropped its
   // history returns no changes for a while. As the feed keeps watching from its
   // old revision, the store answers 410 Gone, and the feed lists again.
@@ -221,6 +227,7 @@
 // Pauses grow and are randomised, so that a store that recovers does not
 // receive the calls of all processes at once.
 void ObjectFeed::Retry(const std::string& reason) {
+  has_failed_ = true;
   handlers_.on_failure(reason);
   if (options_.is_on_demand) return;
   std::uniform_real_distribution<double> spread(0.6, 1.2);
--- /dev/null
+++ b/src/libdaemon/object_feed_test.cc
@@ -0,0 +1,98 @@
+#include "dogwoodlatch/daemon/object_feed.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace dogwoodlatch::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string JsonResponse(int status, const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nContent-Type: application/json\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A store that gives scripted responses on one connection, then none, and
+// records the request lines.
+class ScriptedStore {
+ public:
+  ScriptedStore(asio::io_context& context, std::deque<std::string> responses)
+      : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
+        socket_(context),
+        responses_(std::move(responses)) {
+    acceptor_.async_accept(socket_, [this](std::error_code error) {
+      if (!error) ReadRequest();
+    });
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  const std::vector<std::string>& requests() const { return requests_; }
+
+ private:
+  void ReadRequest() {
+    asio::async_read_until(
+        socket_, asio::dynamic_buffer(input_), "\r\n\r\n",
+        [this](std::error_code error, size_t count) {
+          if (error) return;
+          requests_.push_back(input_.substr(0, input_.find("\r\n")));
+          input_.erase(0, count);
+          if (responses_.empty()) return;
+          asio::write(socket_, asio::buffer(responses_.front()));
+          responses_.pop_front();
+          ReadRequest();
+        });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket socket_;
+  std::deque<std::string> responses_;
+  std::vector<std::string> requests_;
+  std::string input_;
+};
+
+// Returns the number after `wait_ms=` in a request line.
+int WaitOf(const std::string& request) {
+  const size_t at = request.find("wait_ms=");
+  return at == std::string::npos ? -1 : std::stoi(request.substr(at + 8));
+}
+
+}  // namespace
+
+// Guards against requests to a target that had left after an outage: the first
+// watch after the outage was held for seconds without an event, so that the
+// store's return was noticed only when the target left.
+TEST_CASE("the first watch after a failed call is answered at once") {
+  asio::io_context context{1};
+  ScriptedStore store(
+      context, {JsonResponse(200, R"({"items":[],"has_more":false,"as_of":5})"),
+                JsonResponse(503, "{}"),
+                JsonResponse(200, R"({"events":[],"as_of":5})")});
+  int failures = 0;
+  std::vector<size_t> changes;
+  FeedHandlers handlers;
+  handlers.on_list = [](const auto& /*objects*/, TimePoint /*sent*/) {};
+  handlers.on_changes = [&](const auto& objects, TimePoint /*sent*/) {
+    changes.push_back(objects.size());
+  };
+  handlers.on_failure = [&](const std::string& /*reason*/) { ++failures; };
+  FeedOptions options;
+  options.store_address = store.address();
+  options.wait = milliseconds(8000);
+  ObjectFeed feed(context, options, handlers);
+  feed.Start();
+  context.run_for(milliseconds(600));
+  CHECK(failures == 1);
+  REQUIRE(store.requests().size() == 4);
+  CHECK(WaitOf(store.requests()[1]) == 8000);
+  CHECK(WaitOf(store.requests()[2]) <= 1);
+  CHECK(WaitOf(store.requests()[3]) == 8000);
+  CHECK(changes == std::vector<size_t>{0});
+}
+
+}  // namespace dogwoodlatch::daemon
