The store's return is dated by every sign of it, failures by when answers were due

Cause, of two kinds. On demand reads of the configuration that were sent during the outage failed 0.7 s after another call had been answered and began a second outage in the router's view (E201 10.28 s, E200 10.93 s). And where the store refused at once, the open watches were held right through, only a read on demand failed, and nothing was called again for up to 20 s. In both the next answer was the removal itself.

Fix: a failure counts from when its answer was due, and not at all if the store has answered since; another router's proof of freshness counts as a sign that the store answers; when the view loses the store, the targets' watch is replaced by a probe, which goes on until it is answered.

New cases of target_departure_test and object_feed_test; they need the new parameters, so they were not run on the old code.

--- a/src/include/dogwoodlatch/daemon/object_feed.h
+++ b/src/include/dogwoodlatch/daemon/object_feed.h
@@ -43,7 +43,8 @@
   std::function<void(const std::vector<platform::StoredObject>&,
                      TimePoint sent)>
       on_changes;
-  std::function<void(const std::string& reason)> on_failure;
+  /// A call has failed whose answer was due `overdue` ago.
+  std::function<void(const std::string& reason, Duration overdue)> on_failure;
   std::function<void()> on_call;  ///< a call is sent; may be empty
   /// Judges the era of each answer, whatever its status.
   std::function<serving::EraVerdict(uint64_t era)> on_era;
@@ -64,6 +65,10 @@
   /// another feed.
   void RetryNow();
 
+  /// Replaces a watch that may be held for long by one that is answered at
+  /// once, to learn whether and since when the store answers.
+  void Probe();
+
   /// Lists again after a short random pause, because the store was restored
   /// from an older copy.
   void Relist();
@@ -96,6 +101,7 @@
   uint64_t list_revision_ = 0;   ///< revision of the list's first page
   TimePoint list_sent_{};
   TimePoint call_sent_{};
+  TimePoint call_due_{};  ///< when the answer is expected
   std::vector<platform::StoredObject> listed_;
 };
 
--- a/src/include/dogwoodlatch/daemon/platform_view.h
+++ b/src/include/dogwoodlatch/daemon/platform_view.h
@@ -66,11 +66,12 @@
   /// Another router has proved that version `configuration` was current after
   /// `sent`. Returns false if this view has a different one, so that the proof
   /// does not count.
-  bool OnPeerProof(uint64_t configuration, TimePoint sent);
+  bool OnPeerProof(uint64_t configuration, TimePoint sent, TimePoint now);
 
-  /// Handles a failed call.
+  /// Handles a failed call whose answer was due at `due`, on the clock of
+  /// `now`. The failure says nothing if the store has answered since.
   void OnFailure(platform::ObjectKind kind, const std::string& reason,
-                 TimePoint now);
+                 TimePoint due, TimePoint now);
 
   /// Removes targets whose grace period has expired.
   void Tick(TimePoint now);
@@ -98,6 +99,7 @@
 
  private:
   void OnStoreResponse(TimePoint now);
+  void OnStoreSign(TimePoint now);
   void ConfirmConfiguration(TimePoint sent);
   void AdoptConfiguration(const platform::StoredObject& object);
   void AdoptTargets(const std::vector<platform::StoredObject>& objects,
@@ -121,7 +123,10 @@
   uint64_t newest_fence_ = 0;
   bool has_targets_ = false;
   int consecutive_failures_ = 0;
-  TimePoint last_response_{};
+  /// When the store last answered this process or, as far as it was told,
+  /// another router.
+  TimePoint last_sign_{};
+  bool has_failed_since_sign_ = false;
   TimePoint unreachable_since_{};
   TimePoint reachable_since_{};
   /// Until when lapsed entries of live targets may return.
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -83,8 +83,10 @@
     handlers.on_changes = [this, kind](const auto& objects, TimePoint sent) {
       view_.OnChanges(kind, objects, sent, SteadyNow());
     };
-    handlers.on_failure = [this, kind](const std::string& reason) {
-      view_.OnFailure(kind, reason, SteadyNow());
+    handlers.on_failure = [this, kind](const std::string& reason,
+                                       Duration overdue) {
+      const TimePoint now = SteadyNow();
+      view_.OnFailure(kind, reason, now - overdue, now);
     };
     handlers.on_era = [this, index = feeds_.size()](uint64_t era) {
       const auto verdict = view_.OnEra(era, SteadyNow(), BootNow());
--- a/src/libdaemon/freshness_keeper.cc
+++ b/src/libdaemon/freshness_keeper.cc
@@ -133,7 +133,8 @@
   // The next answer of the store shows a new era to this router too. A newer
   // configuration was missed, as the watch for it may have died.
   const bool is_proof =
-      answer.era == era && view_.OnPeerProof(answer.configuration, *asked);
+      answer.era == era &&
+      view_.OnPeerProof(answer.configuration, *asked, SteadyNow());
   if (!is_proof) Read();
   if (answer.era == era) FollowPeerState(answer);
 }
--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -63,6 +63,14 @@
   Continue();
 }
 
+void ObjectFeed::Probe() {
+  const bool is_watching = has_list_ && !is_listing_ && !is_pausing_;
+  if (!is_watching || options_.is_on_demand) return;
+  has_failed_ = true;
+  client_.Cancel();
+  Watch();
+}
+
 void ObjectFeed::Relist() {
   client_.Cancel();
   is_listing_ = false;
@@ -99,6 +107,7 @@
 void ObjectFeed::ListFrom(std::string_view after) {
   is_listing_ = true;
   call_sent_ = BootNow();
+  call_due_ = call_sent_;
   if (handlers_.on_call) handlers_.on_call();
   if (after.empty()) {
     listed_.clear();
@@ -156,6 +165,7 @@
   call_sent_ = BootNow();
   if (handlers_.on_call) handlers_.on_call();
   const auto wait = has_failed_ ? kProbeWait : options_.wait;
+  call_due_ = call_sent_ + wait;
   Call call = Call::Get(platform::WatchPath(options_.kind, revision_, wait),
                         wait + kWatchTimeoutMargin);
   call.max_body_bytes = kMaxPageBytes;
@@ -228,7 +238,7 @@
 // receive the calls of all processes at once.
 void ObjectFeed::Retry(const std::string& reason) {
   has_failed_ = true;
-  handlers_.on_failure(reason);
+  handlers_.on_failure(reason, std::max(Duration{0}, BootNow() - call_due_));
   if (options_.is_on_demand) return;
   std::uniform_real_distribution<double> spread(0.6, 1.2);
   const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/libdaemon/object_feed_test.cc
+++ b/src/libdaemon/object_feed_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,17 +17,15 @@
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// A store that gives scripted responses on one connection, then none, and
-// records the request lines.
+// A store that gives scripted responses, then none, on one connection after the
+// other, and records the request lines.
 class ScriptedStore {
  public:
   ScriptedStore(asio::io_context& context, std::deque<std::string> responses)
       : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
         socket_(context),
         responses_(std::move(responses)) {
-    acceptor_.async_accept(socket_, [this](std::error_code error) {
-      if (!error) ReadRequest();
-    });
+    Accept();
   }
 
   std::string address() const {
@@ -35,6 +34,17 @@
   const std::vector<std::string>& requests() const { return requests_; }
 
  private:
+  void Accept() {
+    acceptor_.async_accept(
+        [this](std::error_code error, asio::ip::tcp::socket socket) {
+          if (error) return;
+          socket_ = std::move(socket);
+          input_.clear();
+          ReadRequest();
+          Accept();
+        });
+  }
+
   void ReadRequest() {
     asio::async_read_until(
         socket_, asio::dynamic_buffer(input_), "\r\n\r\n",
@@ -80,7 +90,8 @@
   handlers.on_changes = [&](const auto& objects, TimePoint /*sent*/) {
     changes.push_back(objects.size());
   };
-  handlers.on_failure = [&](const std::string& /*reason*/) { ++failures; };
+  handlers.on_failure = [&](const std::string& /*reason*/,
+                            Duration /*overdue*/) { ++failures; };
   FeedOptions options;
   options.store_address = store.address();
   options.wait = milliseconds(8000);
@@ -95,4 +106,51 @@
   CHECK(changes == std::vector<size_t>{0});
 }
 
+// Guards against the same where another feed's call has failed: this one's
+// watch was open throughout and is held.
+TEST_CASE("a probe replaces a held watch by one that is answered at once") {
+  asio::io_context context{1};
+  ScriptedStore store(
+      context,
+      {JsonResponse(200, R"({"items":[],"has_more":false,"as_of":5})")});
+  FeedHandlers handlers;
+  handlers.on_list = [](const auto& /*objects*/, TimePoint /*sent*/) {};
+  FeedOptions options;
+  options.store_address = store.address();
+  options.wait = milliseconds(8000);
+  ObjectFeed feed(context, options, handlers);
+  feed.Start();
+  context.run_for(milliseconds(100));
+  REQUIRE(store.requests().size() == 2);
+  feed.Probe();
+  context.restart();
+  context.run_for(milliseconds(100));
+  REQUIRE(store.requests().size() == 3);
+  CHECK(WaitOf(store.requests()[2]) <= 1);
+}
+
+// The failure of a watch that was to be held is as old as its late answer, not
+// as the watch.
+TEST_CASE("a failed call tells since when its answer is overdue") {
+  asio::io_context context{1};
+  ScriptedStore store(
+      context,
+      {JsonResponse(200, R"({"items":[],"has_more":false,"as_of":5})")});
+  std::optional<Duration> overdue;
+  FeedHandlers handlers;
+  handlers.on_list = [](const auto& /*objects*/, TimePoint /*sent*/) {};
+  handlers.on_failure = [&](const std::string& /*reason*/, Duration since) {
+    if (!overdue) overdue = since;
+  };
+  FeedOptions options;
+  options.store_address = store.address();
+  options.wait = milliseconds(300);
+  ObjectFeed feed(context, options, handlers);
+  feed.Start();
+  context.run_for(milliseconds(1200));
+  REQUIRE(overdue.has_value());
+  CHECK(*overdue >= milliseconds(650));
+  CHECK(*overdue < milliseconds(950));
+}
+
 }  // namespace dogwoodlatch::daemon
--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -56,14 +56,21 @@
 void PlatformView::OnStoreResponse(TimePoint now) {
   if (consecutive_failures_ > 0) {
     reachable_since_ = now;
-    const bool may_have_lapsed =
-        now - last_response_ >= kShortestLapseHeartbeats * target_heartbeat_;
-    if (may_have_lapsed) relist_deadline_ = now + kRelistTime;
     LogEvent(EventId::kPlatformBack,
              {{"lost_ms", FormatMilliseconds(now - unreachable_since_)}});
   }
   consecutive_failures_ = 0;
-  last_response_ = now;
+  OnStoreSign(now);
+}
+
+void PlatformView::OnStoreSign(TimePoint now) {
+  const bool may_have_lapsed =
+      now - last_sign_ >= kShortestLapseHeartbeats * target_heartbeat_;
+  if (has_failed_since_sign_ && may_have_lapsed) {
+    relist_deadline_ = now + kRelistTime;
+  }
+  has_failed_since_sign_ = false;
+  last_sign_ = now;
 }
 
 serving::EraVerdict PlatformView::OnEra(uint64_t era, TimePoint now,
@@ -99,7 +106,9 @@
   if (!must_wait) freshness_.OnConfirmed(sent);
 }
 
-bool PlatformView::OnPeerProof(uint64_t configuration, TimePoint sent) {
+bool PlatformView::OnPeerProof(uint64_t configuration, TimePoint sent,
+                               TimePoint now) {
+  OnStoreSign(now);
   const bool is_known =
       configuration_ && configuration <= configuration_->version();
   if (!is_known) return false;
@@ -109,7 +118,9 @@
 }
 
 void PlatformView::OnFailure(ObjectKind kind, const std::string& reason,
-                             TimePoint now) {
+                             TimePoint due, TimePoint now) {
+  if (due < last_sign_) return;
+  has_failed_since_sign_ = true;
   if (consecutive_failures_++ > 0) return;
   unreachable_since_ = now;
   LogEvent(EventId::kPlatformUnavailable,
--- a/src/libdaemon/platform_view_test.cc
+++ b/src/libdaemon/platform_view_test.cc
@@ -75,7 +75,7 @@
       [&](const std::string& id) { removed.push_back(id); });
   view.OnList(ObjectKind::kTargets, {TargetEntry("a", 1), TargetEntry("b", 2)},
               At(0), At(5));
-  view.OnFailure(ObjectKind::kTargets, "refused", At(5000));
+  view.OnFailure(ObjectKind::kTargets, "refused", At(4000), At(5000));
   CHECK_FALSE(view.is_reachable());
   view.OnList(ObjectKind::kTargets, {TargetEntry("a", 1)}, At(9000), At(9005));
   CHECK(view.fleet().Serving("m", At(9100)).size() == 2);
@@ -139,7 +139,7 @@
   view.OnList(ObjectKind::kConfiguration, {Configuration(7)}, At(6000),
               At(6005));
   CHECK(view.freshness().confirmed_at() == At(2000));
-  CHECK_FALSE(view.OnPeerProof(10, At(6050)));
+  CHECK_FALSE(view.OnPeerProof(10, At(6050), At(6060)));
   // A configuration that was never seen here may have been lost too, so nothing
   // counts in the first two seconds.
   view.OnChanges(ObjectKind::kConfiguration, {Configuration(9)}, At(4900),
@@ -148,7 +148,7 @@
   view.OnChanges(ObjectKind::kConfiguration, {}, At(6200), At(6205));
   CHECK(view.freshness().confirmed_at() == At(6200));
   CHECK(view.OnEra(1, At(6300), At(6300)) == serving::EraVerdict::kOutdated);
-  CHECK(view.OnPeerProof(9, At(6400)));
+  CHECK(view.OnPeerProof(9, At(6400), At(6410)));
   CHECK(view.freshness().confirmed_at() == At(6400));
 }
 
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -261,9 +261,14 @@
     view_.OnChanges(kind, objects, sent, SteadyNow());
     if (was_unreachable) std::ranges::for_each(feeds_, &ObjectFeed::RetryNow);
   };
-  handlers.on_failure = [this, kind](const std::string& reason) {
+  handlers.on_failure = [this, kind](const std::string& reason,
+                                     Duration overdue) {
     metrics_.Count("dogwoodlatch_store_failures_total");
-    view_.OnFailure(kind, reason, SteadyNow());
+    const bool was_reachable = view_.is_reachable();
+    const TimePoint now = SteadyNow();
+    view_.OnFailure(kind, reason, now - overdue, now);
+    // The watches that are open may be held for long after the store's return.
+    if (was_reachable && !view_.is_reachable()) target_feed_->Probe();
   };
   handlers.on_era = [this, index = feeds_.size()](uint64_t era) {
     const auto verdict = view_.OnEra(era, SteadyNow(), BootNow());
--- a/src/libdaemon/target_departure_test.cc
+++ b/src/libdaemon/target_departure_test.cc
@@ -38,7 +38,7 @@
   view.OnList(ObjectKind::kTargets, {Entry("a", 1), Entry("b", 2)},
               At(last_answer_ms - 4), At(last_answer_ms));
   view.OnFailure(ObjectKind::kConfiguration, "no answer in time",
-                 At(last_answer_ms + 300));
+                 At(last_answer_ms + 100), At(last_answer_ms + 300));
   view.OnChanges(ObjectKind::kTargets, {}, At(back_ms - 4), At(back_ms));
   return view;
 }
@@ -91,4 +91,39 @@
   CHECK(CountServing(view, 20000) == 2);
 }
 
+// Guards against a return that is noticed seconds late: a call that was sent
+// during the outage failed after another one had been answered, and the watches
+// that were open by then had nothing to report.
+TEST_CASE("a call sent before the last answer does not begin an outage") {
+  PlatformView view = ViewAfterOutage(6000, 10300);
+  view.OnFailure(ObjectKind::kConfiguration, "no answer in time", At(10100),
+                 At(10900));
+  CHECK(view.is_reachable());
+  view.OnChanges(ObjectKind::kTargets, {RemovedEntry("a", 5)}, At(10310),
+                 At(14100));
+  CHECK(CountServing(view, 14101) == 1);
+}
+
+// Guards against the same where only this router's own call failed: another
+// router's proof shows that the store answers.
+TEST_CASE("a proof by another router shows that the store is back") {
+  PlatformView view = ViewAfterOutage(6000, 6004);
+  view.OnFailure(ObjectKind::kConfiguration, "status 503", At(7000), At(7004));
+  view.OnPeerProof(1, At(11300), At(11400));
+  view.OnChanges(ObjectKind::kTargets, {RemovedEntry("a", 5)}, At(6010),
+                 At(14300));
+  CHECK(CountServing(view, 14301) == 1);
+}
+
+TEST_CASE("proofs by other routers show that there was no outage") {
+  PlatformView view = ViewAfterOutage(6000, 6004);
+  view.OnPeerProof(1, At(9900), At(10000));
+  view.OnFailure(ObjectKind::kTargets, "the connection broke", At(6004),
+                 At(11000));
+  view.OnChanges(ObjectKind::kTargets, {}, At(11100), At(11104));
+  view.OnChanges(ObjectKind::kTargets, {RemovedEntry("a", 5)}, At(11104),
+                 At(11200));
+  CHECK(CountServing(view, 11201) == 1);
+}
+
 }  // namespace dogwoodlatch::daemon
