Daemons run one thread and end when they are stopped

Cause: log4cplus starts a pool of four threads in its static initializer, before main, and joins them when it is deinitialized at exit. Where one thread of a process runs at a time, they never end. Trial on a scratch copy with lines written past the log: 'loop ended' and 'main returns' came within 0.5 ms of E102, 'log4cplus ends' too, and nothing after its destructor was called; so neither the daemon's destructors, the io_context nor the signal set wait. On an ordinary machine the threads are scheduled, and the process exits at once. The pool cannot be sized to none nor left out, as the library's initializer starts it.

Weighed: leaving by _Exit after the last flush would pass over every destructor, also those of later code, and keep four idle threads in each process. spdlog starts none in synchronous use, so it takes log4cplus' place; lines and their format are the same. Signals that come during the start are now handled after it.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 PACKAGES = g++ cmake ninja-build clang-format clang-tidy libasio-dev \
   libwebsocketpp-dev nlohmann-json3-dev libcpp-httplib-dev libboost-dev \
-  libcxxopts-dev liblog4cplus-dev catch2 librapidcheck-dev libxxhash-dev \
+  libcxxopts-dev libspdlog-dev catch2 librapidcheck-dev libxxhash-dev \
   libssl-dev pkg-config python3 curl
 
 .PHONY: all setup configure build test unit-test e2e-test demo format \
--- a/src/dogwoodlatchd/main.cc
+++ b/src/dogwoodlatchd/main.cc
@@ -73,6 +73,8 @@
 template <typename Daemon>
 ExitCode Run(const CommandLine& line, platform::NodeSettings settings) {
   asio::io_context context(1);
+  // Signals that arrive during the start are handled after it.
+  asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
   LogEvent(EventId::kStarted, {{"role", line.role},
                                {"vm", settings.vm},
                                {"failure_domain", settings.failure_domain}});
@@ -83,7 +85,6 @@
     FlushLog();
     return ExitCode::kFailed;
   }
-  asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
   std::function<void()> await_signal = [&] {
     signals.async_wait([&](std::error_code error, int number) {
       if (error) return;
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -1,18 +1,18 @@
 #include "dogwoodlatch/util/log.h"
 
-#include <log4cplus/appender.h>
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
-#include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
 #include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/logger.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/base_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
 #include <map>
+#include <memory>
 #include <sstream>
 #include <utility>
 
@@ -150,12 +150,10 @@
 constexpr int kMaxEventsPerSecond = 400;
 
 // Buffers lines until FlushLog writes them.
-class BufferedAppender final : public log4cplus::Appender {
+class BufferedSink final
+    : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
  public:
-  ~BufferedAppender() override { destructorImpl(); }
-  void close() override { closed = true; }
-
-  void Flush() {
+  void WriteBuffered() {
     pollfd output{STDOUT_FILENO, POLLOUT, 0};
     size_t written = 0;
     while (written < buffer_.size() && poll(&output, 1, 0) == 1 &&
@@ -173,22 +171,40 @@
   void CountDropped() { ++dropped_; }
 
  protected:
-  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+  void sink_it_(const spdlog::details::log_msg& message) override {
     if (buffer_.size() > kMaxBufferedBytes) {
       ++dropped_;
       return;
     }
-    line_.str("");
-    layout->formatAndAppend(line_, event);
-    buffer_.append(line_.view());
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    buffer_.append(line.data(), line.size());
   }
 
+  // spdlog flushes on its own only when told to.
+  void flush_() override {}
+
  private:
   std::string buffer_;
-  std::ostringstream line_;
   size_t dropped_ = 0;
 };
 
+// Writes severities in capital letters.
+class SeverityFlag final : public spdlog::custom_flag_formatter {
+ public:
+  void format(const spdlog::details::log_msg& message, const std::tm& /*time*/,
+              spdlog::memory_buf_t& line) override {
+    static constexpr std::array<std::string_view, spdlog::level::n_levels>
+        kNames = {"TRACE", "DEBUG", "INFO", "WARN", "ERROR", "FATAL", "OFF"};
+    const std::string_view name = kNames.at(message.level);
+    line.append(name.data(), name.data() + name.size());
+  }
+
+  std::unique_ptr<custom_flag_formatter> clone() const override {
+    return std::make_unique<SeverityFlag>();
+  }
+};
+
 // Limits the lines of each event within the current second.
 class EventRateLimiter {
  public:
@@ -205,13 +221,15 @@
   std::map<EventId, int> lines_per_event_;
 };
 
-BufferedAppender* buffered_appender = nullptr;
+// Neither starts a thread. Both live as long as the process.
+std::shared_ptr<spdlog::logger> logger;
+std::shared_ptr<BufferedSink> buffered_sink;
 EventRateLimiter event_rate_limiter;
 
-log4cplus::LogLevel ToLogLevel(Severity severity) {
+spdlog::level::level_enum ToLevel(Severity severity) {
   static constexpr std::array kLevels = {
-      log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL,
-      log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL};
+      spdlog::level::debug, spdlog::level::info, spdlog::level::warn,
+      spdlog::level::err};
   return kLevels.at(static_cast<size_t>(severity));
 }
 
@@ -226,58 +244,49 @@
 
 void LogEvent(EventId id, EventFields fields) {
   const auto spec = std::ranges::find(kCatalogue, id, &EventSpec::id);
-  log4cplus::Logger logger = log4cplus::Logger::getRoot();
-  const log4cplus::LogLevel level = ToLogLevel(spec->severity);
-  if (!logger.isEnabledFor(level)) return;
-  if (buffered_appender != nullptr && !event_rate_limiter.Admit(id)) {
-    buffered_appender->CountDropped();
+  const spdlog::level::level_enum level = ToLevel(spec->severity);
+  if (logger == nullptr || !logger->should_log(level)) return;
+  if (buffered_sink != nullptr && !event_rate_limiter.Admit(id)) {
+    buffered_sink->CountDropped();
     return;
   }
   std::ostringstream line;
   line << 'E' << static_cast<int>(id) << ' ' << spec->name;
   for (const auto& [key, value] : fields) line << ' ' << key << '=' << value;
-  logger.log(level, line.str());
+  logger->log(level, line.str());
 }
 
 namespace {
 
-void InstallAppender(const log4cplus::SharedAppenderPtr& appender,
-                     std::string_view process, Severity threshold) {
-  const std::string pattern =
-      "%D{%Y-%m-%dT%H:%M:%S.%q} " + std::string(process) + " %p %m%n";
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
-  log4cplus::Logger root = log4cplus::Logger::getRoot();
-  root.removeAllAppenders();
-  root.addAppender(appender);
-  root.setLogLevel(ToLogLevel(threshold));
+void InstallSink(const spdlog::sink_ptr& sink, std::string_view process,
+                 Severity threshold) {
+  auto formatter = std::make_unique<spdlog::pattern_formatter>();
+  formatter->add_flag<SeverityFlag>('*').set_pattern(
+      "%Y-%m-%dT%H:%M:%S.%e %n %* %v");
+  sink->set_formatter(std::move(formatter));
+  logger = std::make_shared<spdlog::logger>(std::string(process), sink);
+  logger->set_level(ToLevel(threshold));
 }
 
-// log4cplus must be initialized once, before the first appender is created.
-void InitializeLog4cplus() { static const log4cplus::Initializer initializer; }
-
 }  // namespace
 
 void InitLogging(std::string_view process, Severity threshold) {
-  InitializeLog4cplus();
-  buffered_appender = nullptr;
-  InstallAppender(
-      log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)),
-      process, threshold);
+  buffered_sink = nullptr;
+  InstallSink(std::make_shared<spdlog::sinks::stderr_sink_mt>(), process,
+              threshold);
 }
 
 void InitBufferedLogging(std::string_view process, Severity threshold) {
-  InitializeLog4cplus();
-  buffered_appender = new BufferedAppender();
-  InstallAppender(log4cplus::SharedAppenderPtr(buffered_appender), process,
-                  threshold);
+  buffered_sink = std::make_shared<BufferedSink>();
+  InstallSink(buffered_sink, process, threshold);
 }
 
 void FlushLog() {
-  if (buffered_appender == nullptr) return;
-  if (const size_t dropped = buffered_appender->TakeDropped()) {
+  if (buffered_sink == nullptr) return;
+  if (const size_t dropped = buffered_sink->TakeDropped()) {
     LogEvent(EventId::kLogDropped, {{"lines", std::to_string(dropped)}});
   }
-  buffered_appender->Flush();
+  buffered_sink->WriteBuffered();
 }
 
 }  // namespace dogwoodlatch
