--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -12,6 +12,7 @@
 import os
 import random
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -31,6 +32,8 @@
 # Allowance for the time between the sending of a request by the caller and the record of its run at the target.
 TRANSFER_SECONDS = 0.3
 RECOVERY_SECONDS = 8.0
+GRACE_SECONDS = 8.0  # from SIGTERM to SIGKILL, as in the daemons' settings
+MAX_PAUSE_SECONDS = 1.5
 BAD_BEHAVIOURS = ["broken", "lost", "full", "failing", "unsealed", "extra", "mute", "reset", "busy 0.6", "busy soon",
                   "endless_body", "endless_head", "endless_chunk_header"]
 ENTRY_LIFETIME_SECONDS = 3.6  # entries of targets that are gone lapse after three heartbeats
@@ -127,16 +130,28 @@
             self.log_event(f"signal {signal_number.name} to {daemon.ip}")
             daemon.process.send_signal(signal_number)
         for daemon in daemons:
-            daemon.process.wait(15)
+            self.expect_exit(daemon, signal_number)
         for daemon in daemons:
             daemon.start()
 
+    def expect_exit(self, daemon, signal_number):
+        """A daemon that is stopped exits by itself within its grace period, with code 0 once it handles signals."""
+        expected = {0, -signal.SIGTERM} if signal_number == signal.SIGTERM else {-signal_number}
+        try:
+            code = daemon.wait(GRACE_SECONDS + MAX_PAUSE_SECONDS)
+        except subprocess.TimeoutExpired:
+            daemon.process.kill()
+            daemon.process.wait()
+            code = "late"
+        if code not in expected:
+            self.observed.violations.append(f"{daemon.ip} ended with {code} after {signal_number.name}")
+
     def pause_daemon(self):
         daemon = self.random.choice([*self.routers, *self.agents])
         self.log_event(f"pause {daemon.ip}")
         process = daemon.process
         process.send_signal(signal.SIGSTOP)
-        self.schedule(self.random.uniform(0.2, 1.5), lambda: process.send_signal(signal.SIGCONT))
+        self.schedule(self.random.uniform(0.2, MAX_PAUSE_SECONDS), lambda: process.send_signal(signal.SIGCONT))
 
     def reload_router(self):
         self.random.choice(self.routers).process.send_signal(signal.SIGHUP)
