A request that ends unanswered is no sign of life of its target

Cause: the time since which a target is silent was set anew by every request that ended there, also by one that was moved away or whose caller had left. With the first request moved after 900 ms, all others waited for 900 ms more, new ones were sent there for 350 ms, and the target was not taken as unreachable.

Fix: only bytes of the target, or the first request after it had none, begin the time anew.

The new case of fleet_test failed before.

--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -55,8 +55,9 @@
   /// The first event of a request has arrived, so its prefill is complete.
   void OnFirstEvent(Duration prefill);
 
-  /// A request has ended at the target, for whatever reason.
-  void OnEnded(TimePoint now);
+  /// A request has ended at the target, for whatever reason. That alone is no
+  /// sign of life: it may have been moved to another target.
+  void OnEnded();
 
   /// The outcome of a request that the target itself answered or aborted.
   void OnOutcome(bool failed);
--- a/src/libdaemon/target_attempt.cc
+++ b/src/libdaemon/target_attempt.cc
@@ -92,7 +92,7 @@
   silence_timer_.cancel();
   if (!std::exchange(is_sent_, false)) return;
   if (!has_first_event_) target().signals.OnFirstEvent(placement_.prefill);
-  target().signals.OnEnded(SteadyNow());
+  target().signals.OnEnded();
 }
 
 void TargetAttempt::RecordFirstEvent() {
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -55,10 +55,7 @@
   prefill_backlog_ = std::max(Duration{0}, prefill_backlog_ - prefill);
 }
 
-void TargetSignals::OnEnded(TimePoint now) {
-  in_flight_ = std::max(0, in_flight_ - 1);
-  waiting_since_ = now;
-}
+void TargetSignals::OnEnded() { in_flight_ = std::max(0, in_flight_ - 1); }
 
 void TargetSignals::OnOutcome(bool failed) {
   failure_rate_ += kOutcomeWeight * ((failed ? 1.0 : 0.0) - failure_rate_);
--- a/src/libserving/fleet_test.cc
+++ b/src/libserving/fleet_test.cc
@@ -113,10 +113,25 @@
   CHECK(signals.UnresponsiveTime(At(1400)) == milliseconds(400));
   signals.OnBytesReceived(At(1500));
   CHECK(signals.UnresponsiveTime(At(1600)) == milliseconds(100));
-  signals.OnEnded(At(1700));
+  signals.OnEnded();
   CHECK(signals.UnresponsiveTime(At(3000)) == milliseconds(0));
 }
 
+// Guards against callers that wait twice as long at a target that stands still:
+// each request that was moved away or whose caller left made the target look as
+// if it had just answered, so that the others waited for a whole time-out more.
+TEST_CASE("a request that ends without an answer is no sign of life") {
+  TargetSignals signals;
+  signals.OnSent(At(1000), milliseconds(10));
+  signals.OnSent(At(1010), milliseconds(10));
+  signals.OnSent(At(1020), milliseconds(10));
+  signals.OnEnded();
+  CHECK(signals.UnresponsiveTime(At(1910)) == milliseconds(910));
+  signals.OnBytesReceived(At(2000));
+  signals.OnEnded();
+  CHECK(signals.UnresponsiveTime(At(2100)) == milliseconds(100));
+}
+
 TEST_CASE("the backlog is the sum over routers with recent updates") {
   TargetSignals signals;
   signals.OnSent(At(0), milliseconds(40));
