--- a/src/libdaemon/object_feed_test.cc
+++ b/src/libdaemon/object_feed_test.cc
@@ -106,48 +106,57 @@
   CHECK(changes == std::vector<size_t>{0});
 }
 
+// A feed that has listed and whose first watch is held for `wait` at most.
+class WatchingFeed {
+ public:
+  WatchingFeed(milliseconds wait, FeedHandlers handlers)
+      : store_(
+            context_,
+            {JsonResponse(200, R"({"items":[],"has_more":false,"as_of":5})")}) {
+    handlers.on_list = [](const auto& /*objects*/, TimePoint /*sent*/) {};
+    FeedOptions options;
+    options.store_address = store_.address();
+    options.wait = wait;
+    feed_.emplace(context_, options, std::move(handlers));
+    feed_->Start();
+    RunFor(milliseconds(100));
+    REQUIRE(store_.requests().size() == 2);
+  }
+
+  void RunFor(milliseconds time) {
+    context_.restart();
+    context_.run_for(time);
+  }
+
+  ObjectFeed& feed() { return *feed_; }
+  const std::vector<std::string>& requests() const { return store_.requests(); }
+
+ private:
+  asio::io_context context_{1};
+  ScriptedStore store_;
+  std::optional<ObjectFeed> feed_;
+};
+
 // Guards against the same where another feed's call has failed: this one's
 // watch was open throughout and is held.
 TEST_CASE("a probe replaces a held watch by one that is answered at once") {
-  asio::io_context context{1};
-  ScriptedStore store(
-      context,
-      {JsonResponse(200, R"({"items":[],"has_more":false,"as_of":5})")});
-  FeedHandlers handlers;
-  handlers.on_list = [](const auto& /*objects*/, TimePoint /*sent*/) {};
-  FeedOptions options;
-  options.store_address = store.address();
-  options.wait = milliseconds(8000);
-  ObjectFeed feed(context, options, handlers);
-  feed.Start();
-  context.run_for(milliseconds(100));
-  REQUIRE(store.requests().size() == 2);
-  feed.Probe();
-  context.restart();
-  context.run_for(milliseconds(100));
-  REQUIRE(store.requests().size() == 3);
-  CHECK(WaitOf(store.requests()[2]) <= 1);
+  WatchingFeed watching(milliseconds(8000), {});
+  watching.feed().Probe();
+  watching.RunFor(milliseconds(100));
+  REQUIRE(watching.requests().size() == 3);
+  CHECK(WaitOf(watching.requests()[2]) <= 1);
 }
 
 // The failure of a watch that was to be held is as old as its late answer, not
 // as the watch.
 TEST_CASE("a failed call tells since when its answer is overdue") {
-  asio::io_context context{1};
-  ScriptedStore store(
-      context,
-      {JsonResponse(200, R"({"items":[],"has_more":false,"as_of":5})")});
   std::optional<Duration> overdue;
   FeedHandlers handlers;
-  handlers.on_list = [](const auto& /*objects*/, TimePoint /*sent*/) {};
   handlers.on_failure = [&](const std::string& /*reason*/, Duration since) {
     if (!overdue) overdue = since;
   };
-  FeedOptions options;
-  options.store_address = store.address();
-  options.wait = milliseconds(300);
-  ObjectFeed feed(context, options, handlers);
-  feed.Start();
-  context.run_for(milliseconds(1200));
+  WatchingFeed watching(milliseconds(300), std::move(handlers));
+  watching.RunFor(milliseconds(1200));
   REQUIRE(overdue.has_value());
   CHECK(*overdue >= milliseconds(650));
   CHECK(*overdue < milliseconds(950));
