--- a/src/include/dogwoodlatch/daemon/platform_view.h
+++ b/src/include/dogwoodlatch/daemon/platform_view.h
@@ -64,8 +64,8 @@
   serving::EraVerdict OnEra(uint64_t era, TimePoint now, TimePoint boot_now);
 
   /// Another router has proved that version `configuration` was current after
-  /// `sent`. Returns false if this view has a different one, so that the proof
-  /// does not count.
+  /// `sent`, and thus that the store answers. Returns false if this view has a
+  /// different one, so that the proof does not count.
   bool OnPeerProof(uint64_t configuration, TimePoint sent, TimePoint now);
 
   /// Handles a failed call whose answer was due at `due`, on the clock of
@@ -99,7 +99,7 @@
 
  private:
   void OnStoreResponse(TimePoint now);
-  void OnStoreSign(TimePoint now);
+  void OnStoreSeen(TimePoint now);
   void ConfirmConfiguration(TimePoint sent);
   void AdoptConfiguration(const platform::StoredObject& object);
   void AdoptTargets(const std::vector<platform::StoredObject>& objects,
@@ -125,8 +125,8 @@
   int consecutive_failures_ = 0;
   /// When the store last answered this process or, as far as it was told,
   /// another router.
-  TimePoint last_sign_{};
-  bool has_failed_since_sign_ = false;
+  TimePoint store_seen_at_{};
+  bool has_failed_since_seen_ = false;
   TimePoint unreachable_since_{};
   TimePoint reachable_since_{};
   /// Until when lapsed entries of live targets may return.
--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -60,17 +60,17 @@
              {{"lost_ms", FormatMilliseconds(now - unreachable_since_)}});
   }
   consecutive_failures_ = 0;
-  OnStoreSign(now);
+  OnStoreSeen(now);
 }
 
-void PlatformView::OnStoreSign(TimePoint now) {
+void PlatformView::OnStoreSeen(TimePoint now) {
   const bool may_have_lapsed =
-      now - last_sign_ >= kShortestLapseHeartbeats * target_heartbeat_;
-  if (has_failed_since_sign_ && may_have_lapsed) {
+      now - store_seen_at_ >= kShortestLapseHeartbeats * target_heartbeat_;
+  if (has_failed_since_seen_ && may_have_lapsed) {
     relist_deadline_ = now + kRelistTime;
   }
-  has_failed_since_sign_ = false;
-  last_sign_ = now;
+  has_failed_since_seen_ = false;
+  store_seen_at_ = now;
 }
 
 serving::EraVerdict PlatformView::OnEra(uint64_t era, TimePoint now,
@@ -108,7 +108,7 @@
 
 bool PlatformView::OnPeerProof(uint64_t configuration, TimePoint sent,
                                TimePoint now) {
-  OnStoreSign(now);
+  OnStoreSeen(now);
   const bool is_known =
       configuration_ && configuration <= configuration_->version();
   if (!is_known) return false;
@@ -119,8 +119,8 @@
 
 void PlatformView::OnFailure(ObjectKind kind, const std::string& reason,
                              TimePoint due, TimePoint now) {
-  if (due < last_sign_) return;
-  has_failed_since_sign_ = true;
+  if (due < store_seen_at_) return;
+  has_failed_since_seen_ = true;
   if (consecutive_failures_++ > 0) return;
   unreachable_since_ = now;
   LogEvent(EventId::kPlatformUnavailable,
--- a/testsuite/daemon_stopped/run.py
+++ b/testsuite/daemon_stopped/run.py
@@ -76,7 +76,7 @@
     print("ready", fleet.wait_until(lambda: fleet.is_ready(ROUTER)))
     print("threads: router", count_threads(router), "agent", count_threads(agent))
     for daemon in (router, agent):
-        subprocess.run(["taskset", "-pc", "0", str(daemon.process.pid)], check=True, stdout=subprocess.DEVNULL)
+        os.sched_setaffinity(daemon.process.pid, {min(os.sched_getaffinity(0))})
     print("idle on one processor: agent", end(agent, AGENT_PLAN_SECONDS), "router", end(router, ROUTER_PLAN_SECONDS))
     print("last lines: router", last_event(router), "agent", last_event(agent))
 
@@ -121,7 +121,7 @@
     model.behaviour = []
 
 
-# Every line is written or counted as dropped, and the end does not wait for the reader.
+# The end does not wait for a reader of the log, and what was written are whole lines.
 def check_full_pipe(bin_dir):
     router = fleet.start_router(bin_dir, ROUTER)
     router.process.kill()
