A request stays with its silent target until another one has taken it

Cause: after 0.9 s of silence the run at the first target was cancelled before the second one was even connected. If that was full, asked for a pause, broke off, or refused connections, nothing was left and the stream was broken off. The class: giving up the one that has the work before another one has taken it.

Change: both targets hold the request until one of them answers, 0.3 s at most after it was sent to the second one. If the second one fails meanwhile, the first one keeps it; if it fails later, the first one may be tried again. A request moves only if its answer is expected sooner elsewhere, and before its caller leaves; streams after 1.15 s in place of 0.9 s, as a sound target may pause for about a second and callers wait for two. A response that is not read because its caller is slow is no silence. E407 and E408 tell the choice.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -69,27 +69,34 @@
   void Start();
 
  private:
-  void OnConnectFailed(const std::string& reason) override;
-  void OnConnected() override;
-  void OnStreamBytes(std::string_view bytes) override;
-  void OnStreamEnd() override;
-  void OnResponse() override;
-  void OnConnectionLost() override;
-  void OnUnresponsive() override;
+  void OnConnectFailed(TargetAttempt& attempt,
+                       const std::string& reason) override;
+  void OnConnected(TargetAttempt& attempt) override;
+  void OnStreamBytes(TargetAttempt& attempt, std::string_view bytes) override;
+  void OnStreamEnd(TargetAttempt& attempt) override;
+  void OnResponse(TargetAttempt& attempt) override;
+  void OnConnectionLost(TargetAttempt& attempt) override;
+  void OnUnresponsive(TargetAttempt& attempt) override;
 
   bool AdmitRequest();
   void StartDeadline();
   std::optional<serving::Placement> Place(std::span<const std::string> excluded,
                                           TimePoint now) const;
-  bool HasOtherTarget(TimePoint now) const;
   void TryTarget();
   void RecordSend(const std::vector<uint64_t>& shared_parts);
   void RelayEvents(std::string_view events);
-  void OnNotRun();
-  void OnResponseLost(std::string_view why);
-  void RecordLostRun(std::string_view why);
+  void OnNotRun(TargetAttempt& attempt);
+  void OnFailure(int status);
+  void OnResponseLost(TargetAttempt& attempt, std::string_view why);
+  void RecordLostRun(const TargetAttempt& attempt, std::string_view why);
   void AbandonAttempt();
-  void WithdrawAttempt();
+  void WithdrawAttempt(std::shared_ptr<TargetAttempt>& attempt);
+  Duration CallerLeavesIn(TimePoint now) const;
+  void StartHandoverTimer();
+  void SelectAnswering(const TargetAttempt& attempt);
+  void CompleteHandover();
+  void ReturnToSilent();
+  void DropSilent();
   bool MayRunAgain() const;
   bool WithdrawRetry();
   void EndWithoutResponse();
@@ -114,10 +121,14 @@
   asio::steady_timer deadline_timer_;
 
   std::shared_ptr<TargetAttempt> attempt_;
+  /// The attempt at a silent target, until `attempt_` has taken its place.
+  std::shared_ptr<TargetAttempt> silent_;
+  asio::steady_timer handover_timer_;
   std::vector<std::string> tried_;  ///< ids of targets
   serving::RequestProgress progress_;
   serving::EventStreamSplitter splitter_;
   std::optional<TimePoint> first_event_at_;
+  std::optional<TimePoint> last_event_at_;
   bool is_finished_ = false;
 };
 
--- a/src/include/dogwoodlatch/daemon/target_attempt.h
+++ b/src/include/dogwoodlatch/daemon/target_attempt.h
@@ -15,28 +15,33 @@
 
 namespace dogwoodlatch::daemon {
 
-/// Receives the events of an attempt. OnConnectFailed, OnResponse, OnStreamEnd
-/// and OnConnectionLost end it; none of them is called after Cancel.
+class TargetAttempt;
+
+/// Receives the events of its attempts. OnConnectFailed, OnResponse,
+/// OnStreamEnd and OnConnectionLost end an attempt; none of the functions is
+/// called after Cancel.
 class AttemptOwner {
  public:
   virtual ~AttemptOwner() = default;
 
   /// No connection could be made; nothing was sent.
-  virtual void OnConnectFailed(const std::string& reason) = 0;
+  virtual void OnConnectFailed(TargetAttempt& attempt,
+                               const std::string& reason) = 0;
   /// The connection is established; the request may be sent.
-  virtual void OnConnected() = 0;
+  virtual void OnConnected(TargetAttempt& attempt) = 0;
   /// Body bytes of a successful, sealed stream.
-  virtual void OnStreamBytes(std::string_view bytes) = 0;
-  virtual void OnStreamEnd() = 0;
+  virtual void OnStreamBytes(TargetAttempt& attempt,
+                             std::string_view bytes) = 0;
+  virtual void OnStreamEnd(TargetAttempt& attempt) = 0;
   /// A complete response of any other kind.
-  virtual void OnResponse() = 0;
+  virtual void OnResponse(TargetAttempt& attempt) = 0;
   /// The request was sent, but the connection broke before the response's end,
   /// or was closed because the response is longer than it may be.
-  virtual void OnConnectionLost() = 0;
+  virtual void OnConnectionLost(TargetAttempt& attempt) = 0;
   /// Nothing arrived within the request's `max_silence`: for a stream, no bytes
   /// of any response of the target; for another request, no response head.
   /// Called again after each further such time.
-  virtual void OnUnresponsive() = 0;
+  virtual void OnUnresponsive(TargetAttempt& attempt) = 0;
 };
 
 /// Properties of the request that the attempt depends on.
@@ -82,6 +87,10 @@
   bool is_sent() const { return is_sent_; }
   TimePoint sent_at() const { return sent_at_; }
 
+  /// For a stream, how long the target has sent nothing to anyone; for another
+  /// request, the time since it was sent.
+  Duration SilentFor(TimePoint now) const;
+
   /// How many bytes the target's VM has not acknowledged, for logs.
   std::string FormatUnacknowledged() const;
 
--- a/src/include/dogwoodlatch/serving/admission.h
+++ b/src/include/dogwoodlatch/serving/admission.h
@@ -23,6 +23,9 @@
 /// none if the wait is not limited.
 std::optional<Duration> MaxQueueWait(Duration objective);
 
+/// How long callers wait for an event of a stream before they leave.
+Duration CallerWait(Duration objective);
+
 /// Returns nothing if the request should be sent, otherwise the delay after
 /// which the caller should retry. Under overload an unbounded queue makes every
 /// answer late; a short queue keeps the admitted requests on time.
--- a/src/include/dogwoodlatch/serving/attempt_rules.h
+++ b/src/include/dogwoodlatch/serving/attempt_rules.h
@@ -43,6 +43,16 @@
 bool MayAbandonUnresponsive(const Route& route, RequestProgress progress,
                             Duration left);
 
+/// A request whose target has fallen silent.
+struct SilentRequest {
+  Duration silence{0};             ///< so far
+  Duration estimate_elsewhere{0};  ///< until another target's first byte
+  Duration caller_left{0};         ///< until the caller leaves
+};
+
+/// True if the answer is expected sooner from another target.
+bool IsMovePromising(const SilentRequest& request);
+
 /// True if a request that did not run at its last target may be sent to
 /// another one.
 bool MaySendAgain(const RequestProgress& progress, Duration left);
@@ -66,11 +76,12 @@
 /// Longest idle time of a pooled connection that may carry the request.
 Duration MaxIdleTime(const Route& route);
 
-/// A target that sends nothing for this time is unresponsive for every request.
-inline constexpr std::chrono::milliseconds kMaxFirstByteTimeout{900};
+/// A target that sends nothing for this time while it has requests gets no new
+/// ones.
+inline constexpr std::chrono::milliseconds kUnresponsiveTime{900};
 
-/// How long a request waits for the first byte of an answer before it is sent
-/// to another target; 0 if it must not be repeated.
+/// Silence of its target after which a request may move to another one; 0 if it
+/// must not be repeated.
 std::chrono::milliseconds FirstByteTimeout(const Route& route);
 
 }  // namespace dogwoodlatch::serving
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -53,6 +53,8 @@
   kAnswerSkipped = 404,
   kRequestTooLate = 405,
   kAttemptWithdrawn = 406,
+  kAttemptSilent = 407,
+  kAttemptKept = 408,
   kTargetCrashed = 500,
   kCrashSuspects = 501,
   kQuarantined = 502,
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -23,6 +23,10 @@
 constexpr milliseconds kStoppingRetryAfter{50};  // another router
 constexpr milliseconds kBusyRetryAfter{300};     // a target that serves again
 
+// Longest time for which two targets may hold a request, while it moves from a
+// silent one to another.
+constexpr milliseconds kMaxOverlap{300};
+
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
@@ -44,7 +48,8 @@
               .configuration = context.view.configuration()},
       arrived_at_(SteadyNow()),
       response_deadline_(arrived_at_),
-      deadline_timer_(context.io) {
+      deadline_timer_(context.io),
+      handover_timer_(context.io) {
   ++context_.in_progress;
 }
 
@@ -169,12 +174,13 @@
                      .is_stream = routed_.route->kind == RouteKind::kStream,
                      .max_silence = serving::FirstByteTimeout(*routed_.route)});
   const Duration max_idle = serving::MaxIdleTime(*routed_.route);
-  if (!attempt_->Connect(max_idle)) OnConnectFailed("no address");
+  if (!attempt_->Connect(max_idle)) OnConnectFailed(*attempt_, "no address");
 }
 
-void Exchange::OnConnectFailed(const std::string& reason) {
+void Exchange::OnConnectFailed(TargetAttempt& attempt,
+                               const std::string& reason) {
   LogEvent(EventId::kTargetAvoided, {{"request", routed_.metadata.id},
-                                     {"target", attempt_->target_id()},
+                                     {"target", attempt.target_id()},
                                      {"reason", reason}});
   AbandonAttempt();
   ++progress_.connect_failures;
@@ -185,8 +191,8 @@
   }
 }
 
-void Exchange::OnConnected() {
-  if (attempt_->is_on_new_connection()) {
+void Exchange::OnConnected(TargetAttempt& attempt) {
+  if (attempt.is_on_new_connection()) {
     context_.metrics.Count("dogwoodlatch_connections_opened_total");
   }
   if (TimeLeft() < serving::MinTimeToSend()) {
@@ -195,7 +201,7 @@
   }
   // The target may have begun to leave, or asked for a pause, while the
   // connection was made.
-  const serving::Target& target = attempt_->target();
+  const serving::Target& target = attempt.target();
   if (target.IsLeaving() ||
       target.signals.PushbackLeft(SteadyNow()) > Duration{0}) {
     AbandonAttempt();
@@ -203,19 +209,20 @@
     return;
   }
   const std::vector<uint64_t> shared_parts = serving::SharedPartKeys(
-      routed_.metadata.prompt, attempt_->placement().cache_group);
+      routed_.metadata.prompt, attempt.placement().cache_group);
   const bool saves =
       ShouldSave(routed_, shared_parts, context_.saved_parts, SteadyNow());
   platform::ForwardingMetadata forwarding =
-      MakeForwardingMetadata(routed_, attempt_->placement(), saves);
+      MakeForwardingMetadata(routed_, attempt.placement(), saves);
   forwarding.time_left = TimeLeft();
   forwarding.last_event_id = splitter_.last_id();
   const dataplane::HeaderList headers =
       platform::ForwardHeaders(request_.headers, forwarding);
   RecordSend(shared_parts);
-  attempt_->Send(dataplane::BuildRequestHead(request_.method, request_.target,
-                                             headers, body_->size()),
-                 body_);
+  attempt.Send(dataplane::BuildRequestHead(request_.method, request_.target,
+                                           headers, body_->size()),
+               body_);
+  if (silent_) StartHandoverTimer();
 }
 
 void Exchange::RecordSend(const std::vector<uint64_t>& shared_parts) {
@@ -249,22 +256,25 @@
             {"left_ms", std::to_string(TimeLeft().count())}});
 }
 
-void Exchange::OnStreamBytes(std::string_view bytes) {
+void Exchange::OnStreamBytes(TargetAttempt& attempt, std::string_view bytes) {
+  SelectAnswering(attempt);
   RelayEvents(splitter_.Feed(bytes));
-  if (attempt_ && splitter_.is_too_long()) OnResponseLost("event too long");
+  if (attempt_ && splitter_.is_too_long())
+    OnResponseLost(*attempt_, "event too long");
 }
 
 void Exchange::RelayEvents(std::string_view events) {
   if (events.empty()) return;
   attempt_->RecordFirstEvent();
+  last_event_at_ = SteadyNow();
   if (!first_event_at_) {
-    first_event_at_ = SteadyNow();
+    first_event_at_ = last_event_at_;
     context_.metrics.Observe("dogwoodlatch_first_event_ms",
                              "service=\"" + routed_.service + "\"",
                              *first_event_at_ - arrived_at_);
   }
   if (!splitter_.in_sequence()) {
-    OnResponseLost("events out of sequence");
+    OnResponseLost(*attempt_, "events out of sequence");
     return;
   }
   if (!std::exchange(progress_.stream_started, true)) {
@@ -281,10 +291,11 @@
   });
 }
 
-void Exchange::OnStreamEnd() {
+void Exchange::OnStreamEnd(TargetAttempt& attempt) {
+  SelectAnswering(attempt);
   if (splitter_.has_partial()) {
     context_.pool.Drop(attempt_->target_id());
-    OnResponseLost("ended inside an event");
+    OnResponseLost(attempt, "ended inside an event");
     return;
   }
   attempt_->target().signals.OnOutcome(false);
@@ -298,39 +309,41 @@
   Finish(Outcome::kServed, status);
 }
 
-void Exchange::OnResponse() {
-  const int status = attempt_->head().status;
+void Exchange::OnResponse(TargetAttempt& attempt) {
+  const int status = attempt.head().status;
   const serving::AnswerVerdict verdict =
       serving::ClassifyAnswer({.status = status,
-                               .is_sealed = attempt_->response().is_sealed,
-                               .not_run = attempt_->response().not_run});
-  switch (verdict) {
-    case serving::AnswerVerdict::kNotRun:
-      OnNotRun();
-      return;
-    case serving::AnswerVerdict::kUnusable:
-      attempt_->target().signals.OnOutcome(true);
-      OnResponseLost("status " + std::to_string(status) + " without proof");
-      return;
-    case serving::AnswerVerdict::kGood:
-      attempt_->target().signals.OnOutcome(false);
-      context_.poison.OnAnswered(fingerprint_);
-      DeliverResponse();
-      return;
-    case serving::AnswerVerdict::kFailure:
-      break;
-  }
-  attempt_->target().signals.OnOutcome(true);
-  if (progress_.stream_started) {
-    OnResponseLost("failure instead of a resumed stream");
+                               .is_sealed = attempt.response().is_sealed,
+                               .not_run = attempt.response().not_run});
+  if (verdict == serving::AnswerVerdict::kNotRun) {
+    OnNotRun(attempt);
     return;
   }
+  const bool is_good = verdict == serving::AnswerVerdict::kGood;
+  attempt.target().signals.OnOutcome(!is_good);
+  if (is_good) {
+    SelectAnswering(attempt);
+    context_.poison.OnAnswered(fingerprint_);
+    DeliverResponse();
+  } else if (verdict == serving::AnswerVerdict::kUnusable) {
+    OnResponseLost(attempt,
+                   "status " + std::to_string(status) + " without proof");
+  } else if (progress_.stream_started || &attempt == silent_.get()) {
+    OnResponseLost(attempt, "status " + std::to_string(status) +
+                                " while another target has the request");
+  } else {
+    OnFailure(status);
+  }
+}
+
+void Exchange::OnFailure(int status) {
   ++progress_.runs;
   if (status >= kServerFailure && MayRunAgain() && WithdrawRetry()) {
     AbandonAttempt();
     TryTarget();
     return;
   }
+  if (silent_) CompleteHandover();
   DeliverResponse();
 }
 
@@ -343,11 +356,11 @@
 }
 
 // The target has proven that it did not run the request.
-void Exchange::OnNotRun() {
-  const platform::ResponseMetadata& response = attempt_->response();
-  serving::Target& target = attempt_->target();
+void Exchange::OnNotRun(TargetAttempt& attempt) {
+  const platform::ResponseMetadata& response = attempt.response();
+  serving::Target& target = attempt.target();
   const TimePoint now = SteadyNow();
-  const bool is_misdirected = attempt_->head().status == kMisdirected;
+  const bool is_misdirected = attempt.head().status == kMisdirected;
   if (is_misdirected && response.instance != target.record.id) {
     target.signals.OnReplaced(now);
     context_.pool.Drop(target.record.id);
@@ -360,10 +373,14 @@
   LogEvent(EventId::kAttemptRefused,
            {{"request", routed_.metadata.id},
             {"target", target.record.id},
-            {"status", std::to_string(attempt_->head().status)},
+            {"status", std::to_string(attempt.head().status)},
             {"instance", response.instance},
             {"weights", std::to_string(response.weights)},
-            {"after_ms", FormatMilliseconds(now - attempt_->sent_at())}});
+            {"after_ms", FormatMilliseconds(now - attempt.sent_at())}});
+  if (&attempt == silent_.get()) {
+    DropSilent();
+    return;
+  }
   AbandonAttempt();
   if (serving::MaySendAgain(progress_, TimeLeft()) && WithdrawRetry()) {
     TryTarget();
@@ -372,42 +389,119 @@
   }
 }
 
-void Exchange::OnConnectionLost() {
-  attempt_->target().signals.OnOutcome(true);
+void Exchange::OnConnectionLost(TargetAttempt& attempt) {
+  attempt.target().signals.OnOutcome(true);
   context_.poison.OnBroken(
       {.request = fingerprint_,
-       .target = serving::IncarnationKey(attempt_->target().record)},
+       .target = serving::IncarnationKey(attempt.target().record)},
       SteadyNow());
-  OnResponseLost("connection broke");
+  OnResponseLost(attempt, "connection broke");
 }
 
-// Moves the request to another target if one can take it. Otherwise the request
-// keeps waiting, as the response may still arrive.
-void Exchange::OnUnresponsive() {
+// Moves the request to another target if its answer is expected sooner from
+// there. The silent target keeps the request until the other one has taken it
+// over: it may go on at any moment, and the other one may turn out to be full.
+void Exchange::OnUnresponsive(TargetAttempt& attempt) {
   const TimePoint now = SteadyNow();
-  serving::TargetSignals& signals = attempt_->target().signals;
-  if (signals.UnresponsiveTime(now) >= serving::kMaxFirstByteTimeout) {
+  serving::TargetSignals& signals = attempt.target().signals;
+  if (signals.UnresponsiveTime(now) >= serving::kUnresponsiveTime) {
     signals.OnUnreachable(now);
   }
-  const bool may_leave =
+  const bool is_moving = silent_ || &attempt != attempt_.get();
+  // A response that is not read for the caller's sake is no silence.
+  if (is_moving || session_->IsCongested()) return;
+  std::vector<std::string> excluded = tried_;
+  excluded.push_back(attempt.target_id());
+  const std::optional<serving::Placement> other = Place(excluded, now);
+  const bool is_allowed =
       serving::MayAbandonUnresponsive(*routed_.route, progress_, TimeLeft()) &&
-      !context_.poison.IsBlocked(fingerprint_, now) && HasOtherTarget(now);
-  if (may_leave && WithdrawRetry()) {
-    RecordLostRun("silent");
-    TryTarget();
+      !context_.poison.IsBlocked(fingerprint_, now);
+  const bool moves =
+      other && is_allowed &&
+      serving::IsMovePromising({.silence = attempt.SilentFor(now),
+                                .estimate_elsewhere = other->estimate,
+                                .caller_left = CallerLeavesIn(now)}) &&
+      WithdrawRetry();
+  LogEvent(
+      EventId::kAttemptSilent,
+      {{"request", routed_.metadata.id},
+       {"target", attempt.target_id()},
+       {"silent_ms", FormatMilliseconds(attempt.SilentFor(now))},
+       {"elsewhere_ms", other ? FormatMilliseconds(other->estimate) : "none"},
+       {"allowed", is_allowed ? "yes" : "no"},
+       {"moves", moves ? "yes" : "no"}});
+  if (!moves) return;
+  tried_.push_back(attempt.target_id());
+  silent_ = std::move(attempt_);
+  TryTarget();
+}
+
+Duration Exchange::CallerLeavesIn(TimePoint now) const {
+  const Duration left = TimeLeft();
+  if (routed_.route->kind != RouteKind::kStream) return left;
+  const Duration waited = now - last_event_at_.value_or(arrived_at_);
+  return std::min(left, serving::CallerWait(routed_.route->objective) - waited);
+}
+
+void Exchange::StartHandoverTimer() {
+  handover_timer_.expires_after(kMaxOverlap);
+  // A handler that was queued before the timer was cancelled finds another
+  // attempt.
+  handover_timer_.async_wait(
+      [weak = weak_from_this(),
+       taking = std::weak_ptr(attempt_)](std::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || !self->silent_) return;
+        if (self->attempt_ == taking.lock()) self->CompleteHandover();
+      });
+}
+
+// One of two targets that hold the request answers: it is the one that keeps
+// it.
+void Exchange::SelectAnswering(const TargetAttempt& attempt) {
+  if (!silent_) return;
+  if (&attempt == silent_.get()) {
+    ReturnToSilent();
+  } else {
+    CompleteHandover();
   }
 }
 
-bool Exchange::HasOtherTarget(TimePoint now) const {
-  std::vector<std::string> excluded = tried_;
-  excluded.push_back(attempt_->target_id());
-  return Place(excluded, now).has_value();
+// The silent target may be tried again, as its silence is no failure.
+void Exchange::CompleteHandover() {
+  RecordLostRun(*silent_, "silent");
+  std::erase(tried_, silent_->target_id());
+  DropSilent();
+}
+
+void Exchange::ReturnToSilent() {
+  handover_timer_.cancel();
+  LogEvent(EventId::kAttemptKept, {{"request", routed_.metadata.id},
+                                   {"target", silent_->target_id()}});
+  if (attempt_) {
+    if (attempt_->is_sent()) ++progress_.runs;
+    WithdrawAttempt(attempt_);
+  }
+  attempt_ = std::move(silent_);
+}
+
+void Exchange::DropSilent() {
+  handover_timer_.cancel();
+  splitter_.DropPartial();
+  silent_->Cancel();
+  silent_.reset();
 }
 
 // The request was sent and its response is lost or unusable, so it may have
 // run.
-void Exchange::OnResponseLost(std::string_view why) {
-  RecordLostRun(why);
+void Exchange::OnResponseLost(TargetAttempt& attempt, std::string_view why) {
+  RecordLostRun(attempt, why);
+  if (&attempt == silent_.get()) {
+    DropSilent();
+    return;
+  }
+  if (!silent_) splitter_.DropPartial();
+  AbandonAttempt();
   if (splitter_.in_sequence() && MayRunAgain() && WithdrawRetry()) {
     TryTarget();
   } else {
@@ -415,17 +509,16 @@
   }
 }
 
-void Exchange::RecordLostRun(std::string_view why) {
+void Exchange::RecordLostRun(const TargetAttempt& attempt,
+                             std::string_view why) {
   ++progress_.runs;
-  splitter_.DropPartial();
   LogEvent(EventId::kAttemptLost,
            {{"request", routed_.metadata.id},
-            {"target", attempt_->target_id()},
+            {"target", attempt.target_id()},
             {"why", std::string(why)},
-            {"after_ms", FormatMilliseconds(SteadyNow() - attempt_->sent_at())},
+            {"after_ms", FormatMilliseconds(SteadyNow() - attempt.sent_at())},
             {"events", std::to_string(splitter_.events())},
-            {"unacknowledged", attempt_->FormatUnacknowledged()}});
-  AbandonAttempt();
+            {"unacknowledged", attempt.FormatUnacknowledged()}});
 }
 
 void Exchange::AbandonAttempt() {
@@ -434,22 +527,24 @@
   attempt_.reset();
 }
 
-void Exchange::WithdrawAttempt() {
-  if (!attempt_) return;
-  if (attempt_->is_sent()) {
+void Exchange::WithdrawAttempt(std::shared_ptr<TargetAttempt>& attempt) {
+  if (!attempt) return;
+  if (attempt->is_sent()) {
     LogEvent(
         EventId::kAttemptWithdrawn,
         {{"request", routed_.metadata.id},
-         {"target", attempt_->target_id()},
-         {"after_ms", FormatMilliseconds(SteadyNow() - attempt_->sent_at())},
-         {"unacknowledged", attempt_->FormatUnacknowledged()}});
+         {"target", attempt->target_id()},
+         {"after_ms", FormatMilliseconds(SteadyNow() - attempt->sent_at())},
+         {"unacknowledged", attempt->FormatUnacknowledged()}});
   }
-  attempt_->Cancel();
-  attempt_.reset();
+  attempt->Cancel();
+  attempt.reset();
 }
 
 bool Exchange::MayRunAgain() const {
-  return serving::MayRunAgain(*routed_.route, progress_, TimeLeft()) &&
+  serving::RequestProgress progress = progress_;
+  if (silent_) ++progress.runs;
+  return serving::MayRunAgain(*routed_.route, progress, TimeLeft()) &&
          !context_.poison.IsBlocked(fingerprint_, SteadyNow());
 }
 
@@ -463,6 +558,10 @@
 }
 
 void Exchange::EndWithoutResponse() {
+  if (silent_) {
+    ReturnToSilent();
+    return;
+  }
   switch (serving::DetermineFinalOutcome(progress_)) {
     case serving::FinalOutcome::kRefuse:
       RefuseForLackOfTargets();
@@ -524,8 +623,10 @@
 
 void Exchange::Finish(Outcome outcome, int status) {
   if (std::exchange(is_finished_, true)) return;
-  WithdrawAttempt();
+  WithdrawAttempt(attempt_);
+  WithdrawAttempt(silent_);
   deadline_timer_.cancel();
+  handover_timer_.cancel();
   const Duration took = SteadyNow() - arrived_at_;
   const std::string label = "outcome=\"" + std::string(ToString(outcome)) +
                             "\",service=\"" + routed_.service + "\"";
--- a/src/libdaemon/target_attempt.cc
+++ b/src/libdaemon/target_attempt.cc
@@ -43,7 +43,7 @@
   const auto keep_alive = shared_from_this();
   connection_ = pool_.TakeIdle(target_id(), SteadyNow(), max_idle);
   if (connection_) {
-    owner_.OnConnected();
+    owner_.OnConnected(*this);
     return true;
   }
   const auto endpoint = dataplane::ParseEndpoint(target().record.address);
@@ -56,11 +56,11 @@
                          if (error) {
                            self->target().signals.OnUnreachable(SteadyNow());
                            self->Cancel();
-                           self->owner_.OnConnectFailed(error.message());
+                           self->owner_.OnConnectFailed(*self, error.message());
                            return;
                          }
                          self->target().signals.OnReachable();
-                         self->owner_.OnConnected();
+                         self->owner_.OnConnected(*self);
                        });
   return true;
 }
@@ -74,6 +74,11 @@
   if (request_.max_silence.count() > 0) StartSilenceTimer(request_.max_silence);
 }
 
+Duration TargetAttempt::SilentFor(TimePoint now) const {
+  return request_.is_stream ? target().signals.UnresponsiveTime(now)
+                            : now - sent_at_;
+}
+
 std::string TargetAttempt::FormatUnacknowledged() const {
   const auto bytes = connection_ ? connection_->UnacknowledgedBytes()
                                  : std::optional<size_t>{};
@@ -117,17 +122,13 @@
 // about to end.
 void TargetAttempt::OnSilenceTimer() {
   if (!request_.is_stream && has_head_) return;
-  const Duration unresponsive_time =
-      target().signals.UnresponsiveTime(SteadyNow());
-  const bool is_unresponsive = unresponsive_time >= request_.max_silence;
-  if (request_.is_stream && !is_unresponsive) {
-    StartSilenceTimer(std::chrono::ceil<milliseconds>(request_.max_silence -
-                                                      unresponsive_time) +
-                      milliseconds(1));
+  const Duration left = request_.max_silence - SilentFor(SteadyNow());
+  if (left > Duration{0}) {
+    StartSilenceTimer(std::chrono::ceil<milliseconds>(left) + milliseconds(1));
     return;
   }
   const auto keep_alive = shared_from_this();
-  owner_.OnUnresponsive();
+  owner_.OnUnresponsive(*this);
   // A request that stays may be moved later, when another target has room.
   if (is_sent_) StartSilenceTimer(request_.max_silence);
 }
@@ -186,7 +187,7 @@
   target().signals.OnBytesReceived(SteadyNow());
   if (is_event_stream_) {
     const auto keep_alive = shared_from_this();
-    owner_.OnStreamBytes(bytes);
+    owner_.OnStreamBytes(*this, bytes);
     return;
   }
   const size_t limit =
@@ -207,16 +208,16 @@
   RecordEnd();
   pool_.Return(target_id(), std::exchange(connection_, nullptr));
   if (is_event_stream_) {
-    owner_.OnStreamEnd();
+    owner_.OnStreamEnd(*this);
   } else {
-    owner_.OnResponse();
+    owner_.OnResponse(*this);
   }
 }
 
 void TargetAttempt::OnConnectionLost() {
   const auto keep_alive = shared_from_this();
   Cancel();
-  owner_.OnConnectionLost();
+  owner_.OnConnectionLost(*this);
 }
 
 }  // namespace dogwoodlatch::daemon
--- a/src/libserving/admission.cc
+++ b/src/libserving/admission.cc
@@ -24,14 +24,17 @@
   return std::chrono::duration_cast<Duration>(objective * kMaxQueueWaitShare);
 }
 
+Duration CallerWait(Duration objective) {
+  return std::max(kMinCallerWait, objective * kCallerWaitObjectives);
+}
+
 std::optional<Duration> RetryAfterIfTooLate(const AdmissionRequest& request) {
   const std::optional<Duration> max_wait = MaxQueueWait(request.objective);
   if (!max_wait) return std::nullopt;
-  const Duration caller_wait =
-      std::max(kMinCallerWait, request.objective * kCallerWaitObjectives);
-  const Duration limit = request.is_stream
-                             ? std::min(caller_wait, request.time_left)
-                             : request.time_left;
+  const Duration limit =
+      request.is_stream
+          ? std::min(CallerWait(request.objective), request.time_left)
+          : request.time_left;
   const bool misses_deadline = request.backlog + request.prefill > limit;
   const bool exceeds_queue_wait = request.backlog > *max_wait;
   if (!misses_deadline && !exceeds_queue_wait) return std::nullopt;
--- a/src/libserving/attempt_rules.cc
+++ b/src/libserving/attempt_rules.cc
@@ -25,6 +25,10 @@
 constexpr int kPlainTimeoutObjectives = 2;
 constexpr std::chrono::milliseconds kMinPlainTimeout{150};
 
+// A sound target may pause for about a second. Callers leave a stream after two
+// seconds without an event.
+constexpr std::chrono::milliseconds kMaxStreamSilence{1150};
+
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 // Statuses by which callers conclude that the request has not run.
@@ -59,6 +63,14 @@
   return MayRunAgain(route, progress, left);
 }
 
+// Nothing is known about how long the silence lasts, so it is expected to last
+// as long again as it has lasted. A caller that would leave before the other
+// target's first byte can only be served by the first target.
+bool IsMovePromising(const SilentRequest& request) {
+  return request.estimate_elsewhere <
+         std::min(request.silence, request.caller_left);
+}
+
 bool MaySendAgain(const RequestProgress& progress, Duration left) {
   return progress.sends < kMaxSends && left > kMinTimeToSend;
 }
@@ -78,12 +90,10 @@
   return route.MayRepeat() ? kMaxIdleRepeatable : kMaxIdleNonRepeatable;
 }
 
-// Streams wait for the time after which callers leave, less the time that a
-// second attempt needs.
 std::chrono::milliseconds FirstByteTimeout(const Route& route) {
   if (!route.MayRepeat()) return std::chrono::milliseconds(0);
   return route.kind == RouteKind::kStream
-             ? kMaxFirstByteTimeout
+             ? kMaxStreamSilence
              : std::max(kMinPlainTimeout,
                         kPlainTimeoutObjectives * route.objective);
 }
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -117,9 +117,15 @@
     EventSpec{
         EventId::kRequestTooLate, Severity::kInfo, "request_too_late",
         "A request is refused because its response would arrive too late."},
-    EventSpec{
-        EventId::kAttemptWithdrawn, Severity::kInfo, "attempt_withdrawn",
-        "A request ended while a target had it; the attempt is cancelled."},
+    EventSpec{EventId::kAttemptWithdrawn, Severity::kInfo, "attempt_withdrawn",
+              "A target had a request that has ended or goes on elsewhere; the "
+              "attempt is cancelled."},
+    EventSpec{EventId::kAttemptSilent, Severity::kInfo, "attempt_silent",
+              "A target that has a request sends nothing; the request moves to "
+              "another one or stays."},
+    EventSpec{EventId::kAttemptKept, Severity::kInfo, "attempt_kept",
+              "A silent target goes on, or no other one can take its request; "
+              "the request stays there."},
     EventSpec{EventId::kTargetCrashed, Severity::kWarning, "target_crashed",
               "A run failed and the target's incarnation has ended."},
     EventSpec{EventId::kCrashSuspects, Severity::kWarning, "crash_suspects",
--- a/testsuite/silent_targets/run.py
+++ b/testsuite/silent_targets/run.py
@@ -65,6 +65,10 @@
         status, is_whole, _, took = play.stream(["silent 1.15", second, second])
         print(f"second target {second}: status {status} whole {is_whole} in time {took < 2.9}")
         time.sleep(1.1)
+    # The other target turns it away once the first one has been left: the first one gets it again.
+    status, is_whole, arrivals, _ = play.stream(["silent 2", "full after 0.6"])
+    print(f"second target full later: status {status} whole {is_whole} arrivals {arrivals}")
+    time.sleep(1.1)
 
 
 def check_unreachable_target(play):
