--- /dev/null
+++ b/src/libdaemon/exchange_attempts.cc
@@ -0,0 +1,317 @@
+#include <algorithm>
+#include <utility>
+
+#include "dogwoodlatch/daemon/exchange.h"
+#include "dogwoodlatch/serving/admission.h"
+#include "dogwoodlatch/util/log.h"
+
+// What the attempts of a request report, and how it moves between targets.
+
+namespace dogwoodlatch::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Longest time for which two targets may hold a request, while it moves from a
+// silent one to another.
+constexpr milliseconds kMaxOverlap{300};
+
+constexpr int kMisdirected = 421;
+constexpr int kServerFailure = 500;
+
+}  // namespace
+
+void Exchange::OnStreamBytes(TargetAttempt& attempt, std::string_view bytes) {
+  SelectAnswering(attempt);
+  RelayEvents(splitter_.Feed(bytes));
+  if (attempt_ && splitter_.is_too_long())
+    OnResponseLost(*attempt_, "event too long");
+}
+
+void Exchange::RelayEvents(std::string_view events) {
+  if (events.empty()) return;
+  attempt_->RecordFirstEvent();
+  last_event_at_ = SteadyNow();
+  if (!first_event_at_) {
+    first_event_at_ = last_event_at_;
+    context_.metrics.Observe("dogwoodlatch_first_event_ms",
+                             "service=\"" + routed_.service + "\"",
+                             *first_event_at_ - arrived_at_);
+  }
+  if (!splitter_.in_sequence()) {
+    OnResponseLost(*attempt_, "events out of sequence");
+    return;
+  }
+  if (!std::exchange(progress_.stream_started, true)) {
+    session_->StartChunkedResponse(
+        attempt_->head().status,
+        platform::ReturnHeaders(attempt_->head().headers));
+  }
+  session_->SendChunk(events);
+  if (is_finished_ || !session_->IsCongested()) return;
+  attempt_->PauseReading();
+  session_->SetDrainedHandler([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->attempt_) self->attempt_->ResumeReading();
+  });
+}
+
+void Exchange::OnStreamEnd(TargetAttempt& attempt) {
+  SelectAnswering(attempt);
+  if (splitter_.has_partial()) {
+    context_.pool.Drop(attempt_->target_id());
+    OnResponseLost(attempt, "ended inside an event");
+    return;
+  }
+  attempt_->target().signals.OnOutcome(false);
+  context_.poison.OnAnswered(fingerprint_);
+  const int status = attempt_->head().status;
+  if (!progress_.stream_started) {
+    session_->StartChunkedResponse(
+        status, platform::ReturnHeaders(attempt_->head().headers));
+  }
+  session_->EndChunkedResponse();
+  Finish(Outcome::kServed, status);
+}
+
+void Exchange::OnResponse(TargetAttempt& attempt) {
+  const int status = attempt.head().status;
+  const serving::AnswerVerdict verdict =
+      serving::ClassifyAnswer({.status = status,
+                               .is_sealed = attempt.response().is_sealed,
+                               .not_run = attempt.response().not_run});
+  if (verdict == serving::AnswerVerdict::kNotRun) {
+    OnNotRun(attempt);
+    return;
+  }
+  const bool is_good = verdict == serving::AnswerVerdict::kGood;
+  attempt.target().signals.OnOutcome(!is_good);
+  if (is_good) {
+    SelectAnswering(attempt);
+    context_.poison.OnAnswered(fingerprint_);
+    DeliverResponse();
+  } else if (verdict == serving::AnswerVerdict::kUnusable) {
+    OnResponseLost(attempt,
+                   "status " + std::to_string(status) + " without proof");
+  } else if (progress_.stream_started || &attempt == silent_.get()) {
+    OnResponseLost(attempt, "status " + std::to_string(status) +
+                                " while another target has the request");
+  } else {
+    OnFailure(status);
+  }
+}
+
+void Exchange::OnFailure(int status) {
+  ++progress_.runs;
+  if (status >= kServerFailure && MayRunAgain() && WithdrawRetry()) {
+    AbandonAttempt();
+    TryTarget();
+    return;
+  }
+  if (silent_) CompleteHandover();
+  DeliverResponse();
+}
+
+// The target has proven that it did not run the request.
+void Exchange::OnNotRun(TargetAttempt& attempt) {
+  const platform::ResponseMetadata& response = attempt.response();
+  serving::Target& target = attempt.target();
+  const TimePoint now = SteadyNow();
+  const bool is_misdirected = attempt.head().status == kMisdirected;
+  if (is_misdirected && response.instance != target.record.id) {
+    target.signals.OnReplaced(now);
+    context_.pool.Drop(target.record.id);
+  } else {
+    if (is_misdirected) {
+      target.UpdateWeights({{routed_.metadata.prompt.model, response.weights}});
+    }
+    target.signals.OnRefused(now);
+  }
+  LogEvent(EventId::kAttemptRefused,
+           {{"request", routed_.metadata.id},
+            {"target", target.record.id},
+            {"status", std::to_string(attempt.head().status)},
+            {"instance", response.instance},
+            {"weights", std::to_string(response.weights)},
+            {"after_ms", FormatMilliseconds(now - attempt.sent_at())}});
+  if (&attempt == silent_.get()) {
+    DropSilent();
+    return;
+  }
+  AbandonAttempt();
+  if (serving::MaySendAgain(progress_, TimeLeft()) && WithdrawRetry()) {
+    TryTarget();
+  } else {
+    EndWithoutResponse();
+  }
+}
+
+void Exchange::OnConnectionLost(TargetAttempt& attempt) {
+  attempt.target().signals.OnOutcome(true);
+  context_.poison.OnBroken(
+      {.request = fingerprint_,
+       .target = serving::IncarnationKey(attempt.target().record)},
+      SteadyNow());
+  OnResponseLost(attempt, "connection broke");
+}
+
+// Moves the request to another target if its answer is expected sooner from
+// there. The silent target keeps the request until the other one has taken it
+// over: it may go on at any moment, and the other one may turn out to be full.
+void Exchange::OnUnresponsive(TargetAttempt& attempt) {
+  const TimePoint now = SteadyNow();
+  serving::TargetSignals& signals = attempt.target().signals;
+  if (signals.UnresponsiveTime(now) >= serving::kUnresponsiveTime) {
+    signals.OnUnreachable(now);
+  }
+  const bool is_moving = silent_ || &attempt != attempt_.get();
+  // A response that is not read for the caller's sake is no silence.
+  if (is_moving || session_->IsCongested()) return;
+  std::vector<std::string> excluded = tried_;
+  excluded.push_back(attempt.target_id());
+  const std::optional<serving::Placement> other = Place(excluded, now);
+  const bool is_allowed =
+      serving::MayAbandonUnresponsive(*routed_.route, progress_, TimeLeft()) &&
+      !context_.poison.IsBlocked(fingerprint_, now);
+  const bool moves =
+      other && is_allowed &&
+      serving::IsMovePromising({.silence = attempt.SilentFor(now),
+                                .estimate_elsewhere = other->estimate,
+                                .caller_left = CallerLeavesIn(now)}) &&
+      WithdrawRetry();
+  LogEvent(
+      EventId::kAttemptSilent,
+      {{"request", routed_.metadata.id},
+       {"target", attempt.target_id()},
+       {"silent_ms", FormatMilliseconds(attempt.SilentFor(now))},
+       {"elsewhere_ms", other ? FormatMilliseconds(other->estimate) : "none"},
+       {"allowed", is_allowed ? "yes" : "no"},
+       {"moves", moves ? "yes" : "no"}});
+  if (!moves) return;
+  tried_.push_back(attempt.target_id());
+  silent_ = std::move(attempt_);
+  TryTarget();
+}
+
+Duration Exchange::CallerLeavesIn(TimePoint now) const {
+  const Duration left = TimeLeft();
+  if (routed_.route->kind != serving::RouteKind::kStream) return left;
+  const Duration waited = now - last_event_at_.value_or(arrived_at_);
+  return std::min(left, serving::CallerWait(routed_.route->objective) - waited);
+}
+
+void Exchange::StartHandoverTimer() {
+  handover_timer_.expires_after(kMaxOverlap);
+  // A handler that was queued before the timer was cancelled finds another
+  // attempt.
+  handover_timer_.async_wait(
+      [weak = weak_from_this(),
+       taking = std::weak_ptr(attempt_)](std::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || !self->silent_) return;
+        if (self->attempt_ == taking.lock()) self->CompleteHandover();
+      });
+}
+
+// One of two targets that hold the request answers: it is the one that keeps
+// it.
+void Exchange::SelectAnswering(const TargetAttempt& attempt) {
+  if (!silent_) return;
+  if (&attempt == silent_.get()) {
+    ReturnToSilent();
+  } else {
+    CompleteHandover();
+  }
+}
+
+// The silent target may be tried again, as its silence is no failure.
+void Exchange::CompleteHandover() {
+  RecordLostRun(*silent_, "silent");
+  std::erase(tried_, silent_->target_id());
+  DropSilent();
+}
+
+void Exchange::ReturnToSilent() {
+  handover_timer_.cancel();
+  LogEvent(EventId::kAttemptKept, {{"request", routed_.metadata.id},
+                                   {"target", silent_->target_id()}});
+  if (attempt_) {
+    if (attempt_->is_sent()) ++progress_.runs;
+    WithdrawAttempt(attempt_);
+  }
+  attempt_ = std::move(silent_);
+}
+
+void Exchange::DropSilent() {
+  handover_timer_.cancel();
+  splitter_.DropPartial();
+  silent_->Cancel();
+  silent_.reset();
+}
+
+// The request was sent and its response is lost or unusable, so it may have
+// run.
+void Exchange::OnResponseLost(TargetAttempt& attempt, std::string_view why) {
+  RecordLostRun(attempt, why);
+  if (&attempt == silent_.get()) {
+    DropSilent();
+    return;
+  }
+  if (!silent_) splitter_.DropPartial();
+  AbandonAttempt();
+  if (splitter_.in_sequence() && MayRunAgain() && WithdrawRetry()) {
+    TryTarget();
+  } else {
+    EndWithoutResponse();
+  }
+}
+
+void Exchange::RecordLostRun(const TargetAttempt& attempt,
+                             std::string_view why) {
+  ++progress_.runs;
+  LogEvent(EventId::kAttemptLost,
+           {{"request", routed_.metadata.id},
+            {"target", attempt.target_id()},
+            {"why", std::string(why)},
+            {"after_ms", FormatMilliseconds(SteadyNow() - attempt.sent_at())},
+            {"events", std::to_string(splitter_.events())},
+            {"unacknowledged", attempt.FormatUnacknowledged()}});
+}
+
+void Exchange::AbandonAttempt() {
+  tried_.push_back(attempt_->target_id());
+  attempt_->Cancel();
+  attempt_.reset();
+}
+
+void Exchange::WithdrawAttempt(std::shared_ptr<TargetAttempt>& attempt) {
+  if (!attempt) return;
+  if (attempt->is_sent()) {
+    LogEvent(
+        EventId::kAttemptWithdrawn,
+        {{"request", routed_.metadata.id},
+         {"target", attempt->target_id()},
+         {"after_ms", FormatMilliseconds(SteadyNow() - attempt->sent_at())},
+         {"unacknowledged", attempt->FormatUnacknowledged()}});
+  }
+  attempt->Cancel();
+  attempt.reset();
+}
+
+bool Exchange::MayRunAgain() const {
+  serving::RequestProgress progress = progress_;
+  if (silent_) ++progress.runs;
+  return serving::MayRunAgain(*routed_.route, progress, TimeLeft()) &&
+         !context_.poison.IsBlocked(fingerprint_, SteadyNow());
+}
+
+bool Exchange::WithdrawRetry() {
+  const auto budget = context_.retry_budgets.find(routed_.service);
+  const bool granted = budget != context_.retry_budgets.end() &&
+                       budget->second.Withdraw(SteadyNow());
+  context_.metrics.Count(granted ? "dogwoodlatch_retries_total"
+                                 : "dogwoodlatch_retries_denied_total");
+  return granted;
+}
+
+}  // namespace dogwoodlatch::daemon
