--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -93,6 +93,7 @@
   void WithdrawAttempt(std::shared_ptr<TargetAttempt>& attempt);
   Duration CallerLeavesIn(TimePoint now) const;
   void StartHandoverTimer();
+  void EndOverlap();
   void SelectAnswering(const TargetAttempt& attempt);
   void CompleteHandover();
   void ReturnToSilent();
@@ -124,6 +125,7 @@
   /// The attempt at a silent target, until `attempt_` has taken its place.
   std::shared_ptr<TargetAttempt> silent_;
   asio::steady_timer handover_timer_;
+  bool is_overlapping_ = false;     ///< two targets have the request
   std::vector<std::string> tried_;  ///< ids of targets
   serving::RequestProgress progress_;
   serving::EventStreamSplitter splitter_;
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -93,7 +93,7 @@
   } else if (verdict == serving::AnswerVerdict::kUnusable) {
     OnResponseLost(attempt,
                    "status " + std::to_string(status) + " without proof");
-  } else if (progress_.stream_started || &attempt == silent_.get()) {
+  } else if (progress_.stream_started || silent_) {
     OnResponseLost(attempt, "status " + std::to_string(status) +
                                 " while another target has the request");
   } else {
@@ -108,7 +108,6 @@
     TryTarget();
     return;
   }
-  if (silent_) CompleteHandover();
   DeliverResponse();
 }
 
@@ -161,12 +160,12 @@
 void Exchange::OnUnresponsive(TargetAttempt& attempt) {
   const TimePoint now = SteadyNow();
   serving::TargetSignals& signals = attempt.target().signals;
+  // A response that is not read for the caller's sake is no silence.
+  if (session_->IsCongested()) return;
   if (signals.UnresponsiveTime(now) >= serving::kUnresponsiveTime) {
     signals.OnUnreachable(now);
   }
-  const bool is_moving = silent_ || &attempt != attempt_.get();
-  // A response that is not read for the caller's sake is no silence.
-  if (is_moving || session_->IsCongested()) return;
+  if (silent_ || &attempt != attempt_.get()) return;
   std::vector<std::string> excluded = tried_;
   excluded.push_back(attempt.target_id());
   const std::optional<serving::Placement> other = Place(excluded, now);
@@ -200,19 +199,32 @@
   return std::min(left, serving::CallerWait(routed_.route->objective) - waited);
 }
 
+// Counts from the first send elsewhere, also if the request is then refused
+// there and sent to a third target.
 void Exchange::StartHandoverTimer() {
+  if (std::exchange(is_overlapping_, true)) return;
   handover_timer_.expires_after(kMaxOverlap);
-  // A handler that was queued before the timer was cancelled finds another
-  // attempt.
   handover_timer_.async_wait(
       [weak = weak_from_this(),
-       taking = std::weak_ptr(attempt_)](std::error_code error) {
+       silent = std::weak_ptr(silent_)](std::error_code error) {
         const auto self = weak.lock();
+        // A handler that was queued before the timer was cancelled may find
+        // another silent attempt.
         if (error || !self || !self->silent_) return;
-        if (self->attempt_ == taking.lock()) self->CompleteHandover();
+        if (self->silent_ == silent.lock()) self->EndOverlap();
       });
 }
 
+// The first target may be sending to others again, and its next event be about
+// to come.
+void Exchange::EndOverlap() {
+  if (silent_->SilentFor(SteadyNow()) < kMaxOverlap) {
+    ReturnToSilent();
+  } else {
+    CompleteHandover();
+  }
+}
+
 // One of two targets that hold the request answers: it is the one that keeps
 // it.
 void Exchange::SelectAnswering(const TargetAttempt& attempt) {
@@ -233,6 +245,7 @@
 
 void Exchange::ReturnToSilent() {
   handover_timer_.cancel();
+  is_overlapping_ = false;
   LogEvent(EventId::kAttemptKept, {{"request", routed_.metadata.id},
                                    {"target", silent_->target_id()}});
   if (attempt_) {
@@ -244,6 +257,7 @@
 
 void Exchange::DropSilent() {
   handover_timer_.cancel();
+  is_overlapping_ = false;
   splitter_.DropPartial();
   silent_->Cancel();
   silent_.reset();
--- a/src/libdaemon/target_attempt.cc
+++ b/src/libdaemon/target_attempt.cc
@@ -1,5 +1,6 @@
 #include "dogwoodlatch/daemon/target_attempt.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "dogwoodlatch/util/log.h"
@@ -13,6 +14,9 @@
 // the SYN packet, the retransmission takes seconds.
 constexpr milliseconds kConnectTimeout{250};
 
+// Time between two decisions whether a request stays with a silent target.
+constexpr milliseconds kSilenceRecheck{250};
+
 constexpr int kFirstFailureStatus = 400;
 
 // Longest responses that are read whole. Those without a seal are never
@@ -130,7 +134,9 @@
   const auto keep_alive = shared_from_this();
   owner_.OnUnresponsive(*this);
   // A request that stays may be moved later, when another target has room.
-  if (is_sent_) StartSilenceTimer(request_.max_silence);
+  if (is_sent_) {
+    StartSilenceTimer(std::min(request_.max_silence, kSilenceRecheck));
+  }
 }
 
 bool TargetAttempt::OnHead(const dataplane::ResponseHead& head) {
--- a/src/libserving/attempt_rules.cc
+++ b/src/libserving/attempt_rules.cc
@@ -7,7 +7,8 @@
 namespace {
 
 // After this many sends, refused ones included, a request that was refused is
-// not sent again. If it has not run, its caller is told to retry later.
+// not sent again. If it has not run, its caller is told to retry later. Sends
+// after which it may have run do not count.
 constexpr int kMaxSends = 3;
 constexpr int kMaxConnectFailures = 4;
 
@@ -72,7 +73,7 @@
 }
 
 bool MaySendAgain(const RequestProgress& progress, Duration left) {
-  return progress.sends < kMaxSends && left > kMinTimeToSend;
+  return progress.sends < kMaxSends + progress.runs && left > kMinTimeToSend;
 }
 
 bool MayConnectAgain(const RequestProgress& progress) {
