Log lines that a full pipe holds back are counted as dropped

Operators saw a log that ended in the middle of a line, without E102 and without a word of what was missing, when nobody read standard output while dogwoodlatchd ended. While the buffer was full, each flush also took the number of dropped lines, logged it into the full buffer, and counted that line as one.

The buffer keeps the count until its line fits and the line before it is written, writes whole lines, and EndLog counts what is left in the buffer; that count goes to standard error, since standard output takes nothing more.

--- a/src/dogwoodlatchd/main.cc
+++ b/src/dogwoodlatchd/main.cc
@@ -82,7 +82,7 @@
   const Result<void> started = daemon.Start();
   if (!started) {
     LogEvent(EventId::kListenFailed, {{"fault", ToString(started.error())}});
-    FlushLog();
+    EndLog();
     return ExitCode::kFailed;
   }
   std::function<void()> await_signal = [&] {
@@ -104,7 +104,7 @@
   };
   await_signal();
   context.run();
-  FlushLog();
+  EndLog();
   return ExitCode::kOk;
 }
 
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -89,6 +89,10 @@
 /// number of dropped lines. Does nothing unless InitBufferedLogging was called.
 void FlushLog();
 
+/// Flushes the log for the last time. Lines that the output does not take are
+/// counted as dropped; the count goes to standard error.
+void EndLog();
+
 /// Sends events to standard error; events below `threshold` are dropped.
 /// `process` is the process name that each line carries.
 void InitLogging(std::string_view process, Severity threshold);
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <sstream>
@@ -153,26 +154,47 @@
 class BufferedSink final
     : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
  public:
-  void WriteBuffered() {
-    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  void WriteBuffered(int output) {
+    pollfd poll_entry{output, POLLOUT, 0};
     size_t written = 0;
-    while (written < buffer_.size() && poll(&output, 1, 0) == 1 &&
-           (output.revents & POLLOUT) != 0) {
+    while (written < buffer_.size() && poll(&poll_entry, 1, 0) == 1 &&
+           (poll_entry.revents & POLLOUT) != 0) {
       const ssize_t count =
-          write(STDOUT_FILENO, buffer_.data() + written,
-                std::min(kAtomicPipeBytes, buffer_.size() - written));
+          write(output, buffer_.data() + written, NextChunk(written));
       if (count <= 0) break;
       written += static_cast<size_t>(count);
     }
     buffer_.erase(0, written);
+    report_end_ -= std::min(report_end_, written);
+    if (report_end_ == 0) reported_ = 0;
+  }
+
+  bool is_empty() const { return buffer_.empty(); }
+
+  // Counts the buffered lines as dropped; a buffered report passes its count
+  // on.
+  void DropBuffered() {
+    dropped_ += static_cast<size_t>(std::ranges::count(buffer_, '\n'));
+    if (reported_ > 0) dropped_ += reported_ - 1;
+    reported_ = report_end_ = 0;
+    buffer_.clear();
   }
 
-  size_t TakeDropped() { return std::exchange(dropped_, 0); }
   void CountDropped() { ++dropped_; }
 
+  // Lets `log` log the number of dropped lines, unless there is none. Without
+  // room for the line, or before the last such line is written, the count is
+  // kept.
+  void ReportDropped(const std::function<void(size_t)>& log) {
+    if (dropped_ == 0 || reported_ > 0 || !has_room()) return;
+    reported_ = std::exchange(dropped_, 0);
+    log(reported_);
+    report_end_ = buffer_.size();
+  }
+
  protected:
   void sink_it_(const spdlog::details::log_msg& message) override {
-    if (buffer_.size() > kMaxBufferedBytes) {
+    if (!has_room()) {
       ++dropped_;
       return;
     }
@@ -185,8 +207,22 @@
   void flush_() override {}
 
  private:
+  bool has_room() const { return buffer_.size() <= kMaxBufferedBytes; }
+
+  // Whole lines as far as they fit, so that the output never ends within one.
+  size_t NextChunk(size_t start) const {
+    const std::string_view lines = buffer_;
+    const std::string_view chunk = lines.substr(start, kAtomicPipeBytes);
+    const size_t line_end = chunk.rfind('\n');
+    return line_end == std::string_view::npos ? chunk.size() : line_end + 1;
+  }
+
   std::string buffer_;
   size_t dropped_ = 0;
+  // A line in the buffer that reports dropped lines: their number, and where
+  // the line ends.
+  size_t reported_ = 0;
+  size_t report_end_ = 0;
 };
 
 // Writes severities in capital letters.
@@ -268,6 +304,12 @@
   logger->set_level(ToLevel(threshold));
 }
 
+void LogDropped() {
+  buffered_sink->ReportDropped([](size_t lines) {
+    LogEvent(EventId::kLogDropped, {{"lines", std::to_string(lines)}});
+  });
+}
+
 }  // namespace
 
 void InitLogging(std::string_view process, Severity threshold) {
@@ -283,10 +325,17 @@
 
 void FlushLog() {
   if (buffered_sink == nullptr) return;
-  if (const size_t dropped = buffered_sink->TakeDropped()) {
-    LogEvent(EventId::kLogDropped, {{"lines", std::to_string(dropped)}});
-  }
-  buffered_sink->WriteBuffered();
+  LogDropped();
+  buffered_sink->WriteBuffered(STDOUT_FILENO);
+}
+
+void EndLog() {
+  if (buffered_sink == nullptr) return;
+  FlushLog();
+  if (buffered_sink->is_empty()) return;
+  buffered_sink->DropBuffered();
+  LogDropped();
+  buffered_sink->WriteBuffered(STDERR_FILENO);
 }
 
 }  // namespace dogwoodlatch
--- a/testsuite/daemon_stopped/run.py
+++ b/testsuite/daemon_stopped/run.py
@@ -121,17 +121,20 @@
     model.behaviour = []
 
 
-# The end does not wait for a reader of the log, and what was written are whole lines.
+# The end does not wait for a reader of the log. What was written are whole lines, and lines that the pipe held back are
+# counted on standard error.
 def check_full_pipe(bin_dir):
     router = fleet.start_router(bin_dir, ROUTER)
     router.process.kill()
     router.process.wait()
     router.process = subprocess.Popen(  # pylint: disable=consider-using-with
-        router.command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
+        router.command, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
         env={**os.environ, "DOGWOODLATCH_BOOT": router.settings.name})
     print("ready", fleet.wait_until(lambda: fleet.is_ready(ROUTER)))
     for _ in range(700):
         fleet.request(ROUTER, "/none/x")
     print("full pipe: router", end(router, ROUTER_PLAN_SECONDS))
     lines = router.process.stdout.read().decode().splitlines()
-    print("whole lines", all(line.split()[3].startswith("E") for line in lines[:-1]), len(lines) > 100)
+    print("whole lines", all(line.split()[3].startswith("E") for line in lines), len(lines) > 100)
+    last = router.process.stderr.read().decode().splitlines()
+    print("held back lines counted", [line.split()[3:5] for line in last])
