A router that stops does not wait for requests that have not arrived

dogwoodlatch-router outlasted its drain timeout by seconds when a caller had sent part of a request: the stop ended only the wait between requests, and the read of a request went on until its own time limit.

Waiting for the next request and for the rest of one now share WaitForInput, which ends when the server stops, after the input that has arrived. The caller gets 503 router_stopping, since nothing was run.

--- a/src/dogwoodlatch-router/caller_server.cc
+++ b/src/dogwoodlatch-router/caller_server.cc
@@ -1,5 +1,6 @@
 #include "caller_server.h"
 
+#include <map>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -15,7 +16,6 @@
 
 // Extra threads that reject connections above the limit.
 constexpr size_t kRejectionThreads = 4;
-constexpr milliseconds kStopPollInterval{100};
 // How long input of a rejected caller is read and discarded before its
 // connection is closed.
 constexpr milliseconds kLingerTimeout{1000};
@@ -27,9 +27,18 @@
                                         "as it may; come back later"};
 constexpr Rejection kTooSlow{408, "request_timeout",
                              "the request came too slowly"};
+constexpr Rejection kStopping{503, "router_stopping",
+                              "the router ends before the request has arrived; "
+                              "it was not run"};
 constexpr Rejection kTooLarge{413, "body_too_large",
                               "the body is larger than the limit"};
 
+// What the caller is told when its request was not read to its end.
+const std::map<ReadFault, Rejection> kRejections{
+    {ReadFault::kTooSlow, kTooSlow},
+    {ReadFault::kTooLarge, kTooLarge},
+    {ReadFault::kStopped, kStopping}};
+
 // Formats a rejection as a complete HTTP response that is sent without the
 // library.
 std::string FormatRejection(const Rejection& rejection) {
@@ -68,18 +77,6 @@
   size_t ordinal_;
 };
 
-// Waits for the first byte of the next request. Polls in short intervals so
-// that a stop is not delayed.
-template <typename IsStopping>
-bool WaitForRequest(const CallerStream& stream, milliseconds timeout,
-                    const IsStopping& is_stopping) {
-  const TimePoint end = SteadyNow() + timeout;
-  while (!is_stopping() && SteadyNow() < end) {
-    if (stream.WaitReadable(kStopPollInterval)) return true;
-  }
-  return false;
-}
-
 // The connection served on this thread. The library gives a handler no other
 // means to detect a disconnect of its caller.
 thread_local const CallerStream* served_stream = nullptr;
@@ -131,7 +128,7 @@
 }
 
 void CallerServer::Serve(socket_t sock) {
-  CallerStream stream(sock, limits_);
+  CallerStream stream(sock, limits_, [this] { return is_stopping(); });
   const ServedStream registration(stream);
   const ConnectionCount count(connections_);
   if (count.ordinal() > limits_.max_connections) {
@@ -140,8 +137,7 @@
   }
   bool is_open = true;
   bool leaves_body_unread = false;
-  while (is_open && WaitForRequest(stream, limits_.idle_timeout,
-                                   [this] { return is_stopping(); })) {
+  while (is_open && stream.WaitForInput(SteadyNow() + limits_.idle_timeout)) {
     stream.StartRequest(SteadyNow());
     bool wants_close = false;
     bool has_headers = false;
@@ -159,11 +155,9 @@
     is_open = served && !wants_close && !leaves_body_unread &&
               stream.fault() == ReadFault::kNone;
   }
-  if (stream.fault() == ReadFault::kTooSlow) {
-    stream.WriteAll(FormatRejection(kTooSlow));
-  }
-  if (stream.fault() == ReadFault::kTooLarge) {
-    stream.WriteAll(FormatRejection(kTooLarge));
+  const auto rejection = kRejections.find(stream.fault());
+  if (rejection != kRejections.end()) {
+    stream.WriteAll(FormatRejection(rejection->second));
   }
   const bool was_read =
       stream.fault() == ReadFault::kNone && !leaves_body_unread;
--- a/src/dogwoodlatch-router/caller_stream.cc
+++ b/src/dogwoodlatch-router/caller_stream.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 namespace dogwoodlatch::router {
 namespace {
@@ -17,6 +18,7 @@
 
 // Allowance for the request line and headers in addition to the body limit.
 constexpr size_t kMaxHeaderBytes = 65536;
+constexpr milliseconds kStopPollInterval{100};
 
 // Returns whether `events` or an error occur on the socket within `wait`.
 bool Poll(socket_t sock, int16_t events, milliseconds wait) {
@@ -52,8 +54,19 @@
 
 }  // namespace
 
-CallerStream::CallerStream(socket_t sock, const CallerLimits& limits)
-    : socket_(sock), limits_(limits) {}
+CallerStream::CallerStream(socket_t sock, const CallerLimits& limits,
+                           std::function<bool()> is_stopping)
+    : socket_(sock), limits_(limits), is_stopping_(std::move(is_stopping)) {}
+
+// Polls in short intervals so that a stop is not delayed.
+bool CallerStream::WaitForInput(TimePoint end) const {
+  while (!is_stopping_() && SteadyNow() < end) {
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(end - SteadyNow());
+    if (WaitReadable(std::min(left, kStopPollInterval))) return true;
+  }
+  return WaitReadable(milliseconds(0));
+}
 
 bool CallerStream::WaitReadable(milliseconds wait) const {
   return begin_ < end_ || Poll(socket_, POLLIN, wait);
@@ -127,10 +140,9 @@
 }
 
 bool CallerStream::Fill() {
-  const auto left =
-      std::chrono::duration_cast<milliseconds>(request_deadline_ - SteadyNow());
-  if (!Poll(socket_, POLLIN, std::min(left, limits_.read_timeout))) {
-    fault_ = ReadFault::kTooSlow;
+  if (!WaitForInput(
+          std::min(request_deadline_, SteadyNow() + limits_.read_timeout))) {
+    fault_ = is_stopping_() ? ReadFault::kStopped : ReadFault::kTooSlow;
     return false;
   }
   const ssize_t count = recv(socket_, buffer_.data(), buffer_.size(), 0);
--- a/src/dogwoodlatch-router/caller_stream.h
+++ b/src/dogwoodlatch-router/caller_stream.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <chrono>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -14,20 +15,23 @@
 
 namespace dogwoodlatch::router {
 
-// The limit that a request exceeded while it was read.
-enum class ReadFault { kNone, kTooSlow, kTooLarge };
+// Why a request was not read to its end: a limit that it exceeded, or the end
+// of the server.
+enum class ReadFault { kNone, kTooSlow, kTooLarge, kStopped };
 
 class CallerStream : public httplib::Stream {
  public:
-  CallerStream(socket_t sock, const CallerLimits& limits);
+  // Once `is_stopping` returns true, only input that has arrived is read.
+  CallerStream(socket_t sock, const CallerLimits& limits,
+               std::function<bool()> is_stopping);
 
-  // Waits at most `wait` for input or an error. Returns whether either arrived.
-  bool WaitReadable(std::chrono::milliseconds wait) const;
+  // Waits until `end` for input or an error. Returns whether either arrived.
+  bool WaitForInput(TimePoint end) const;
 
   // Restarts the time and size limits for a new request.
   void StartRequest(TimePoint now);
 
-  // The limit that the request exceeded. From then on write() discards the
+  // Why the request was not read to its end. From then on write() discards the
   // library's own error response, so that the server can send a typed one.
   ReadFault fault() const { return fault_; }
 
@@ -49,10 +53,12 @@
 
  private:
   bool Fill();
+  bool WaitReadable(std::chrono::milliseconds wait) const;
   bool WaitWritable() const;
 
   socket_t socket_;
   CallerLimits limits_;
+  std::function<bool()> is_stopping_;
   std::array<char, 4096> buffer_{};
   size_t begin_ = 0;
   size_t end_ = 0;
