Connections to the operations address hold up a stop for a second at most

Both programs of the product's own door stayed for five seconds after the end of their drain when a client had an idle or unfinished connection to the operations address, since the HTTP library's stop waits out its time limits. Two such connections also kept /readyz from being answered.

A connection now carries one request, and a request may take a second to arrive.

Seen with door_programs_stopped: before, "kept connections: agent late router late"; after, exit code 0 for both.

--- a/src/libutil/program.cc
+++ b/src/libutil/program.cc
@@ -113,6 +113,11 @@
       return new httplib::ThreadPool(kThreadCount);
     };
     server_.set_socket_options(SetExclusiveBind);
+    // The library's stop waits for its connections: none is kept after a
+    // response, and none waits long for a request.
+    server_.set_keep_alive_max_count(1);
+    server_.set_keep_alive_timeout(kRequestTimeout.count());
+    server_.set_read_timeout(kRequestTimeout);
     server_.Get("/healthz",
                 [](const httplib::Request&, httplib::Response& response) {
                   response.set_content("ok\n", "text/plain");
@@ -159,6 +164,7 @@
 
  private:
   static constexpr size_t kThreadCount = 2;
+  static constexpr std::chrono::seconds kRequestTimeout{1};
   static constexpr std::chrono::milliseconds kPollInterval{1};
 
   Address address_;
