--- a/src/dogwoodlatch-agent/event_follower.cc
+++ b/src/dogwoodlatch-agent/event_follower.cc
@@ -51,12 +51,13 @@
 }
 
 void EventFollower::Stop() {
-  stopping_ = true;
+  // A silent target would hold the thread until the read timeout.
+  poll_.Cancel(BreakCause::kCancelled);
   if (thread_.joinable()) thread_.join();
 }
 
 void EventFollower::Follow() {
-  while (!stopping_) {
+  while (!poll_.is_cancelled()) {
     if (!Poll()) std::this_thread::sleep_for(kRetryInterval);
   }
 }
@@ -66,9 +67,14 @@
   httplib::Client client(address.host, address.port);
   client.set_connection_timeout(kResponseTimeout);
   client.set_read_timeout(kLongPollTimeout + kResponseTimeout);
-  const auto response = client.Get(
-      "/engine/cache_events?after=" + std::to_string(last_sequence_) +
-      "&wait_ms=" + std::to_string(kLongPollTimeout.count()));
+  poll_.Attach([&client] { client.stop(); });
+  const auto response =
+      poll_.is_cancelled()
+          ? httplib::Result(nullptr, httplib::Error::Canceled)
+          : client.Get(
+                "/engine/cache_events?after=" + std::to_string(last_sequence_) +
+                "&wait_ms=" + std::to_string(kLongPollTimeout.count()));
+  poll_.Detach();
   if (!response || response->status != 200) return false;
   const std::optional<CacheEventBatch> batch = ParseCacheEvents(response->body);
   if (!batch) return false;
--- a/src/dogwoodlatch-agent/event_follower.h
+++ b/src/dogwoodlatch-agent/event_follower.h
@@ -1,13 +1,13 @@
 // Polls the engine's cache events on a dedicated thread, using long polls.
 #pragma once
 
-#include <atomic>
 #include <functional>
 #include <thread>
 #include <vector>
 
 #include "agent_settings.h"
 #include "dogwoodlatch/cache_index.h"
+#include "target_client.h"
 
 namespace dogwoodlatch::agent {
 
@@ -36,7 +36,7 @@
   NoticeHandler on_notices_;
   std::string boot_id_;
   uint64_t last_sequence_ = 0;
-  std::atomic<bool> stopping_{false};
+  Cancellation poll_;
   std::thread thread_;
 };
 
