--- a/testsuite/soak/fault_proxy.py
+++ b/testsuite/soak/fault_proxy.py
@@ -1,5 +1,6 @@
 """A TCP proxy on the loopback interface that injects network faults: delays, stalls and resets."""
 
+import os
 import random
 import socket
 import struct
@@ -15,7 +16,7 @@
     """Forwards connections to `upstream`.
 
     Bytes that are held back are forwarded later and in order: the proxy never changes, drops or reorders the bytes
-    of a connection.
+    of a connection. What it holds is discarded if the sender resets the connection.
     """
 
     def __init__(self, address, upstream):
@@ -25,6 +26,7 @@
         self.holds_responses = False  # stalls the direction from `upstream`
         self.lock = threading.Lock()
         self.open_pairs = set()
+        self.resets = []  # times of reset_all
         self.is_closed = False
         self.listener = socket.create_server(address, backlog=BACKLOG)
         self.acceptor = threading.Thread(target=self.accept_connections, daemon=True)
@@ -67,12 +69,20 @@
                     time.sleep(random.uniform(0, self.max_delay_seconds))
                 while is_holding() and not self.is_closed:
                     time.sleep(POLL_SECONDS)
+                self.raise_if_reset(source)
                 destination.sendall(chunk)
             destination.shutdown(socket.SHUT_WR)
         except OSError:
             for endpoint in (source, destination):
                 self.reset(endpoint)
 
+    @staticmethod
+    def raise_if_reset(source):
+        """Discards held bytes if `source` was reset, as its kernel would; an orderly close still delivers them."""
+        error = source.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, os.strerror(error))
+
     @staticmethod
     def reset(endpoint):
         try:
@@ -84,6 +94,7 @@
 
     def reset_all(self):
         """Resets all open connections."""
+        self.resets.append(time.monotonic())
         with self.lock:
             pairs = list(self.open_pairs)
         for pair in pairs:
