Count the ends of callers' connections by reason, and log cut requests

Cause: a connection was closed in eight places without a trace.

Change: dogwoodlatch_caller_connections_closed_total{reason} counts every close, and E410 caller_cut_off reports closes that left unread bytes, a partly read request, unsent response bytes or dropped input. No change of logic.

--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -54,6 +54,7 @@
 
   Result<void> Listen(Listener& listener, const std::string& address);
   void Accept(Listener& listener);
+  void OnConnectionEnd(const dataplane::ConnectionEnd& end);
   void FollowPlatform();
   void AddFeed(const FeedOptions& options);
   void OpenAgentLink();
--- a/src/include/dogwoodlatch/dataplane/http_server_session.h
+++ b/src/include/dogwoodlatch/dataplane/http_server_session.h
@@ -16,6 +16,33 @@
 
 namespace dogwoodlatch::dataplane {
 
+/// Why the connection of a caller has ended.
+enum class CloseReason {
+  kByCaller,           ///< closed or reset by the caller, or lost
+  kIdle,               ///< no request within the idle timeout
+  kHeadTooSlow,        ///< the head of a request was not complete in time
+  kBodyTooSlow,        ///< the body of a request was not complete in time
+  kStop,               ///< idle while the process stops
+  kUnreadable,         ///< after the response to a request that is not valid
+  kAfterLastResponse,  ///< after a response with "Connection: close"
+  kAborted,            ///< a response was broken off
+};
+
+std::string_view ToString(CloseReason reason);
+
+/// The end of a caller's connection, and what was not transferred by then.
+struct ConnectionEnd {
+  CloseReason reason = CloseReason::kByCaller;
+  size_t unread_bytes = 0;   ///< received by the system, but not read
+  size_t partial_bytes = 0;  ///< read of a request that was not complete
+  size_t unsent_bytes = 0;   ///< of responses
+  size_t dropped_bytes = 0;  ///< read after the last response
+};
+
+/// True if a request of the caller may have got neither an answer nor a
+/// refusal, and nothing else tells so.
+bool MayHaveLostRequest(const ConnectionEnd& end);
+
 /// State shared by all sessions of a server; must outlive them.
 struct HttpServerState {
   serving::HttpLimits limits;
@@ -23,6 +50,8 @@
   size_t sessions = 0;      ///< number of open sessions
   /// Bodies of all requests that are being read or served.
   ByteBudget body_budget{32UL * 1024 * 1024};
+  /// Called once for each connection that ends; may be empty.
+  std::function<void(const ConnectionEnd&)> on_connection_end;
 };
 
 /// Reads requests one at a time and sends their responses in the same order.
@@ -83,7 +112,10 @@
   void Flush();
   void FinishResponse();
   void Linger();
-  void Close();
+  void Close(CloseReason reason);
+  void ReportEnd(CloseReason reason) const;
+  CloseReason ReasonOfTimer() const;
+  CloseReason ReasonOfLingering() const;
   void ArmTimer();
 
   asio::ip::tcp::socket socket_;
@@ -97,7 +129,10 @@
   size_t counted_body_bytes_ = 0;  ///< of the current request
   TimePoint request_started_{};
   std::string method_;
+  size_t request_bytes_ = 0;  ///< read of the current request
+  size_t dropped_bytes_ = 0;
   bool is_serving_ = false;
+  bool is_unreadable_ = false;
   bool keeps_alive_ = true;
   bool is_reading_ = false;
   bool is_writing_ = false;
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -53,6 +53,7 @@
   kAnswerSkipped = 404,
   kRequestTooLate = 405,
   kAttemptWithdrawn = 406,
+  kCallerCutOff = 410,
   kTargetCrashed = 500,
   kCrashSuspects = 501,
   kQuarantined = 502,
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -160,6 +160,8 @@
     context_.saved_parts.SetCapacity(
         view_.configuration()->CacheStoreCapacityTokens());
   });
+  frontend_.server_state.on_connection_end =
+      [this](const dataplane::ConnectionEnd& end) { OnConnectionEnd(end); };
   view_.SetRemovalListener([this](const std::string& id) { pool_.Drop(id); });
   metrics_.RegisterGauge("dogwoodlatch_requests_in_progress", [this] {
     return static_cast<double>(context_.in_progress);
@@ -246,6 +248,19 @@
       });
 }
 
+void Router::OnConnectionEnd(const dataplane::ConnectionEnd& end) {
+  const std::string reason(ToString(end.reason));
+  metrics_.Count("dogwoodlatch_caller_connections_closed_total",
+                 "reason=\"" + reason + "\"");
+  if (!MayHaveLostRequest(end)) return;
+  LogEvent(EventId::kCallerCutOff,
+           {{"reason", reason},
+            {"unread", std::to_string(end.unread_bytes)},
+            {"partial", std::to_string(end.partial_bytes)},
+            {"unsent", std::to_string(end.unsent_bytes)},
+            {"dropped", std::to_string(end.dropped_bytes)}});
+}
+
 void Router::AddFeed(const FeedOptions& options) {
   const ObjectKind kind = options.kind;
   FeedHandlers handlers;
--- a/src/libdataplane/http_server_session.cc
+++ b/src/libdataplane/http_server_session.cc
@@ -1,6 +1,7 @@
 #include "dogwoodlatch/dataplane/http_server_session.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/http/status.hpp>
 #include <utility>
 
@@ -49,6 +50,29 @@
 
 }  // namespace
 
+std::string_view ToString(CloseReason reason) {
+  static constexpr std::array<std::string_view, 8> kNames = {
+      "by_caller", "idle",       "head_too_slow",       "body_too_slow",
+      "stop",      "unreadable", "after_last_response", "aborted"};
+  return kNames.at(static_cast<size_t>(reason));
+}
+
+// A caller that leaves gives up its response. Requests that are unreadable or
+// broken off have events of their own.
+bool MayHaveLostRequest(const ConnectionEnd& end) {
+  switch (end.reason) {
+    case CloseReason::kByCaller:
+      return end.unread_bytes > 0;
+    case CloseReason::kUnreadable:
+    case CloseReason::kAborted:
+      return false;
+    default:
+      return end.unread_bytes + end.partial_bytes + end.unsent_bytes +
+                 end.dropped_bytes >
+             0;
+  }
+}
+
 HttpServerSession::HttpServerSession(asio::ip::tcp::socket socket,
                                      HttpServerState& state, Handler handler)
     : socket_(std::move(socket)),
@@ -83,14 +107,16 @@
 void HttpServerSession::OnBytes(std::error_code error, size_t count) {
   if (is_closed_) return;
   if (error) {
-    Close();
+    Close(is_lingering_ ? ReasonOfLingering() : CloseReason::kByCaller);
     return;
   }
   if (is_lingering_) {
+    dropped_bytes_ += count;
     ReadMore();
     return;
   }
   input_.append(read_buffer_, 0, count);
+  if (!is_serving_) request_bytes_ += count;
   if (is_serving_) {
     ReadMore();
   } else {
@@ -137,6 +163,7 @@
   }
   timer_.cancel();
   is_serving_ = true;
+  request_bytes_ = 0;
   Request request = reader_->Take();
   reader_.reset();
   keeps_alive_ = request.keep_alive;
@@ -150,6 +177,8 @@
 void HttpServerSession::RejectUnreadable(int status,
                                          const HeaderList& headers) {
   is_serving_ = true;
+  is_unreadable_ = true;
+  request_bytes_ = 0;
   keeps_alive_ = false;
   reader_.reset();
   SendResponse(status, headers, "");
@@ -169,10 +198,21 @@
   timer_.async_wait([weak = weak_from_this()](std::error_code error) {
     const Pointer self = weak.lock();
     if (error || !self || self->is_serving_) return;
-    self->Close();
+    self->Close(self->ReasonOfTimer());
   });
 }
 
+CloseReason HttpServerSession::ReasonOfTimer() const {
+  if (!reader_ || !reader_->has_started()) return CloseReason::kIdle;
+  return reader_->has_head() ? CloseReason::kBodyTooSlow
+                             : CloseReason::kHeadTooSlow;
+}
+
+CloseReason HttpServerSession::ReasonOfLingering() const {
+  return is_unreadable_ ? CloseReason::kUnreadable
+                        : CloseReason::kAfterLastResponse;
+}
+
 void HttpServerSession::SendResponse(int status, const HeaderList& headers,
                                      std::string_view body) {
   if (is_closed_) return;
@@ -211,7 +251,7 @@
 
 void HttpServerSession::Abort() {
   on_disconnect_ = nullptr;
-  Close();
+  Close(CloseReason::kAborted);
 }
 
 bool HttpServerSession::IsCongested() const {
@@ -221,7 +261,9 @@
 
 void HttpServerSession::CloseIfIdle() {
   const bool has_started = reader_ && reader_->has_started();
-  if (!is_serving_ && !has_started && !is_writing_ && input_.empty()) Close();
+  if (!is_serving_ && !has_started && !is_writing_ && input_.empty()) {
+    Close(CloseReason::kStop);
+  }
 }
 
 void HttpServerSession::Write(std::string_view bytes) {
@@ -239,7 +281,7 @@
         self->is_writing_ = false;
         self->write_buffer_.clear();
         if (error) {
-          self->Close();
+          self->Close(CloseReason::kByCaller);
           return;
         }
         self->Flush();
@@ -268,20 +310,34 @@
 void HttpServerSession::Linger() {
   if (is_lingering_ || is_closed_ || is_writing_) return;
   is_lingering_ = true;
+  dropped_bytes_ = input_.size();
   input_.clear();
   std::error_code ignored;  // the caller may have closed the connection
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   timer_.expires_after(kLingerTimeout);
   timer_.async_wait([weak = weak_from_this()](std::error_code error) {
     const Pointer self = weak.lock();
-    if (!error && self) self->Close();
+    if (!error && self) self->Close(self->ReasonOfLingering());
   });
   ReadMore();
 }
 
-void HttpServerSession::Close() {
+void HttpServerSession::ReportEnd(CloseReason reason) const {
+  if (!state_.on_connection_end) return;
+  std::error_code error;  // a socket that has failed holds nothing to read
+  const size_t unread_bytes = socket_.available(error);
+  state_.on_connection_end(
+      {.reason = reason,
+       .unread_bytes = error ? 0 : unread_bytes,
+       .partial_bytes = is_serving_ ? 0 : request_bytes_,
+       .unsent_bytes = pending_output_.size() + write_buffer_.size(),
+       .dropped_bytes = dropped_bytes_});
+}
+
+void HttpServerSession::Close(CloseReason reason) {
   if (is_closed_) return;
   is_closed_ = true;
+  ReportEnd(reason);
   body_bytes_.Release();
   timer_.cancel();
   std::error_code ignored;  // a failed close leaves nothing to do
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -120,6 +120,9 @@
     EventSpec{
         EventId::kAttemptWithdrawn, Severity::kInfo, "attempt_withdrawn",
         "A request ended while a target had it; the attempt is cancelled."},
+    EventSpec{EventId::kCallerCutOff, Severity::kWarning, "caller_cut_off",
+              "A caller's connection was closed while bytes of a request or "
+              "response were left; a request may have got no answer."},
     EventSpec{EventId::kTargetCrashed, Severity::kWarning, "target_crashed",
               "A run failed and the target's incarnation has ended."},
     EventSpec{EventId::kCrashSuspects, Severity::kWarning, "crash_suspects",
