--- /dev/null
+++ b/src/libdataplane/http_server_session_test.cc
@@ -0,0 +1,245 @@
+/// Callers' connections that the server closes while requests are on their way.
+#include "dogwoodlatch/dataplane/http_server_session.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace dogwoodlatch::dataplane {
+namespace {
+
+using std::chrono::milliseconds;
+using Tcp = asio::ip::tcp;
+
+constexpr milliseconds kLimit{200};
+constexpr milliseconds kAnswerTime{50};  // in which the server answers
+constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+// Accepts connections and answers each request at once. Its event loop runs
+// only when the test says so.
+class Server {
+ public:
+  Server() : acceptor_(context_, {asio::ip::address_v4::loopback(), 0}) {
+    state.limits.idle_timeout = kLimit;
+    state.on_connection_end = [this](const ConnectionEnd& end) {
+      ends.push_back(end);
+    };
+    Accept();
+  }
+
+  Tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
+
+  void RunFor(Duration duration) {
+    context_.restart();
+    context_.run_for(duration);
+  }
+
+  void RunUntil(TimePoint end) {
+    context_.restart();
+    context_.run_until(end);
+  }
+
+  void CloseIdleSessions() {
+    for (const auto& weak : sessions_) {
+      if (const auto session = weak.lock()) session->CloseIfIdle();
+    }
+  }
+
+  HttpServerState state;
+  std::vector<ConnectionEnd> ends;
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](std::error_code error, Tcp::socket socket) {
+      if (error) return;
+      auto session = std::make_shared<HttpServerSession>(
+          std::move(socket), state,
+          [](const HttpServerSession::Pointer& answering, const Request&) {
+            answering->SendResponse(200, {}, "done");
+          });
+      sessions_.push_back(session);
+      session->Start();
+      Accept();
+    });
+  }
+
+  asio::io_context context_{1};
+  Tcp::acceptor acceptor_;
+  std::vector<std::weak_ptr<HttpServerSession>> sessions_;
+};
+
+class Caller {
+ public:
+  explicit Caller(const Server& server) : socket_(context_) {
+    socket_.connect(server.endpoint());
+    socket_.non_blocking(true);
+  }
+
+  void Send(std::string_view bytes) {
+    std::error_code ignored;  // a closed connection shows as a missing answer
+    asio::write(socket_, asio::buffer(bytes.data(), bytes.size()), ignored);
+  }
+
+  // Takes what has arrived, and returns whether it holds an answer.
+  bool TakeAnswer() {
+    std::string received(4096, '\0');
+    std::error_code ignored;
+    received.resize(socket_.read_some(asio::buffer(received), ignored));
+    return received.starts_with("HTTP/1.1 200 OK") &&
+           received.ends_with("done");
+  }
+
+ private:
+  asio::io_context context_;
+  Tcp::socket socket_;
+};
+
+using Callers = std::vector<std::unique_ptr<Caller>>;
+
+// Returns callers whose connections have served a request.
+Callers MakeKeptCallers(Server& server, size_t count) {
+  Callers callers(count);
+  std::ranges::generate(callers,
+                        [&] { return std::make_unique<Caller>(server); });
+  std::ranges::for_each(callers,
+                        [](const auto& caller) { caller->Send(kRequest); });
+  server.RunFor(kAnswerTime);
+  const bool are_answered = std::ranges::all_of(
+      callers, [](const auto& caller) { return caller->TakeAnswer(); });
+  REQUIRE(are_answered);
+  return callers;
+}
+
+size_t CountAnswers(Server& server, const Callers& callers) {
+  std::ranges::for_each(callers,
+                        [](const auto& caller) { caller->Send(kRequest); });
+  server.RunFor(kAnswerTime);
+  return static_cast<size_t>(std::ranges::count_if(
+      callers, [](const auto& caller) { return caller->TakeAnswer(); }));
+}
+
+}  // namespace
+
+// Guards against requests that cross the close of a connection that has been
+// idle for just the limit.
+TEST_CASE("requests sent about the idle limit are answered") {
+  constexpr size_t kCallers = 100;
+  const double share = GENERATE(0.8, 0.99, 1.0, 1.01);
+  Server server;
+  const Callers callers = MakeKeptCallers(server, kCallers);
+  // Idle since then at the earliest.
+  CHECK(CountAnswers(server, callers) == kCallers);
+  const TimePoint before = SteadyNow() - kAnswerTime;
+  server.RunUntil(before +
+                  std::chrono::duration_cast<Duration>(kLimit * share));
+  INFO("sent at " << share << " of the limit");
+  CHECK(CountAnswers(server, callers) == kCallers);
+}
+
+// Guards against timers armed under the lower limit.
+TEST_CASE("a raised idle limit holds for connections that are idle") {
+  Server server;
+  const Callers callers = MakeKeptCallers(server, 20);
+  server.state.limits.idle_timeout = 4 * kLimit;
+  server.RunFor(2 * kLimit);
+  CHECK(CountAnswers(server, callers) == callers.size());
+}
+
+TEST_CASE("a lowered idle limit cuts no request sent within the former one") {
+  Server server;
+  const Callers callers = MakeKeptCallers(server, 20);
+  server.state.limits.idle_timeout = kLimit / 4;
+  server.RunFor(kLimit / 2);
+  CHECK(CountAnswers(server, callers) == callers.size());
+}
+
+// Guards against a timer that expires while the process stands still and runs
+// before the request that lies in the socket is read.
+TEST_CASE("a request received while the event loop stood still is answered") {
+  Server server;
+  const Callers callers = MakeKeptCallers(server, 20);
+  std::this_thread::sleep_for(2 * kLimit);
+  CHECK(CountAnswers(server, callers) == callers.size());
+}
+
+// Guards against the handler of an expired timer that is queued already when
+// the first bytes of the next request are read: cancelling does not remove it.
+TEST_CASE("a timer that has expired does not cut a request that has begun") {
+  Server server;
+  const Callers callers = MakeKeptCallers(server, 20);
+  std::ranges::for_each(callers, [](const auto& caller) {
+    caller->Send(kRequest.substr(0, 10));
+  });
+  std::this_thread::sleep_for(2 * kLimit);
+  server.RunFor(milliseconds(20));
+  std::ranges::for_each(
+      callers, [](const auto& caller) { caller->Send(kRequest.substr(10)); });
+  server.RunFor(kAnswerTime);
+  const auto answers = std::ranges::count_if(
+      callers, [](const auto& caller) { return caller->TakeAnswer(); });
+  CHECK(answers == 20);
+}
+
+// Guards against a stop that closes connections accepted a moment ago.
+TEST_CASE("a stop leaves a new connection the time to send its request") {
+  Server server;
+  Callers callers(20);
+  std::ranges::generate(callers,
+                        [&] { return std::make_unique<Caller>(server); });
+  server.RunFor(milliseconds(10));
+  server.state.is_closing = true;
+  server.CloseIdleSessions();
+  CHECK(CountAnswers(server, callers) == callers.size());
+}
+
+// Guards against a stop that closes connections between two requests.
+TEST_CASE("a stop leaves connections that are in use open") {
+  Server server;
+  const Callers callers = MakeKeptCallers(server, 20);
+  server.state.is_closing = true;
+  server.CloseIdleSessions();
+  CHECK(CountAnswers(server, callers) == callers.size());
+}
+
+// Guards against a stop that closes a connection whose request has arrived but
+// is not read yet.
+TEST_CASE("a stop answers requests that lie in the socket") {
+  Server server;
+  const Callers callers = MakeKeptCallers(server, 20);
+  server.RunFor(kLimit / 2);
+  server.state.is_closing = true;
+  std::ranges::for_each(callers,
+                        [](const auto& caller) { caller->Send(kRequest); });
+  server.CloseIdleSessions();
+  server.RunFor(kAnswerTime);
+  const auto answers = std::ranges::count_if(
+      callers, [](const auto& caller) { return caller->TakeAnswer(); });
+  CHECK(answers == 20);
+}
+
+TEST_CASE("the end of a connection tells what was left") {
+  Server server;
+  server.state.limits.header_timeout = milliseconds(0);
+  Caller caller(server);
+  caller.Send(kRequest.substr(0, 10));
+  server.RunFor(milliseconds(1200));
+  REQUIRE(server.ends.size() == 1);
+  CHECK(ToString(server.ends[0].reason) == "head_too_slow");
+  CHECK(server.ends[0].partial_bytes == 10);
+  CHECK(MayHaveLostRequest(server.ends[0]));
+}
+
+TEST_CASE("a caller that leaves between two requests has lost none") {
+  Server server;
+  MakeKeptCallers(server, 1);
+  server.RunFor(milliseconds(20));
+  REQUIRE(server.ends.size() == 1);
+  CHECK(ToString(server.ends[0].reason) == "by_caller");
+  CHECK_FALSE(MayHaveLostRequest(server.ends[0]));
+}
+
+}  // namespace dogwoodlatch::dataplane
