Keep callers' connections past the idle limit, and end a stop in order

Cause: the idle timer closed at exactly the limit while requests were on their way; timers kept the limit in force when they were armed; a handler already queued closed connections that had begun a request; a stop closed, every tick, connections accepted milliseconds before; the process ended with responses unsent and connections in the listen queue.

Change: the timer only triggers a decision, which reads the socket first and uses the limits in force. Sessions share one read buffer. A stop closes connections idle for 1 s, stops listening 1 s before its last moment, and ends when no request or response is on its way and the listen queue is empty. Sessions share ownership of the server's state, as they outlive the router when the event loop is destroyed.

--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -47,13 +47,17 @@
         : acceptor(context), retry_timer(context) {}
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer retry_timer;
-    dataplane::HttpServerState server_state;
+    std::shared_ptr<dataplane::HttpServerState> server_state =
+        std::make_shared<dataplane::HttpServerState>();
     dataplane::HttpServerSession::Handler handler;
     std::vector<std::weak_ptr<dataplane::HttpServerSession>> sessions;
   };
 
   Result<void> Listen(Listener& listener, const std::string& address);
   void Accept(Listener& listener);
+  /// Accepts the connections that wait in the listening socket's queue.
+  void AcceptWaiting(Listener& listener);
+  static void Serve(Listener& listener, asio::ip::tcp::socket socket);
   void OnConnectionEnd(const dataplane::ConnectionEnd& end);
   void FollowPlatform();
   void AddFeed(const FeedOptions& options);
--- a/src/include/dogwoodlatch/dataplane/http_server_session.h
+++ b/src/include/dogwoodlatch/dataplane/http_server_session.h
@@ -1,9 +1,13 @@
 /// Server side of one caller's HTTP/1.1 connection.
 #pragma once
 
+#include <array>
 #include <asio.hpp>
-#include <deque>
+#include <chrono>
+#include <cstddef>
 #include <functional>
+#include <limits>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +30,7 @@
   kUnreadable,         ///< after the response to a request that is not valid
   kAfterLastResponse,  ///< after a response with "Connection: close"
   kAborted,            ///< a response was broken off
+  kEvicted,            ///< idle while connections run short
 };
 
 std::string_view ToString(CloseReason reason);
@@ -43,11 +48,21 @@
 /// refusal, and nothing else tells so.
 bool MayHaveLostRequest(const ConnectionEnd& end);
 
-/// State shared by all sessions of a server; must outlive them.
+class HttpServerSession;
+
+/// State shared by all sessions of a server.
 struct HttpServerState {
   serving::HttpLimits limits;
   bool is_closing = false;  ///< later responses close their connections
   size_t sessions = 0;      ///< number of open sessions
+  /// Number of sessions above which a new one evicts the oldest idle one.
+  size_t max_sessions = std::numeric_limits<size_t>::max();
+  /// Least time between the idle timeout and the close of a connection.
+  std::chrono::milliseconds min_idle_margin{5000};
+  /// Sessions without a request, the one that has been idle longest first.
+  std::list<HttpServerSession*> idle_sessions;
+  /// Holds the input of one read operation at a time.
+  std::array<char, 16UL * 1024> read_buffer{};
   /// Bodies of all requests that are being read or served.
   ByteBudget body_budget{32UL * 1024 * 1024};
   /// Called once for each connection that ends; may be empty.
@@ -63,8 +78,8 @@
   using Pointer = std::shared_ptr<HttpServerSession>;
   using Handler = std::function<void(const Pointer&, Request)>;
 
-  HttpServerSession(asio::ip::tcp::socket socket, HttpServerState& state,
-                    Handler handler);
+  HttpServerSession(asio::ip::tcp::socket socket,
+                    std::shared_ptr<HttpServerState> state, Handler handler);
   ~HttpServerSession();
   HttpServerSession(const HttpServerSession&) = delete;
   HttpServerSession& operator=(const HttpServerSession&) = delete;
@@ -100,12 +115,23 @@
     on_drained_ = std::move(handler);
   }
 
-  /// Closes the connection if no request is being read or served.
+  /// Closes the connection if it is idle and its caller is unlikely to send a
+  /// request now. For a process that stops.
   void CloseIfIdle();
 
+  /// True if a request or response is on its way, or may be on a connection
+  /// that was set up or used a moment ago.
+  bool IsBusy() const;
+
+  /// Closes the session that has been idle longest, if any.
+  static void EvictOldestIdle(HttpServerState& state);
+
  private:
   void ReadMore();
-  void OnBytes(std::error_code error, size_t count);
+  void OnReadable(std::error_code error);
+  /// Reads once without blocking. Returns false if there was nothing to read or
+  /// the connection has ended.
+  bool ReadAvailable();
   void ParseNext();
   void RejectUnreadable(int status, const HeaderList& headers = {});
   void Write(std::string_view bytes);
@@ -116,18 +142,31 @@
   void ReportEnd(CloseReason reason) const;
   CloseReason ReasonOfTimer() const;
   CloseReason ReasonOfLingering() const;
+  void BecomeIdle();
+  void LeaveIdle();
+  bool IsIdle() const { return idle_position_.has_value() && !is_writing_; }
+  /// Closes the connection unless its caller has sent something.
+  bool CloseUnlessReadable(CloseReason reason);
+  /// When the connection may be closed if nothing happens until then.
+  TimePoint CloseTime() const;
   void ArmTimer();
+  void OnTimer();
 
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
-  HttpServerState& state_;
+  std::shared_ptr<HttpServerState> state_;
   Handler handler_;
-  std::string read_buffer_;
   std::string input_;
   std::optional<RequestReader> reader_;
   ByteReservation body_bytes_;
   size_t counted_body_bytes_ = 0;  ///< of the current request
   TimePoint request_started_{};
+  TimePoint last_read_{};
+  TimePoint idle_since_{};
+  TimePoint linger_end_{};
+  /// End of the pending wait of `timer_`.
+  TimePoint timer_end_ = TimePoint::max();
+  std::optional<std::list<HttpServerSession*>::iterator> idle_position_;
   std::string method_;
   size_t request_bytes_ = 0;  ///< read of the current request
   size_t dropped_bytes_ = 0;
--- a/src/include/dogwoodlatch/serving/shutdown_plan.h
+++ b/src/include/dogwoodlatch/serving/shutdown_plan.h
@@ -22,6 +22,10 @@
   /// can end before the process exits or cannot be served elsewhere.
   bool Accepts(const Route& route, TimePoint now) const;
 
+  /// True while new connections may be accepted. Later ones could not be served
+  /// before the process exits.
+  bool Listens(TimePoint now) const;
+
   /// True if the process must exit, even with requests in progress.
   bool MustExit(TimePoint now) const;
 
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -59,6 +59,13 @@
 // content.
 constexpr size_t kBodyMemoryDivisor = 8;
 
+// Share of the process's memory and descriptors for connections of callers, and
+// what a connection needs without a request. Other descriptors are for files
+// and connections to targets.
+constexpr size_t kSessionMemoryDivisor = 8;
+constexpr size_t kSessionBytes = 8UL * 1024;
+constexpr size_t kSessionDescriptorDivisor = 2;
+
 // Keeps an update within a few packets.
 constexpr size_t kMaxTargetsPerUpdate = 16;
 
@@ -85,6 +92,11 @@
           .initial = extra / 2};
 }
 
+size_t MaxCallerConnections(const platform::NodeSettings& settings) {
+  return std::min(settings.memory_bytes / kSessionMemoryDivisor / kSessionBytes,
+                  settings.max_descriptors / kSessionDescriptorDivisor);
+}
+
 bool IsModelTarget(const serving::Target& target) {
   return !target.record.weights.empty();
 }
@@ -134,8 +146,9 @@
 }
 
 Result<void> Router::Start() {
-  frontend_.server_state.body_budget.SetCapacity(settings_.memory_bytes /
-                                                 kBodyMemoryDivisor);
+  frontend_.server_state->body_budget.SetCapacity(settings_.memory_bytes /
+                                                  kBodyMemoryDivisor);
+  frontend_.server_state->max_sessions = MaxCallerConnections(settings_);
   frontend_.handler = [this](
                           const dataplane::HttpServerSession::Pointer& session,
                           dataplane::Request request) {
@@ -156,18 +169,18 @@
                               is_scrape ? metrics_.Text() : "");
       };
   view_.SetConfigurationListener([this] {
-    frontend_.server_state.limits = view_.configuration()->limits();
+    frontend_.server_state->limits = view_.configuration()->limits();
     context_.saved_parts.SetCapacity(
         view_.configuration()->CacheStoreCapacityTokens());
   });
-  frontend_.server_state.on_connection_end =
+  frontend_.server_state->on_connection_end =
       [this](const dataplane::ConnectionEnd& end) { OnConnectionEnd(end); };
   view_.SetRemovalListener([this](const std::string& id) { pool_.Drop(id); });
   metrics_.RegisterGauge("dogwoodlatch_requests_in_progress", [this] {
     return static_cast<double>(context_.in_progress);
   });
   metrics_.RegisterGauge("dogwoodlatch_caller_connections", [this] {
-    return static_cast<double>(frontend_.server_state.sessions);
+    return static_cast<double>(frontend_.server_state->sessions);
   });
   metrics_.RegisterGauge("dogwoodlatch_configuration_version", [this] {
     const auto& configuration = view_.configuration();
@@ -219,6 +232,7 @@
   }
   if (!error) listener.acceptor.bind(*endpoint, error);
   if (!error) listener.acceptor.listen(kListenBacklog, error);
+  if (!error) listener.acceptor.non_blocking(true, error);
   if (error) return Error{ErrorCode::kIo, address, error.message()};
   Accept(listener);
   return boost::outcome_v2::success();
@@ -231,23 +245,41 @@
         if (error) {
           // Usually the process is out of file descriptors. Connections in
           // progress release some when they end.
+          dataplane::HttpServerSession::EvictOldestIdle(*listener.server_state);
           listener.retry_timer.expires_after(kAcceptRetryDelay);
           listener.retry_timer.async_wait(
               [this, &listener](std::error_code timer_error) {
-                if (!timer_error) Accept(listener);
+                if (!timer_error && listener.acceptor.is_open()) {
+                  Accept(listener);
+                }
               });
           return;
         }
-        auto session = std::make_shared<dataplane::HttpServerSession>(
-            std::move(socket), listener.server_state, listener.handler);
-        std::erase_if(listener.sessions,
-                      [](const auto& weak) { return weak.expired(); });
-        listener.sessions.push_back(session);
-        session->Start();
+        Serve(listener, std::move(socket));
         Accept(listener);
       });
 }
 
+void Router::AcceptWaiting(Listener& listener) {
+  std::error_code error;
+  while (!error) {
+    asio::ip::tcp::socket socket(io_);
+    // Fails when the queue is empty. Other errors end the accept operation that
+    // is pending, too.
+    listener.acceptor.accept(socket, error);
+    if (!error) Serve(listener, std::move(socket));
+  }
+}
+
+void Router::Serve(Listener& listener, asio::ip::tcp::socket socket) {
+  auto session = std::make_shared<dataplane::HttpServerSession>(
+      std::move(socket), listener.server_state, listener.handler);
+  std::erase_if(listener.sessions,
+                [](const auto& weak) { return weak.expired(); });
+  listener.sessions.push_back(session);
+  session->Start();
+}
+
 void Router::OnConnectionEnd(const dataplane::ConnectionEnd& end) {
   const std::string reason(ToString(end.reason));
   metrics_.Count("dogwoodlatch_caller_connections_closed_total",
@@ -595,25 +627,40 @@
 void Router::Stop() {
   if (is_stopping_) return;
   is_stopping_ = true;
-  frontend_.server_state.is_closing = true;
+  frontend_.server_state->is_closing = true;
   context_.stop.emplace(SteadyNow(), settings_.bounds.graceful_stop);
   LogEvent(EventId::kStopping,
            {{"in_progress", std::to_string(context_.in_progress)},
-            {"connections", std::to_string(frontend_.server_state.sessions)}});
+            {"connections", std::to_string(frontend_.server_state->sessions)}});
 }
 
-// New connections arrive until the balancer has taken the VM out of rotation.
-// Keep-alive connections are closed after their next response, and idle ones
-// once the VM is out of rotation.
+// New connections arrive until the balancer has taken the VM out of rotation,
+// and later if no other VM is in rotation. The listening socket is therefore
+// closed as late as possible. Keep-alive
+// connections are closed after their next response, and idle ones once the VM
+// is out of rotation. The process ends once no connection has a request or
+// response on its way; idle ones do not delay the restart.
 void Router::AdvanceStop(TimePoint now) {
   if (context_.stop->IsInRotation(now)) return;
   for (const auto& weak : frontend_.sessions) {
     if (const auto session = weak.lock()) session->CloseIfIdle();
   }
-  const bool is_done = context_.in_progress == 0;
+  const bool must_close = !context_.stop->Listens(now);
+  if (frontend_.acceptor.is_open()) {
+    if (must_close || context_.in_progress == 0) AcceptWaiting(frontend_);
+    std::error_code ignored;  // a failed close leaves nothing to do
+    if (must_close) frontend_.acceptor.close(ignored);
+  }
+  const bool is_busy =
+      std::ranges::any_of(frontend_.sessions, [](const auto& weak) {
+        const auto session = weak.lock();
+        return session && session->IsBusy();
+      });
+  const bool is_done = context_.in_progress == 0 && !is_busy;
   if (!is_done && !context_.stop->MustExit(now)) return;
   LogEvent(EventId::kStopped,
-           {{"in_progress", std::to_string(context_.in_progress)}});
+           {{"in_progress", std::to_string(context_.in_progress)},
+            {"connections", std::to_string(frontend_.server_state->sessions)}});
   FlushLog();
   io_.stop();
 }
--- a/src/libdataplane/http_server_session.cc
+++ b/src/libdataplane/http_server_session.cc
@@ -8,8 +8,6 @@
 namespace dogwoodlatch::dataplane {
 namespace {
 
-constexpr size_t kReadBufferBytes = 16UL * 1024;
-
 // Limit of pipelined input buffered while a request is served. Reading stops at
 // the limit until the request has ended.
 constexpr size_t kReadAheadBytes = 64UL * 1024;
@@ -17,6 +15,14 @@
 // Unsent response bytes above which the session is congested.
 constexpr size_t kCongestionThresholdBytes = 128UL * 1024;
 
+// Idle time after which a stopping process closes a connection. Callers that
+// have just connected or are in the middle of a series send a request sooner,
+// and its response tells them to use the connection no more.
+constexpr std::chrono::milliseconds kStopIdleTime{1000};
+
+// Time in which a request follows the setup of its connection.
+constexpr std::chrono::milliseconds kCrossingTime{20};
+
 // Time to wait for the caller to close its side after the last response.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
 
@@ -51,9 +57,10 @@
 }  // namespace
 
 std::string_view ToString(CloseReason reason) {
-  static constexpr std::array<std::string_view, 8> kNames = {
-      "by_caller", "idle",       "head_too_slow",       "body_too_slow",
-      "stop",      "unreadable", "after_last_response", "aborted"};
+  static constexpr std::array<std::string_view, 9> kNames = {
+      "by_caller",           "idle",    "head_too_slow",
+      "body_too_slow",       "stop",    "unreadable",
+      "after_last_response", "aborted", "evicted"};
   return kNames.at(static_cast<size_t>(reason));
 }
 
@@ -74,69 +81,108 @@
 }
 
 HttpServerSession::HttpServerSession(asio::ip::tcp::socket socket,
-                                     HttpServerState& state, Handler handler)
+                                     std::shared_ptr<HttpServerState> state,
+                                     Handler handler)
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
-      state_(state),
+      state_(std::move(state)),
       handler_(std::move(handler)),
-      read_buffer_(kReadBufferBytes, '\0'),
-      body_bytes_(state.body_budget) {
-  ++state_.sessions;
+      body_bytes_(state_->body_budget) {
+  ++state_->sessions;
 }
 
-HttpServerSession::~HttpServerSession() { --state_.sessions; }
+HttpServerSession::~HttpServerSession() {
+  LeaveIdle();
+  --state_->sessions;
+}
 
 void HttpServerSession::Start() {
-  std::error_code ignored;  // failure costs latency only
-  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  std::error_code error;  // failure costs latency only
+  socket_.set_option(asio::ip::tcp::no_delay(true), error);
+  socket_.non_blocking(true, error);
+  if (error) {
+    Close(CloseReason::kByCaller);
+    return;
+  }
+  if (state_->sessions > state_->max_sessions) EvictOldestIdle(*state_);
   ParseNext();
 }
 
+// Waits for input before it takes the buffer, which all sessions share: idle
+// connections hold no memory for input.
 void HttpServerSession::ReadMore() {
   if (is_reading_ || is_closed_) return;
   if (is_serving_ && input_.size() >= kReadAheadBytes) return;
   is_reading_ = true;
-  socket_.async_read_some(
-      asio::buffer(read_buffer_),
-      [self = shared_from_this()](std::error_code error, size_t count) {
-        self->is_reading_ = false;
-        self->OnBytes(error, count);
-      });
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](std::error_code error) {
+                       self->is_reading_ = false;
+                       self->OnReadable(error);
+                     });
 }
 
-void HttpServerSession::OnBytes(std::error_code error, size_t count) {
+void HttpServerSession::OnReadable(std::error_code error) {
   if (is_closed_) return;
   if (error) {
     Close(is_lingering_ ? ReasonOfLingering() : CloseReason::kByCaller);
     return;
   }
-  if (is_lingering_) {
-    dropped_bytes_ += count;
-    ReadMore();
-    return;
+  ReadAvailable();
+  ReadMore();
+}
+
+bool HttpServerSession::ReadAvailable() {
+  if (is_closed_) return false;
+  std::error_code error;
+  const size_t count =
+      socket_.read_some(asio::buffer(state_->read_buffer), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    return false;
+  }
+  if (error) {
+    Close(is_lingering_ ? ReasonOfLingering() : CloseReason::kByCaller);
+    return false;
   }
-  input_.append(read_buffer_, 0, count);
-  if (!is_serving_) request_bytes_ += count;
+  last_read_ = SteadyNow();
+  const std::string_view bytes(state_->read_buffer.data(), count);
   if (is_serving_) {
-    ReadMore();
+    input_.append(bytes);
+  } else if (!keeps_alive_) {
+    dropped_bytes_ += count;
   } else {
+    LeaveIdle();
+    input_.append(bytes);
+    request_bytes_ += count;
     ParseNext();
   }
+  return true;
 }
 
 void HttpServerSession::ParseNext() {
-  if (is_closed_ || is_serving_) return;
+  if (is_closed_ || is_serving_ || !keeps_alive_) return;
+  if (!reader_ && input_.empty()) {
+    BecomeIdle();
+    return;
+  }
+  LeaveIdle();
   if (!reader_) {
     reader_.emplace(
-        ReaderLimits{state_.limits.header_bytes, state_.limits.body_bytes});
+        ReaderLimits{state_->limits.header_bytes, state_->limits.body_bytes});
+    request_started_ = SteadyNow();
   }
-  const bool was_started = reader_->has_started();
   const ReadState state = reader_->Feed(input_);
-  if (!was_started) request_started_ = SteadyNow();
+  // Empty lines between requests.
+  if (state == ReadState::kNeedMore && !reader_->has_started() &&
+      input_.empty()) {
+    reader_.reset();
+    BecomeIdle();
+    return;
+  }
   const size_t body_growth = reader_->body_size() - counted_body_bytes_;
   const bool is_readable =
       state == ReadState::kNeedMore || state == ReadState::kDone;
-  if (is_readable && !body_bytes_.Grow(body_growth, state_.limits.body_bytes)) {
+  if (is_readable &&
+      !body_bytes_.Grow(body_growth, state_->limits.body_bytes)) {
     RejectUnreadable(503, {{"Retry-After", kOverloadedRetryAfter}});
     return;
   }
@@ -161,7 +207,6 @@
     case ReadState::kDone:
       break;
   }
-  timer_.cancel();
   is_serving_ = true;
   request_bytes_ = 0;
   Request request = reader_->Take();
@@ -184,26 +229,97 @@
   SendResponse(status, headers, "");
 }
 
-void HttpServerSession::ArmTimer() {
-  const bool has_started = reader_ && reader_->has_started();
-  const TimePoint idle_end = SteadyNow() + state_.limits.idle_timeout;
-  if (!has_started) {
-    timer_.expires_at(idle_end);
-  } else if (!reader_->has_head()) {
-    timer_.expires_at(request_started_ + state_.limits.header_timeout +
-                      kHeadMargin);
-  } else {
-    timer_.expires_at(std::min(idle_end, request_started_ + kMaxBodyTime));
+void HttpServerSession::BecomeIdle() {
+  if (!idle_position_) {
+    idle_since_ = SteadyNow();
+    idle_position_ =
+        state_->idle_sessions.insert(state_->idle_sessions.end(), this);
+    request_bytes_ = 0;
+    input_ = std::string();  // releases the memory, unlike clear()
   }
+  ArmTimer();
+  ReadMore();
+}
+
+void HttpServerSession::LeaveIdle() {
+  if (!idle_position_) return;
+  state_->idle_sessions.erase(*idle_position_);
+  idle_position_.reset();
+}
+
+bool HttpServerSession::CloseUnlessReadable(CloseReason reason) {
+  if (ReadAvailable()) {
+    ReadMore();
+    return false;
+  }
+  Close(reason);
+  return true;
+}
+
+void HttpServerSession::EvictOldestIdle(HttpServerState& state) {
+  while (true) {
+    const auto oldest =
+        std::ranges::find_if(state.idle_sessions, &HttpServerSession::IsIdle);
+    if (oldest == state.idle_sessions.end()) return;
+    const Pointer session = (*oldest)->shared_from_this();
+    // A session that has input is idle no longer.
+    if (session->CloseUnlessReadable(CloseReason::kEvicted)) return;
+  }
+}
+
+// The idle timeout is what a caller may use, and its last request may still be
+// on its way when it ends; so an idle connection is kept well beyond it. Always
+// computed from the limits that are in force now.
+TimePoint HttpServerSession::CloseTime() const {
+  const Duration limit = state_->limits.idle_timeout;
+  if (is_lingering_) return linger_end_;
+  if (!reader_) {
+    return idle_since_ + limit +
+           std::max<Duration>(limit, state_->min_idle_margin);
+  }
+  if (!reader_->has_head()) {
+    return request_started_ + state_->limits.header_timeout + kHeadMargin;
+  }
+  return std::min(std::max(last_read_, request_started_) + limit,
+                  request_started_ + kMaxBodyTime);
+}
+
+// A wait that ends too early is repeated, so that most requests need no change
+// of the timer.
+void HttpServerSession::ArmTimer() {
+  const TimePoint end = CloseTime();
+  if (timer_end_ <= end) return;
+  timer_end_ = end;
+  timer_.expires_at(end);
   timer_.async_wait([weak = weak_from_this()](std::error_code error) {
     const Pointer self = weak.lock();
-    if (error || !self || self->is_serving_) return;
-    self->Close(self->ReasonOfTimer());
+    if (!error && self) self->OnTimer();
   });
 }
 
+// The handler may have been queued when the state changed, and the process may
+// have stood still while input arrived. So input is read before the decision,
+// which is made from the present state.
+void HttpServerSession::OnTimer() {
+  timer_end_ = TimePoint::max();
+  if (is_closed_ || is_serving_) return;
+  if (keeps_alive_ && ReadAvailable()) {
+    // Posted, so that a caller that sends without end does not hold the loop.
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()] { self->OnTimer(); });
+    return;
+  }
+  if (is_closed_) return;
+  if (SteadyNow() < CloseTime()) {
+    ArmTimer();
+    return;
+  }
+  Close(ReasonOfTimer());
+}
+
 CloseReason HttpServerSession::ReasonOfTimer() const {
-  if (!reader_ || !reader_->has_started()) return CloseReason::kIdle;
+  if (!keeps_alive_) return ReasonOfLingering();
+  if (!reader_) return CloseReason::kIdle;
   return reader_->has_head() ? CloseReason::kBodyTooSlow
                              : CloseReason::kHeadTooSlow;
 }
@@ -216,7 +332,7 @@
 void HttpServerSession::SendResponse(int status, const HeaderList& headers,
                                      std::string_view body) {
   if (is_closed_) return;
-  if (state_.is_closing) keeps_alive_ = false;
+  if (state_->is_closing) keeps_alive_ = false;
   std::string bytes = StatusLine(status);
   AppendHeaders(headers, bytes);
   if (!keeps_alive_) bytes.append("Connection: close\r\n");
@@ -230,7 +346,7 @@
 void HttpServerSession::StartChunkedResponse(int status,
                                              const HeaderList& headers) {
   if (is_closed_) return;
-  if (state_.is_closing) keeps_alive_ = false;
+  if (state_->is_closing) keeps_alive_ = false;
   std::string bytes = StatusLine(status);
   AppendHeaders(headers, bytes);
   if (!keeps_alive_) bytes.append("Connection: close\r\n");
@@ -260,10 +376,14 @@
 }
 
 void HttpServerSession::CloseIfIdle() {
-  const bool has_started = reader_ && reader_->has_started();
-  if (!is_serving_ && !has_started && !is_writing_ && input_.empty()) {
-    Close(CloseReason::kStop);
-  }
+  if (!IsIdle()) return;
+  if (SteadyNow() - idle_since_ < kStopIdleTime) return;
+  CloseUnlessReadable(CloseReason::kStop);
+}
+
+bool HttpServerSession::IsBusy() const {
+  if (is_closed_ || is_lingering_) return false;
+  return !IsIdle() || SteadyNow() - idle_since_ < kCrossingTime;
 }
 
 void HttpServerSession::Write(std::string_view bytes) {
@@ -279,7 +399,7 @@
       socket_, asio::buffer(write_buffer_),
       [self = shared_from_this()](std::error_code error, size_t /*count*/) {
         self->is_writing_ = false;
-        self->write_buffer_.clear();
+        self->write_buffer_ = std::string();
         if (error) {
           self->Close(CloseReason::kByCaller);
           return;
@@ -298,6 +418,8 @@
   counted_body_bytes_ = 0;
   on_disconnect_ = nullptr;
   on_drained_ = nullptr;
+  idle_since_ = SteadyNow();
+  ArmTimer();
   if (!keeps_alive_) return;
   // Posted to the event loop so that pipelined requests do not recurse.
   asio::post(socket_.get_executor(),
@@ -310,23 +432,20 @@
 void HttpServerSession::Linger() {
   if (is_lingering_ || is_closed_ || is_writing_) return;
   is_lingering_ = true;
-  dropped_bytes_ = input_.size();
-  input_.clear();
+  dropped_bytes_ += input_.size();
+  input_ = std::string();
   std::error_code ignored;  // the caller may have closed the connection
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  timer_.expires_after(kLingerTimeout);
-  timer_.async_wait([weak = weak_from_this()](std::error_code error) {
-    const Pointer self = weak.lock();
-    if (!error && self) self->Close(self->ReasonOfLingering());
-  });
+  linger_end_ = SteadyNow() + kLingerTimeout;
+  ArmTimer();
   ReadMore();
 }
 
 void HttpServerSession::ReportEnd(CloseReason reason) const {
-  if (!state_.on_connection_end) return;
+  if (!state_->on_connection_end) return;
   std::error_code error;  // a socket that has failed holds nothing to read
   const size_t unread_bytes = socket_.available(error);
-  state_.on_connection_end(
+  state_->on_connection_end(
       {.reason = reason,
        .unread_bytes = error ? 0 : unread_bytes,
        .partial_bytes = is_serving_ ? 0 : request_bytes_,
@@ -339,6 +458,7 @@
   is_closed_ = true;
   ReportEnd(reason);
   body_bytes_.Release();
+  LeaveIdle();
   timer_.cancel();
   std::error_code ignored;  // a failed close leaves nothing to do
   socket_.close(ignored);
--- a/src/libserving/shutdown_plan.cc
+++ b/src/libserving/shutdown_plan.cc
@@ -10,6 +10,9 @@
 // Time between the process's own exit and the moment at which it is killed.
 constexpr Duration kMargin = std::chrono::milliseconds(600);
 
+// Time for the requests on connections that were set up last.
+constexpr Duration kLastRequestsTime = std::chrono::milliseconds(1000);
+
 }  // namespace
 
 bool ShutdownPlan::IsInRotation(TimePoint now) const {
@@ -25,6 +28,10 @@
   return route.kind != RouteKind::kStream && now + route.timeout <= End();
 }
 
+bool ShutdownPlan::Listens(TimePoint now) const {
+  return IsInRotation(now) || now < End() - kLastRequestsTime;
+}
+
 bool ShutdownPlan::MustExit(TimePoint now) const { return now >= End(); }
 
 TimePoint ShutdownPlan::End() const { return began_ + grace_ - kMargin; }
--- a/src/libserving/shutdown_plan_test.cc
+++ b/src/libserving/shutdown_plan_test.cc
@@ -36,4 +36,15 @@
   CHECK(plan.MustExit(At(7400)));
 }
 
+// Guards against a process that is cut off by its own end while callers still
+// open connections.
+TEST_CASE("the process stops listening a while before it must exit") {
+  const ShutdownPlan plan(At(0), milliseconds(8000));
+  CHECK(plan.Listens(At(6399)));
+  CHECK_FALSE(plan.Listens(At(6400)));
+  const ShutdownPlan short_plan(At(0), milliseconds(3000));
+  CHECK(short_plan.Listens(At(2599)));
+  CHECK_FALSE(short_plan.Listens(At(2600)));
+}
+
 }  // namespace dogwoodlatch::serving
