A call is "not run" only if its log's owner or all agents say so

Cause: a router that does not know a claim log's owner asks the first target that answers its probes; after the first reply the others have 5 ms. Beside load, or after a target has joined, that is often not the owner. With the store up that agent reads the log and names the owner; with the store down it refused with the same claim_failed as an owner that sees the key unclaimed, and the router took either for proof. Refusals for load, for a target that is down and between two agents had the same fault, and so had an owner whose last write conflicted and a target that takes no work while its agent holds the response.

Change: a refusal says whether its sender owns the log and the key has not run (Refused::key_not_run; protocol version 2). Without that, and after every claim_failed, the router asks the other agents as a lookup, which is answered from ledger and log in memory and runs nothing, also agents whose targets are unhealthy or leave. It reports "not run" if an owner has said so, or if every listed agent has answered that it does not know the key; otherwise "unknown". A router that reaches no agent reports not_run, no_target as before.

The mutation "a lost connection counts as a refusal" of the fuzz test sets the new field, since only such a refusal is proof now.

Remaining, in an outage of the store only: an agent restarted since it ran the key, or no longer listed, counts for nothing among all agents; a frozen former owner takes itself for the owner while its successor is unreachable (design 0003).

--- a/src/dogwoodlatch-router/request_driver.cc
+++ b/src/dogwoodlatch-router/request_driver.cc
@@ -14,6 +14,8 @@
 constexpr Duration kNoTargetRetryAfter = std::chrono::seconds(1);
 // Targets probed for each choice of a target that may own a claim log.
 constexpr size_t kMaxOwnersTried = 3;
+// The same for an agent that is asked only what it knows.
+constexpr size_t kMaxLookups = 12;
 
 RequestPlan MakeRequestPlan(const RequestContext& context, Suspicion suspicion,
                             const RouterSettings& settings) {
@@ -116,8 +118,7 @@
   }
   if (context_.latest_vms) context_.vms = context_.latest_vms();
   if (!context_.order.idempotent) return ChooseClaimOwner(command);
-  const std::vector<ProbedTarget> probed =
-      ProbeAll(SelectCandidates(command.avoid));
+  const std::vector<ProbedTarget> probed = ProbeAll(SelectCandidates(command));
   const std::optional<size_t> best =
       ChooseTarget(probed, context_.prompt, context_.policy);
   lifecycle_->Advance(SteadyNow());
@@ -132,19 +133,21 @@
 }
 
 // Chooses the first candidate, in order, that accepts work. A preferred target
-// is also chosen while it drains or is unhealthy, since it may hold the answer.
+// and one for a lookup are also chosen while they drain or are unhealthy, since
+// they may hold the answer.
 void RequestDriver::ChooseClaimOwner(const ChooseTargetCommand& command) {
   const std::vector<TargetId> candidates = OwnerCandidates(command);
   const std::vector<ProbedTarget> probed = ProbeAll(candidates);
   const auto can_take = [&](const TargetId& target) {
     const auto found = std::ranges::find(probed, target, &ProbedTarget::target);
     if (found == probed.end()) return false;
-    return !command.preferred.empty() ||
+    return !command.preferred.empty() || command.lookup_only ||
            (found->reply.healthy && !found->reply.draining);
   };
   const auto best = std::ranges::find_if(candidates, can_take);
   if (best == candidates.end()) {
-    Push(lifecycle_->Handle(NoTargetFound{kNoTargetRetryAfter}));
+    Push(lifecycle_->Handle(NoTargetFound{
+        kNoTargetRetryAfter, OutcomeReason::kNoTarget, !candidates.empty()}));
     return;
   }
   const ProbeReply& reply =
@@ -153,19 +156,20 @@
       TargetChosen{*best, reply.incarnation, reply.weights_version}));
 }
 
-// Returns at most kMaxOwnersTried targets: the last known owner, then the
-// others in an order that is the same at every router.
+// Returns a few targets: the last known owner, then the others in an order that
+// is the same at every router.
 std::vector<TargetId> RequestDriver::OwnerCandidates(
     const ChooseTargetCommand& command) const {
   if (!command.preferred.empty()) return {command.preferred};
-  std::vector<TargetId> candidates = SelectCandidates(command.avoid);
+  std::vector<TargetId> candidates = SelectCandidates(command);
   const TargetId owner =
       links_.owners().Find(context_.prompt.piece_keys.front());
   const auto owner_position = std::ranges::find(candidates, owner);
   if (owner_position != candidates.end()) {
     std::rotate(candidates.begin(), owner_position, owner_position + 1);
   }
-  if (candidates.size() > kMaxOwnersTried) candidates.resize(kMaxOwnersTried);
+  const size_t limit = command.lookup_only ? kMaxLookups : kMaxOwnersTried;
+  if (candidates.size() > limit) candidates.resize(limit);
   return candidates;
 }
 
@@ -177,6 +181,7 @@
   submit.delivered_text = command.delivered_text;
   submit.run_alone = command.run_alone;
   submit.claim.take_over_from = command.take_over_from;
+  submit.claim.lookup_only = command.lookup_only;
   submit.time_left = context_.deadline - SteadyNow();
   current_target_ = command.target;
   current_address_ = FindAgentAddress(command.target);
@@ -239,12 +244,15 @@
       std::get<Message>(item.content));
 }
 
+// A leaving target takes no new requests, but may hold an answer.
 std::vector<TargetId> RequestDriver::SelectCandidates(
-    const std::vector<TargetId>& avoid) const {
+    const ChooseTargetCommand& command) const {
   std::vector<const TargetEntry*> serving =
-      context_.vms->Serving(context_.order.kind, context_.serves);
+      command.lookup_only
+          ? context_.vms->Listed(context_.order.kind, context_.serves)
+          : context_.vms->Serving(context_.order.kind, context_.serves);
   std::erase_if(serving, [&](const TargetEntry* target) {
-    return std::ranges::find(avoid, target->id) != avoid.end();
+    return std::ranges::find(command.avoid, target->id) != command.avoid.end();
   });
   RoutingPolicy policy = context_.policy;
   // Any of the targets may own a claim log.
--- a/src/dogwoodlatch-router/request_driver.h
+++ b/src/dogwoodlatch-router/request_driver.h
@@ -72,7 +72,7 @@
   void CacheOwner(const Outcome& outcome);
   std::optional<RequestEvent> ToEvent(MailboxItem item) const;
   std::vector<TargetId> SelectCandidates(
-      const std::vector<TargetId>& avoid) const;
+      const ChooseTargetCommand& command) const;
   void ChooseClaimOwner(const ChooseTargetCommand& command);
   std::vector<TargetId> OwnerCandidates(
       const ChooseTargetCommand& command) const;
--- a/src/include/dogwoodlatch/at_most_once_core.h
+++ b/src/include/dogwoodlatch/at_most_once_core.h
@@ -121,7 +121,18 @@
     std::vector<std::pair<ClaimKey, ClaimRequest>> waiting;
   };
 
+  struct Refusal {
+    RefusalReason reason = RefusalReason::kClaimFailed;
+    bool key_not_run = false;
+    TargetId owner;
+  };
+
   bool IsForThisIncarnation(const Submit& submit) const;
+  const ClaimLog* FindLog(const std::string& service,
+                          const ClaimKey& key) const;
+  bool HasNotRun(const std::string& service, const ClaimKey& key) const;
+  Commands LookUp(const ClaimKey& key, const Submit& submit,
+                  const Waiter& waiter);
   Commands AnswerFromLedger(const ClaimKey& key, const RunRecord& record,
                             const Submit& submit, const Waiter& waiter);
   Commands StartClaim(const ClaimKey& key, const Submit& submit, TimePoint now,
@@ -132,10 +143,7 @@
   Commands ToAgentCommands(const ClaimLogName& name,
                            ClaimLog::Commands commands);
   void ApplyDecision(const DecideClaim& decision, Commands& out);
-  void RefuseAll(const std::vector<Waiter>& waiters, RefusalReason reason,
-                 const TargetId& owner, Commands& out);
-  SendBack RefuseOne(const Waiter& waiter, RefusalReason reason,
-                     const TargetId& owner);
+  SendBack Refuse(const Waiter& waiter, const Refusal& refusal);
 
   AtMostOnceOptions options_;
   Admission admit_;
--- a/src/include/dogwoodlatch/claim_log.h
+++ b/src/include/dogwoodlatch/claim_log.h
@@ -111,6 +111,13 @@
 
   bool is_owned() const { return owned_; }
 
+  /// Whether the log holds a claim of the key whose call may have run.
+  bool MayHaveRun(const ClaimKey& key) const;
+
+  /// Whether this agent owns the log and the key's call has not run. False if
+  /// the agent does not own the log or cannot tell whether it still does.
+  bool HasNotRun(const ClaimKey& key) const;
+
   /// Whether Tick has nothing to do.
   bool is_idle() const {
     return waiting_.empty() && !access_pending_ && !write_unresolved_ &&
@@ -159,6 +166,7 @@
   bool owned_ = false;
   bool access_pending_ = false;    // a read or write is outstanding
   bool write_unresolved_ = false;  // the outcome of `pending_` is unknown
+  bool is_contested_ = false;  // a write conflicted; another may own the log
   bool has_released_ = false;
   bool archiving_ = false;
   std::optional<SegmentRef> unlisted_segment_;  // stored, not in the head
--- a/src/include/dogwoodlatch/membership.h
+++ b/src/include/dogwoodlatch/membership.h
@@ -33,6 +33,9 @@
   uint64_t revision = 0;
   std::vector<TargetEntry> targets;
 
+  /// All targets that serve `name`.
+  std::vector<const TargetEntry*> Listed(RequestKind kind,
+                                         std::string_view name) const;
   /// The targets that serve `name` and are not leaving.
   std::vector<const TargetEntry*> Serving(RequestKind kind,
                                           std::string_view name) const;
--- a/src/include/dogwoodlatch/messages.h
+++ b/src/include/dogwoodlatch/messages.h
@@ -13,7 +13,7 @@
 
 namespace dogwoodlatch {
 
-inline constexpr int kProtocolVersion = 1;
+inline constexpr int kProtocolVersion = 2;
 
 /// Hash of one prompt piece, chained over all pieces before it.
 using PieceKey = uint64_t;
@@ -81,10 +81,11 @@
 /// What an agent needs to claim a non-idempotent request.
 struct ClaimOrder {
   std::string service;
-  uint32_t logs = 0;        ///< claim logs to create for a service without any
-  Duration retention{0};    ///< how long a claim is kept
-  TargetId take_over_from;  ///< the log's unreachable owner, or empty
-  WallTime issued;          ///< arrival at the router, by the router's clock
+  uint32_t logs = 0;         ///< claim logs to create for a service without any
+  Duration retention{0};     ///< how long a claim is kept
+  TargetId take_over_from;   ///< the log's unreachable owner, or empty
+  WallTime issued;           ///< arrival at the router, by the router's clock
+  bool lookup_only = false;  ///< report what is known of the key; run nothing
 };
 
 /// Asks an agent to run one attempt of a request.
@@ -122,6 +123,9 @@
   Duration retry_after{0};
   /// With kNotOwner: the target that owns the claim log, if known.
   std::string owner;
+  /// For non-idempotent requests: the agent owns the key's claim log, and no
+  /// submission of the key has run.
+  bool key_not_run = false;
 };
 
 /// One part of the answer; `sequence` counts from 0 within the attempt.
--- a/src/include/dogwoodlatch/request_lifecycle.h
+++ b/src/include/dogwoodlatch/request_lifecycle.h
@@ -85,6 +85,7 @@
 struct NoTargetFound {
   Duration retry_after{0};
   OutcomeReason reason = OutcomeReason::kNoTarget;
+  bool some_unreached = false;  ///< listed targets did not answer
 };
 struct ConnectionLost {
   uint32_t attempt = 0;
@@ -101,6 +102,7 @@
   TargetId preferred;  ///< the only target to try, unless empty
   /// A retry: withdraw from the retry budget first.
   bool spends_budget = false;
+  bool lookup_only = false;  ///< the target will not be asked to run anything
 };
 struct SendAttempt {
   TargetId target;
@@ -110,6 +112,7 @@
   std::string delivered_text;
   TargetId take_over_from;  ///< the claim log's unreachable owner, or empty
   bool run_alone = false;
+  bool lookup_only = false;  ///< ask only what is known of the key
 };
 struct CancelAttempt {
   TargetId target;
--- a/src/libdogwoodlatch/at_most_once_core.cc
+++ b/src/libdogwoodlatch/at_most_once_core.cc
@@ -67,23 +67,24 @@
   if (const RunRecord* record = ledger_.Find(key)) {
     return AnswerFromLedger(key, *record, submit, waiter);
   }
+  const auto refuse = [&](RefusalReason reason) -> Commands {
+    return {Refuse(waiter, {reason, HasNotRun(submit.claim.service, key), {}})};
+  };
   if (!IsForThisIncarnation(submit)) {
-    return {RefuseOne(waiter, RefusalReason::kStaleIncarnation, {})};
-  }
-  if (ledger_.IsRefused(waiter)) {
-    return {RefuseOne(waiter, RefusalReason::kSealed, {})};
-  }
-  if (submit.claim.logs == 0) {
-    return {RefuseOne(waiter, RefusalReason::kClaimFailed, {})};
+    return refuse(RefusalReason::kStaleIncarnation);
   }
+  if (submit.claim.lookup_only) return LookUp(key, submit, waiter);
+  if (ledger_.IsRefused(waiter)) return refuse(RefusalReason::kSealed);
+  if (submit.claim.logs == 0) return refuse(RefusalReason::kClaimFailed);
   // A submit this old was delayed in transit; its claim may have been dropped
   // by now.
   if (wall - submit.claim.issued > submit.claim.retention / 2) {
-    return {RefuseOne(waiter, RefusalReason::kSealed, {})};
+    return refuse(RefusalReason::kSealed);
   }
-  if (const std::optional<Refused> refused = admit_(submit)) {
+  if (std::optional<Refused> refused = admit_(submit)) {
     ledger_.Refuse(waiter);
-    return {SendBack{connection, *refused}};
+    refused->key_not_run = HasNotRun(submit.claim.service, key);
+    return {SendBack{connection, *std::move(refused)}};
   }
   ledger_.Begin(key, submit.digest, waiter);
   return StartClaim(key, submit, now, wall);
@@ -96,13 +97,42 @@
          options_.log.claimant.value;
 }
 
+const ClaimLog* AtMostOnceCore::FindLog(const std::string& service,
+                                        const ClaimKey& key) const {
+  const auto layout = layouts_.find(service);
+  if (layout == layouts_.end() || layout->second.logs == 0) return nullptr;
+  const auto log =
+      logs_.find({service, SelectClaimLog(key, layout->second.logs)});
+  return log == logs_.end() ? nullptr : &log->second;
+}
+
+bool AtMostOnceCore::HasNotRun(const std::string& service,
+                               const ClaimKey& key) const {
+  const ClaimLog* log = FindLog(service, key);
+  return log != nullptr && log->HasNotRun(key);
+}
+
+// Accesses neither the platform nor the target, so it is answered at once in an
+// outage of either.
+Commands AtMostOnceCore::LookUp(const ClaimKey& key, const Submit& submit,
+                                const Waiter& waiter) {
+  Commands out;
+  const ClaimLog* log = FindLog(submit.claim.service, key);
+  if (log != nullptr && log->MayHaveRun(key)) {
+    SendBroken(waiter, out);
+    return out;
+  }
+  const bool has_not_run = log != nullptr && log->HasNotRun(key);
+  return {Refuse(waiter, {RefusalReason::kClaimFailed, has_not_run, {}})};
+}
+
 Commands AtMostOnceCore::AnswerFromLedger(const ClaimKey& key,
                                           const RunRecord& record,
                                           const Submit& submit,
                                           const Waiter& waiter) {
   Commands out;
   if (record.body_digest != submit.digest) {
-    return {RefuseOne(waiter, RefusalReason::kKeyReused, {})};
+    return {Refuse(waiter, {RefusalReason::kKeyReused, false, {}})};
   }
   switch (record.state) {
     case RunState::kClaiming:
@@ -239,7 +269,12 @@
     std::ranges::for_each(waiters,
                           [&](const Waiter& w) { SendBroken(w, out); });
   } else {
-    RefuseAll(waiters, RefusalReasonFor(decision.verdict), decision.owner, out);
+    const Refusal refusal{
+        RefusalReasonFor(decision.verdict),
+        HasNotRun(call->second.submit.claim.service, decision.key),
+        decision.owner};
+    std::ranges::for_each(
+        waiters, [&](const Waiter& w) { out.push_back(Refuse(w, refusal)); });
   }
   out.push_back(EndAdmission{call->second.submit.request_id,
                              call->second.submit.attempt});
@@ -259,32 +294,29 @@
     case RunOutcome::kLost:
       for (const Waiter& w : ledger_.MarkLost(key)) SendBroken(w, out);
       break;
-    case RunOutcome::kNotSent:
-      logs_.at(call.log).Release(key);
+    case RunOutcome::kNotSent: {
+      ClaimLog& log = logs_.at(call.log);
+      log.Release(key);
       // Not kTargetDown: that would send the router to another agent before the
       // released claim has left the log.
-      RefuseAll(ledger_.Remove(key), RefusalReason::kSealed, {}, out);
+      const Refusal refusal{RefusalReason::kSealed, log.HasNotRun(key), {}};
+      for (const Waiter& w : ledger_.Remove(key)) {
+        out.push_back(Refuse(w, refusal));
+      }
       break;
+    }
   }
   out.push_back(EndAdmission{call.submit.request_id, call.submit.attempt});
   return out;
 }
 
-void AtMostOnceCore::RefuseAll(const std::vector<Waiter>& waiters,
-                               RefusalReason reason, const TargetId& owner,
-                               Commands& out) {
-  for (const Waiter& waiter : waiters) {
-    out.push_back(RefuseOne(waiter, reason, owner));
-  }
-}
-
 // Records each refusal, so that a delayed copy of a refused submit is refused
 // as well.
-SendBack AtMostOnceCore::RefuseOne(const Waiter& waiter, RefusalReason reason,
-                                   const TargetId& owner) {
+SendBack AtMostOnceCore::Refuse(const Waiter& waiter, const Refusal& refusal) {
   ledger_.Refuse(waiter);
-  return {waiter.connection, Refused{waiter.request_id, waiter.attempt, reason,
-                                     kRetryAfter, owner.value}};
+  return {waiter.connection,
+          Refused{waiter.request_id, waiter.attempt, refusal.reason,
+                  kRetryAfter, refusal.owner.value, refusal.key_not_run}};
 }
 
 }  // namespace dogwoodlatch
--- a/src/libdogwoodlatch/at_most_once_fuzz_test.cc
+++ b/src/libdogwoodlatch/at_most_once_fuzz_test.cc
@@ -3,6 +3,7 @@
 #include <rapidcheck/catch.h>
 
 #include <catch2/catch.hpp>
+#include <ranges>
 
 #include "at_most_once_simulation.h"
 #include "at_most_once_simulation_platform.h"
@@ -169,7 +170,8 @@
     const Agent& agent = agents_[i];
     return is_named && routers_[call->router].lists_agent[i] && agent.alive &&
            now_ >= agent.paused_until &&
-           (agent.service_up || !command.preferred.empty());
+           (agent.service_up || !command.preferred.empty() ||
+            command.lookup_only);
   };
   const size_t first =
       SelectClaimLog(ComputeClaimKey(call->submit), kLogs) % kAgents;
@@ -180,7 +182,15 @@
     return HandleEvent(call,
                        TargetChosen{TargetName(i), reply.incarnation, ""});
   }
-  HandleEvent(call, NoTargetFound{seconds(1)});
+  const auto is_unasked = [&](size_t i) {
+    return routers_[call->router].lists_agent[i] &&
+           std::ranges::find(command.avoid, TargetName(i)) ==
+               command.avoid.end();
+  };
+  const bool some_unreached =
+      std::ranges::any_of(std::views::iota(size_t{0}, kAgents), is_unasked);
+  HandleEvent(call, NoTargetFound{seconds(1), OutcomeReason::kNoTarget,
+                                  some_unreached});
 }
 
 // The message may be lost, late or duplicated; if it is lost or late, the
@@ -194,6 +204,7 @@
   submit.attempt = command.attempt;
   submit.incarnation = command.incarnation;
   submit.claim.take_over_from = command.take_over_from;
+  submit.claim.lookup_only = command.lookup_only;
   if (!agents_[i].alive) return LoseConnection(call, Delay());
   const bool is_disturbed = !fault_free_ && OneIn(5);
   const bool is_lost = is_disturbed && OneIn(3);
@@ -228,8 +239,9 @@
   const size_t agent = *call->agent;
   AtRouter(call->router, delay, [=, this] {
     if (mutation_ == Mutation::kNotRunAfterLoss && call->attempt == attempt) {
-      return HandleEvent(call, Refused{call->submit.request_id, attempt,
-                                       RefusalReason::kSealed, seconds(1), ""});
+      return HandleEvent(call,
+                         Refused{call->submit.request_id, attempt,
+                                 RefusalReason::kSealed, seconds(1), "", true});
     }
     if (call->agent == agent) HandleEvent(call, ConnectionLost{attempt});
   });
--- a/src/libdogwoodlatch/at_most_once_lifecycle.cc
+++ b/src/libdogwoodlatch/at_most_once_lifecycle.cc
@@ -35,16 +35,28 @@
   ++attempt_;
   attempt_open_ = true;
   chunks_.clear();
-  unanswered_.push_back({current_.target, current_.incarnation});
+  if (!lookup_only_) {
+    unanswered_.push_back({current_.target, current_.incarnation});
+  }
   return {SendAttempt{current_.target, attempt_, current_.incarnation,
-                      current_.weights_version, "", take_over_from_, false}};
+                      current_.weights_version, "", take_over_from_, false,
+                      lookup_only_}};
 }
 
 Commands AtMostOnceLifecycle::On(const NoTargetFound& event) {
-  if (preferred_.empty()) {
+  if (!preferred_.empty()) {
+    some_unreached_ = true;
+    return AbandonTarget(preferred_, OutcomeReason::kNoTarget);
+  }
+  if (lookup_only_) {
+    // All agents have answered, and none of them has run the key.
+    if (!some_unreached_ && !event.some_unreached) key_not_run_ = true;
+    return EndNotRun(lookup_reason_, lookup_retry_after_);
+  }
+  if (key_not_run_) {
     return EndNotRun(OutcomeReason::kNoTarget, event.retry_after);
   }
-  return AbandonTarget(preferred_, OutcomeReason::kNoTarget);
+  return LookUp(OutcomeReason::kNoTarget, event.retry_after);
 }
 
 // A refusal covers every earlier attempt of the request at this agent
@@ -55,6 +67,7 @@
   const bool is_proof = event.reason != RefusalReason::kStaleIncarnation;
   attempt_open_ = false;
   if (is_proof) CloseAttempt();
+  key_not_run_ = key_not_run_ || event.key_not_run;
   switch (event.reason) {
     case RefusalReason::kNotOwner:
       return RedirectToOwner({event.owner});
@@ -71,8 +84,34 @@
                   event.retry_after,
                   {}});
     default:
-      return EndNotRun(ToOutcomeReason(event.reason), event.retry_after);
+      return LookUpElsewhere(event);
+  }
+}
+
+// Ends the request unless another agent may know more of its key: the owner of
+// the claim log if this one is not, or a later owner if the claim could not be
+// recorded.
+Commands AtMostOnceLifecycle::LookUpElsewhere(const Refused& event) {
+  const OutcomeReason reason = ToOutcomeReason(event.reason);
+  const bool may_learn_more =
+      !event.key_not_run || event.reason == RefusalReason::kClaimFailed;
+  if (!may_learn_more) return EndNotRun(reason, event.retry_after);
+  avoid_.push_back(current_.target);
+  return LookUp(reason, event.retry_after);
+}
+
+// Asks the next agent what it knows of the key, without having the request run.
+// Agents whose target takes no requests are asked as well.
+Commands AtMostOnceLifecycle::LookUp(OutcomeReason reason,
+                                     Duration retry_after) {
+  if (!lookup_only_) {
+    lookup_only_ = true;
+    lookup_reason_ = reason;
+    lookup_retry_after_ = retry_after;
   }
+  preferred_ = {};
+  resent_ = false;
+  return RequestNextTarget(lookup_reason_, lookup_retry_after_);
 }
 
 Commands AtMostOnceLifecycle::RedirectToOwner(const TargetId& owner) {
@@ -99,7 +138,7 @@
 Commands AtMostOnceLifecycle::RequestNextTarget(OutcomeReason reason,
                                                 Duration retry_after) {
   if (++choice_count_ >= kMaxChoices) return EndNotRun(reason, retry_after);
-  return {ChooseTargetCommand{avoid_, preferred_, false}};
+  return {ChooseTargetCommand{avoid_, preferred_, false, lookup_only_}};
 }
 
 Commands AtMostOnceLifecycle::On(const Chunk& event) {
@@ -137,6 +176,7 @@
   if (event.attempt != attempt_ || !attempt_open_) return {};
   attempt_open_ = false;
   if (resent_) {
+    some_unreached_ = true;
     return AbandonTarget(current_.target, OutcomeReason::kTargetLost);
   }
   resent_ = true;
@@ -166,10 +206,13 @@
 }
 
 // Reports "not run" only if every attempt has been refused by the incarnation
-// that it addressed, otherwise "unknown".
+// that it addressed, and those that would know have told that no submission of
+// the key has run; otherwise "unknown". A request that was sent to no agent has
+// not run.
 Commands AtMostOnceLifecycle::EndNotRun(OutcomeReason reason,
                                         Duration retry_after) {
-  if (!unanswered_.empty()) {
+  const bool key_may_have_run = attempt_ > 0 && !key_not_run_;
+  if (!unanswered_.empty() || key_may_have_run) {
     return End({OutcomeKind::kUnknown, reason, Duration(0), {}});
   }
   return End({OutcomeKind::kNotRun, reason, retry_after, {}});
--- a/src/libdogwoodlatch/claim_log.cc
+++ b/src/libdogwoodlatch/claim_log.cc
@@ -50,6 +50,15 @@
   has_released_ = true;
 }
 
+bool ClaimLog::MayHaveRun(const ClaimKey& key) const {
+  const auto found = index_.find(key);
+  return found != index_.end() && !found->second.released;
+}
+
+bool ClaimLog::HasNotRun(const ClaimKey& key) const {
+  return owned_ && !is_contested_ && !MayHaveRun(key);
+}
+
 // No waiting request is decided while the outcome of a write is unknown: that
 // write is resolved first.
 Commands ClaimLog::IssueNextAccess(TimePoint now, WallTime wall,
@@ -267,6 +276,7 @@
     CommitPendingWrite(written.version, now, out);
   } else if (written.outcome != WriteOutcome::kNotWritten) {
     write_unresolved_ = true;
+    is_contested_ = written.outcome == WriteOutcome::kConflict;
   } else {
     OnPendingNotWritten(out);
     FailAllRequests(now, out);
@@ -287,6 +297,7 @@
                                   Commands& out) {
   const PendingWrite pending = *std::exchange(pending_, std::nullopt);
   write_unresolved_ = false;
+  is_contested_ = false;
   owned_ = true;
   version_ = version;
   head_ = pending.write.head;
@@ -331,6 +342,7 @@
 
 void ClaimLog::LoseOwnership() {
   write_unresolved_ = false;
+  is_contested_ = false;
   owned_ = false;
   has_released_ = false;
   index_.clear();
--- a/src/libdogwoodlatch/membership.cc
+++ b/src/libdogwoodlatch/membership.cc
@@ -4,14 +4,20 @@
 
 namespace dogwoodlatch {
 
-std::vector<const TargetEntry*> VmList::Serving(RequestKind kind,
-                                                std::string_view name) const {
-  std::vector<const TargetEntry*> serving;
+std::vector<const TargetEntry*> VmList::Listed(RequestKind kind,
+                                               std::string_view name) const {
+  std::vector<const TargetEntry*> listed;
   for (const TargetEntry& target : targets) {
-    if (target.kind == kind && target.serves == name && !target.leaving) {
-      serving.push_back(&target);
-    }
+    if (target.kind == kind && target.serves == name) listed.push_back(&target);
   }
+  return listed;
+}
+
+std::vector<const TargetEntry*> VmList::Serving(RequestKind kind,
+                                                std::string_view name) const {
+  std::vector<const TargetEntry*> serving = Listed(kind, name);
+  std::erase_if(serving,
+                [](const TargetEntry* target) { return target->leaving; });
   return serving;
 }
 
--- a/src/libdogwoodlatch/messages.cc
+++ b/src/libdogwoodlatch/messages.cc
@@ -31,9 +31,11 @@
           m.digest, m.priority, m.share, m.method, m.path, m.content_type,
           m.body, m.piece_keys, m.prompt_tokens, m.piece_tokens,
           m.delivered_text, m.run_alone, m.claim.service, m.claim.logs,
-          m.claim.retention, m.claim.take_over_from, m.claim.issued);
+          m.claim.retention, m.claim.take_over_from, m.claim.issued,
+          m.claim.lookup_only);
   } else if constexpr (std::is_same_v<T, Refused>) {
-    visit(m.request_id, m.attempt, m.reason, m.retry_after, m.owner);
+    visit(m.request_id, m.attempt, m.reason, m.retry_after, m.owner,
+          m.key_not_run);
   } else if constexpr (std::is_same_v<T, Chunk>) {
     visit(m.request_id, m.attempt, m.sequence, m.data);
   } else if constexpr (std::is_same_v<T, Finished>) {
--- a/src/libdogwoodlatch/messages_test.cc
+++ b/src/libdogwoodlatch/messages_test.cc
@@ -21,7 +21,8 @@
                              attempt,
                              std::chrono::hours(1),
                              {key},
-                             WallTime(std::chrono::seconds(attempt))};
+                             WallTime(std::chrono::seconds(attempt)),
+                             attempt % 2 == 1};
              const auto decoded = Decode(Encode(submit));
              RC_ASSERT(decoded.has_value());
              const auto& copy = std::get<Submit>(decoded.value());
@@ -35,9 +36,26 @@
              RC_ASSERT(copy.claim.retention == submit.claim.retention);
              RC_ASSERT(copy.claim.take_over_from == TargetId{key});
              RC_ASSERT(copy.claim.issued == submit.claim.issued);
+             RC_ASSERT(copy.claim.lookup_only == submit.claim.lookup_only);
            });
 }
 
+TEST_CASE("a Refused message is unchanged by encoding and decoding") {
+  const bool key_not_run = GENERATE(false, true);
+  const Refused refused{
+      {"r1"}, 3,          RefusalReason::kNotOwner, std::chrono::seconds(2),
+      "t1",   key_not_run};
+  const auto decoded = Decode(Encode(refused));
+  REQUIRE(decoded.has_value());
+  const auto& copy = std::get<Refused>(decoded.value());
+  CHECK(copy.request_id == refused.request_id);
+  CHECK(copy.attempt == refused.attempt);
+  CHECK(copy.reason == refused.reason);
+  CHECK(copy.retry_after == refused.retry_after);
+  CHECK(copy.owner == refused.owner);
+  CHECK(copy.key_not_run == key_not_run);
+}
+
 TEST_CASE("bytes that no message encodes to fail with kBadMessage") {
   rc::prop("decoding never crashes", [](const std::string& bytes) {
     const auto decoded = Decode(bytes);
--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -338,6 +338,13 @@
     return json.loads(request(target.ops_port, "GET", "/status")[2])["running"]
 
 
+def count_runs(cluster, keys):
+    """Returns how often the calls of the keys ran at the service, by its journal, each number once."""
+    with open(cluster.targets[0].journal, encoding="utf-8") as file:
+        ran = [line.split()[-1] for line in file]
+    return sorted({ran.count(key) for key in keys})
+
+
 def is_complete(text, reference):
     """Whether a streamed text has each token of the reference exactly once and in order."""
     return text.split() == reference.split()
--- a/testsuite/confirm_outage/run.py
+++ b/testsuite/confirm_outage/run.py
@@ -2,7 +2,7 @@
 
 import time
 
-from cluster import Cluster, bearer_headers, request, team_settings
+from cluster import Cluster, bearer_headers, count_runs, request, team_settings
 
 KEYS = [f"order-{n}" for n in range(8)]
 
@@ -19,12 +19,6 @@
     return sorted({(a["status"], a["outcome"], a["retry_after"]) for a in responses}, key=str)
 
 
-def count_runs(cluster, keys):
-    with open(cluster.targets[0].journal, encoding="utf-8") as file:
-        ran = [line.split()[-1] for line in file]
-    return sorted({ran.count(key) for key in keys})
-
-
 def run(bin_dir):
     with Cluster(bin_dir) as cluster:
         cluster.put_object("settings/ounje", team_settings(workspaces=("ounje",), services={"orders": {}}))
