Revert "A stopping router waits 0.2 s at most for connections that come and go"

The wait for 20 ms without a new connection is what guards them; it stays unbounded but for the last moment of the stop.

--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -117,7 +117,6 @@
   size_t retry_budget_routers_ = 0;
   bool has_known_routers_ = false;  ///< the number of routers was ever known
   bool is_stopping_ = false;
-  std::optional<TimePoint> drained_at_;  ///< first without a request, in a stop
 };
 
 }  // namespace dogwoodlatch::daemon
--- a/src/include/dogwoodlatch/dataplane/http_server_session.h
+++ b/src/include/dogwoodlatch/dataplane/http_server_session.h
@@ -119,9 +119,9 @@
   /// request now. For a process that stops.
   void CloseIfIdle();
 
-  /// True if a request or response is on its way, or may be, on a connection
-  /// that was set up or used within the time `quiet`.
-  bool IsBusy(Duration quiet) const;
+  /// True if a request or response is on its way, or may be on a connection
+  /// that was set up or used a moment ago.
+  bool IsBusy() const;
 
   /// Closes the session that has been idle longest, if any.
   static void EvictOldestIdle(HttpServerState& state);
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -69,11 +69,6 @@
 // Keeps an update within a few packets.
 constexpr size_t kMaxTargetsPerUpdate = 16;
 
-// A stopping router ends when no connection was set up or used for the time of
-// a crossing to callers and back, and does not wait for that for long.
-constexpr milliseconds kCrossingTime{20};
-constexpr milliseconds kMaxQuietWait{200};
-
 constexpr milliseconds kSubscriptionPeriod{1000};
 constexpr milliseconds kSweepPeriod{500};
 constexpr milliseconds kAcceptRetryDelay{20};
@@ -641,33 +636,27 @@
 
 // New connections arrive until the balancer has taken the VM out of rotation,
 // and later if no other VM is in rotation. The listening socket is therefore
-// closed as late as possible. Keep-alive connections are closed after their
-// next response, and idle ones once the VM is out of rotation. The process ends
-// once no connection has a request or response on its way; idle ones do not
-// delay the restart. Callers that come back at once without end do so only for
-// a short time.
+// closed as late as possible. Keep-alive
+// connections are closed after their next response, and idle ones once the VM
+// is out of rotation. The process ends once no connection has a request or
+// response on its way; idle ones do not delay the restart.
 void Router::AdvanceStop(TimePoint now) {
   if (context_.stop->IsInRotation(now)) return;
   for (const auto& weak : frontend_.sessions) {
     if (const auto session = weak.lock()) session->CloseIfIdle();
   }
   const bool must_close = !context_.stop->Listens(now);
-  const bool has_requests = context_.in_progress > 0;
   if (frontend_.acceptor.is_open()) {
-    if (must_close || !has_requests) AcceptWaiting(frontend_);
+    if (must_close || context_.in_progress == 0) AcceptWaiting(frontend_);
     std::error_code ignored;  // a failed close leaves nothing to do
     if (must_close) frontend_.acceptor.close(ignored);
   }
-  if (!has_requests && !drained_at_) drained_at_ = now;
-  const Duration quiet = drained_at_ && now - *drained_at_ > kMaxQuietWait
-                             ? Duration{0}
-                             : kCrossingTime;
   const bool is_busy =
-      std::ranges::any_of(frontend_.sessions, [quiet](const auto& weak) {
+      std::ranges::any_of(frontend_.sessions, [](const auto& weak) {
         const auto session = weak.lock();
-        return session && session->IsBusy(quiet);
+        return session && session->IsBusy();
       });
-  const bool is_done = !has_requests && !is_busy;
+  const bool is_done = context_.in_progress == 0 && !is_busy;
   if (!is_done && !context_.stop->MustExit(now)) return;
   LogEvent(EventId::kStopped,
            {{"in_progress", std::to_string(context_.in_progress)},
--- a/src/libdataplane/http_server_session.cc
+++ b/src/libdataplane/http_server_session.cc
@@ -20,6 +20,9 @@
 // and its response tells them to use the connection no more.
 constexpr std::chrono::milliseconds kStopIdleTime{1000};
 
+// Time in which a request follows the setup of its connection.
+constexpr std::chrono::milliseconds kCrossingTime{20};
+
 // Time to wait for the caller to close its side after the last response.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
 
@@ -378,9 +381,9 @@
   CloseUnlessReadable(CloseReason::kStop);
 }
 
-bool HttpServerSession::IsBusy(Duration quiet) const {
+bool HttpServerSession::IsBusy() const {
   if (is_closed_ || is_lingering_) return false;
-  return !IsIdle() || SteadyNow() - idle_since_ < quiet;
+  return !IsIdle() || SteadyNow() - idle_since_ < kCrossingTime;
 }
 
 void HttpServerSession::Write(std::string_view bytes) {
