--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -24,8 +24,9 @@
 void Exchange::OnStreamBytes(TargetAttempt& attempt, std::string_view bytes) {
   SelectAnswering(attempt);
   RelayEvents(splitter_.Feed(bytes));
-  if (attempt_ && splitter_.is_too_long())
+  if (attempt_ && splitter_.is_too_long()) {
     OnResponseLost(*attempt_, "event too long");
+  }
 }
 
 void Exchange::RelayEvents(std::string_view events) {
--- a/src/libdogwoodlatch/at_most_once_fuzz_test.cc
+++ b/src/libdogwoodlatch/at_most_once_fuzz_test.cc
@@ -187,8 +187,8 @@
            std::ranges::find(command.avoid, TargetName(i)) ==
                command.avoid.end();
   };
-  const bool some_unreached =
-      std::ranges::any_of(std::views::iota(size_t{0}, kAgents), is_unasked);
+  bool some_unreached = false;
+  for (size_t i = 0; i < kAgents; ++i) some_unreached |= is_unasked(i);
   HandleEvent(call, NoTargetFound{seconds(1), OutcomeReason::kNoTarget,
                                   some_unreached});
 }
