Builds use ccache where it is installed

Several checkouts build the same sources side by side; with paths relative to the source tree they share objects. The platform's build (daemons only) does not use it, so what the platform builds is compiled from nothing as before. The package is listed with the others in the Makefile.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 CTEST_SKIP = $(if $(SKIP_TESTS),-E "$(SKIP_TESTS)")
 
-PACKAGES = g++ cmake ninja-build clang-format clang-tidy libasio-dev \
+PACKAGES = g++ cmake ninja-build ccache clang-format clang-tidy libasio-dev \
   libwebsocketpp-dev nlohmann-json3-dev libcpp-httplib-dev libboost-dev \
   libcxxopts-dev libspdlog-dev catch2 librapidcheck-dev libxxhash-dev \
   libssl-dev pkg-config python3 curl
--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -16,3 +16,10 @@
   endif()
   add_link_options(-fsanitize=${DOGWOODLATCH_SANITIZE})
 endif()
+
+# Paths relative to the source tree let checkouts at different places share cached objects.
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM AND NOT DOGWOODLATCH_DAEMONS_ONLY)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CMAKE_COMMAND} -E env CCACHE_BASEDIR=${CMAKE_SOURCE_DIR} CCACHE_NOHASHDIR=1
+      CCACHE_SLOPPINESS=pch_defines,time_macros,include_file_mtime,include_file_ctime ${CCACHE_PROGRAM})
+endif()
