A route's attempts count targets: a stream may return to the one that it left

Cause: a stream left its silent target for a second one, which broke off later. Two runs had used up the two attempts of the route. But a route's attempts limit the targets that one request may reach, not its runs: the first target may have it again.

Change: TargetHistory records the different targets at which a request may have run and those that must not get it again. When the attempts are used up, a request that may be repeated can return to a target that was left for its silence; the limit of sends and the retry budget hold as before. Requests that must not be repeated never return.

Ruled out: a longer overlap alone, as the second target may break off at any time.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -80,7 +80,7 @@
 
   bool AdmitRequest();
   void StartDeadline();
-  std::optional<serving::Placement> Place(std::span<const std::string> excluded,
+  std::optional<serving::Placement> Place(const serving::TargetHistory& history,
                                           TimePoint now) const;
   void TryTarget();
   void RecordSend(const std::vector<uint64_t>& shared_parts);
@@ -88,11 +88,13 @@
   void OnNotRun(TargetAttempt& attempt);
   void OnFailure(int status);
   void OnResponseLost(TargetAttempt& attempt, std::string_view why);
+  void RecordRun(const TargetAttempt& attempt);
   void RecordLostRun(const TargetAttempt& attempt, std::string_view why);
   void AbandonAttempt();
   void WithdrawAttempt(std::shared_ptr<TargetAttempt>& attempt);
   Duration CallerLeavesIn(TimePoint now) const;
   void StartHandoverTimer();
+  void StopHandoverTimer();
   void EndOverlap();
   void SelectAnswering(const TargetAttempt& attempt);
   void CompleteHandover();
@@ -126,7 +128,7 @@
   std::shared_ptr<TargetAttempt> silent_;
   asio::steady_timer handover_timer_;
   bool is_overlapping_ = false;     ///< two targets have the request
-  std::vector<std::string> tried_;  ///< ids of targets
+  serving::TargetHistory history_;
   serving::RequestProgress progress_;
   serving::EventStreamSplitter splitter_;
   std::optional<TimePoint> first_event_at_;
--- a/src/include/dogwoodlatch/daemon/routed_request.h
+++ b/src/include/dogwoodlatch/daemon/routed_request.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "dogwoodlatch/daemon/platform_view.h"
+#include "dogwoodlatch/serving/attempt_rules.h"
 #include "dogwoodlatch/serving/placement.h"
 #include "dogwoodlatch/serving/saved_parts.h"
 #include "platform/requests.h"
@@ -29,11 +30,11 @@
   const serving::SavedParts& saved_parts;
 };
 
-/// Returns the best target that is not in `tried`, or nothing when none can
-/// take the request.
+/// Returns the best target that the request's route and its earlier sends
+/// allow, or nothing when none can take the request.
 std::optional<serving::Placement> PlaceRequest(
     const RoutedRequest& request, const PlacementContext& context,
-    std::span<const std::string> tried, TimePoint now);
+    const serving::TargetHistory& history, TimePoint now);
 
 /// Returns the delay after which the caller should retry if the placed request
 /// would miss its objective or deadline, and nothing if it would not.
--- a/src/include/dogwoodlatch/serving/attempt_rules.h
+++ b/src/include/dogwoodlatch/serving/attempt_rules.h
@@ -3,6 +3,10 @@
 #pragma once
 
 #include <chrono>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include "dogwoodlatch/serving/configuration.h"
 #include "dogwoodlatch/time.h"
@@ -12,11 +16,41 @@
 /// Attempts made so far for a request.
 struct RequestProgress {
   int sends = 0;                ///< to targets, including refused ones
-  int runs = 0;                 ///< sends after which the request may have run
+  int runs = 0;                 ///< targets at which the request may have run
   int connect_failures = 0;     ///< targets that could not be connected to
   bool stream_started = false;  ///< the caller has received part of the answer
 };
 
+/// The targets to which a request has been sent.
+class TargetHistory {
+ public:
+  /// The target gets the request no more.
+  void Exclude(const std::string& id);
+
+  /// The target was left although it did not fail, so it may get the request
+  /// again.
+  void Readmit(const std::string& id);
+
+  /// The request may have run at the target.
+  void RecordRun(const std::string& id);
+
+  /// Number of different targets at which the request may have run.
+  int runs() const { return static_cast<int>(ran_at_.size()); }
+
+  /// Ids of the targets that get the request no more.
+  std::span<const std::string> excluded() const { return excluded_; }
+
+  /// True if the request may have run at the target.
+  bool HasRunAt(std::string_view id) const;
+
+  /// True if some target at which the request may have run can get it again.
+  bool CanReturn() const;
+
+ private:
+  std::vector<std::string> excluded_;
+  std::vector<std::string> ran_at_;
+};
+
 /// A complete answer of a target.
 struct TargetAnswer {
   int status = 0;
@@ -33,10 +67,16 @@
 
 AnswerVerdict ClassifyAnswer(const TargetAnswer& answer);
 
-/// True if a request that may have run may run once more.
+/// True if a request that may have run may run at one more target.
 bool MayRunAgain(const Route& route, const RequestProgress& progress,
                  Duration left);
 
+/// True if a request that may have run may run again at one of the targets that
+/// it was sent to before. A route limits the targets of a request, so it may
+/// return also if it may go to no further one.
+bool MayReturn(const Route& route, const RequestProgress& progress,
+               Duration left);
+
 /// True if a request may move from an unresponsive target to another one. The
 /// run at the unresponsive target counts, and one more must be allowed after
 /// it.
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -124,12 +124,12 @@
 }
 
 std::optional<serving::Placement> Exchange::Place(
-    std::span<const std::string> excluded, TimePoint now) const {
+    const serving::TargetHistory& history, TimePoint now) const {
   return PlaceRequest(routed_,
                       {.view = context_.view,
                        .policy = context_.placement,
                        .saved_parts = context_.saved_parts},
-                      excluded, now);
+                      history, now);
 }
 
 void Exchange::TryTarget() {
@@ -137,7 +137,7 @@
     OnDeadline();
     return;
   }
-  std::optional<serving::Placement> placement = Place(tried_, SteadyNow());
+  std::optional<serving::Placement> placement = Place(history_, SteadyNow());
   if (!placement) {
     EndWithoutResponse();
     return;
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -103,7 +103,7 @@
 }
 
 void Exchange::OnFailure(int status) {
-  ++progress_.runs;
+  RecordRun(*attempt_);
   if (status >= kServerFailure && MayRunAgain() && WithdrawRetry()) {
     AbandonAttempt();
     TryTarget();
@@ -167,9 +167,10 @@
     signals.OnUnreachable(now);
   }
   if (silent_ || &attempt != attempt_.get()) return;
-  std::vector<std::string> excluded = tried_;
-  excluded.push_back(attempt.target_id());
-  const std::optional<serving::Placement> other = Place(excluded, now);
+  serving::TargetHistory history_after_move = history_;
+  history_after_move.Exclude(attempt.target_id());
+  const std::optional<serving::Placement> other =
+      Place(history_after_move, now);
   const bool is_allowed =
       serving::MayAbandonUnresponsive(*routed_.route, progress_, TimeLeft()) &&
       !context_.poison.IsBlocked(fingerprint_, now);
@@ -188,7 +189,7 @@
        {"allowed", is_allowed ? "yes" : "no"},
        {"moves", moves ? "yes" : "no"}});
   if (!moves) return;
-  tried_.push_back(attempt.target_id());
+  history_ = std::move(history_after_move);
   silent_ = std::move(attempt_);
   TryTarget();
 }
@@ -200,8 +201,8 @@
   return std::min(left, serving::CallerWait(routed_.route->objective) - waited);
 }
 
-// Counts from the first send elsewhere, also if the request is then refused
-// there and sent to a third target.
+// Counts from the first send after which the request may have run elsewhere:
+// until a target refuses it, it may.
 void Exchange::StartHandoverTimer() {
   if (std::exchange(is_overlapping_, true)) return;
   handover_timer_.expires_after(kMaxOverlap);
@@ -210,12 +211,19 @@
        silent = std::weak_ptr(silent_)](std::error_code error) {
         const auto self = weak.lock();
         // A handler that was queued before the timer was cancelled may find
-        // another silent attempt.
-        if (error || !self || !self->silent_) return;
-        if (self->silent_ == silent.lock()) self->EndOverlap();
+        // another silent attempt, or a later overlap.
+        if (error || !self || !self->silent_ || !self->is_overlapping_) return;
+        const bool is_over =
+            self->handover_timer_.expiry() <= std::chrono::steady_clock::now();
+        if (is_over && self->silent_ == silent.lock()) self->EndOverlap();
       });
 }
 
+void Exchange::StopHandoverTimer() {
+  handover_timer_.cancel();
+  is_overlapping_ = false;
+}
+
 // The first target may be sending to others again, and its next event be about
 // to come.
 void Exchange::EndOverlap() {
@@ -240,25 +248,23 @@
 // The silent target may be tried again, as its silence is no failure.
 void Exchange::CompleteHandover() {
   RecordLostRun(*silent_, "silent");
-  std::erase(tried_, silent_->target_id());
+  history_.Readmit(silent_->target_id());
   DropSilent();
 }
 
 void Exchange::ReturnToSilent() {
-  handover_timer_.cancel();
-  is_overlapping_ = false;
+  StopHandoverTimer();
   LogEvent(EventId::kAttemptKept, {{"request", routed_.metadata.id},
                                    {"target", silent_->target_id()}});
   if (attempt_) {
-    if (attempt_->is_sent()) ++progress_.runs;
+    if (attempt_->is_sent()) RecordRun(*attempt_);
     WithdrawAttempt(attempt_);
   }
   attempt_ = std::move(silent_);
 }
 
 void Exchange::DropSilent() {
-  handover_timer_.cancel();
-  is_overlapping_ = false;
+  StopHandoverTimer();
   splitter_.DropPartial();
   silent_->Cancel();
   silent_.reset();
@@ -281,9 +287,14 @@
   }
 }
 
+void Exchange::RecordRun(const TargetAttempt& attempt) {
+  history_.RecordRun(attempt.target_id());
+  progress_.runs = history_.runs();
+}
+
 void Exchange::RecordLostRun(const TargetAttempt& attempt,
                              std::string_view why) {
-  ++progress_.runs;
+  RecordRun(attempt);
   LogEvent(EventId::kAttemptLost,
            {{"request", routed_.metadata.id},
             {"target", attempt.target_id()},
@@ -294,7 +305,7 @@
 }
 
 void Exchange::AbandonAttempt() {
-  tried_.push_back(attempt_->target_id());
+  history_.Exclude(attempt_->target_id());
   attempt_->Cancel();
   attempt_.reset();
 }
@@ -316,8 +327,12 @@
 bool Exchange::MayRunAgain() const {
   serving::RequestProgress progress = progress_;
   if (silent_) ++progress.runs;
-  return serving::MayRunAgain(*routed_.route, progress, TimeLeft()) &&
-         !context_.poison.IsBlocked(fingerprint_, SteadyNow());
+  const Duration left = TimeLeft();
+  const bool is_allowed =
+      serving::MayRunAgain(*routed_.route, progress, left) ||
+      (history_.CanReturn() &&
+       serving::MayReturn(*routed_.route, progress, left));
+  return is_allowed && !context_.poison.IsBlocked(fingerprint_, SteadyNow());
 }
 
 bool Exchange::WithdrawRetry() {
--- a/src/libdaemon/routed_request.cc
+++ b/src/libdaemon/routed_request.cc
@@ -24,11 +24,11 @@
 
 std::optional<serving::Placement> PlaceRequest(
     const RoutedRequest& request, const PlacementContext& context,
-    std::span<const std::string> tried, TimePoint now) {
+    const serving::TargetHistory& history, TimePoint now) {
   const PlatformView& view = context.view;
   const serving::Prompt& prompt = request.metadata.prompt;
   serving::PlacementRequest placement_request;
-  placement_request.tried = tried;
+  placement_request.tried = history.excluded();
   if (request.workspace != nullptr && request.workspace->isolated) {
     placement_request.workspace = request.workspace->name;
   }
@@ -47,8 +47,14 @@
     placement_request.cache_store = CacheStoreAddress(request);
     placement_request.saved_parts = &context.saved_parts;
   }
-  return context.policy.Choose(view.fleet().Serving(request.service, now),
-                               placement_request, now);
+  std::vector<serving::Fleet::TargetPtr> allowed =
+      view.fleet().Serving(request.service, now);
+  if (history.runs() > 0 && history.runs() >= request.route->max_attempts) {
+    std::erase_if(allowed, [&](const auto& target) {
+      return !history.HasRunAt(target->record.id);
+    });
+  }
+  return context.policy.Choose(allowed, placement_request, now);
 }
 
 std::optional<Duration> RetryAfterIfTooLate(const RoutedRequest& request,
--- a/src/libserving/attempt_rules.cc
+++ b/src/libserving/attempt_rules.cc
@@ -51,9 +51,34 @@
                                             : AnswerVerdict::kFailure;
 }
 
+void TargetHistory::Exclude(const std::string& id) { excluded_.push_back(id); }
+
+void TargetHistory::Readmit(const std::string& id) {
+  std::erase(excluded_, id);
+}
+
+void TargetHistory::RecordRun(const std::string& id) {
+  if (!HasRunAt(id)) ran_at_.push_back(id);
+}
+
+bool TargetHistory::HasRunAt(std::string_view id) const {
+  return std::ranges::find(ran_at_, id) != ran_at_.end();
+}
+
+bool TargetHistory::CanReturn() const {
+  return std::ranges::any_of(ran_at_, [this](const std::string& id) {
+    return std::ranges::find(excluded_, id) == excluded_.end();
+  });
+}
+
 bool MayRunAgain(const Route& route, const RequestProgress& progress,
                  Duration left) {
-  return route.MayRepeat() && progress.runs < route.max_attempts &&
+  return progress.runs < route.max_attempts && MayReturn(route, progress, left);
+}
+
+bool MayReturn(const Route& route, const RequestProgress& progress,
+               Duration left) {
+  return route.MayRepeat() &&
          progress.sends < std::max(route.max_attempts, kMaxSends) &&
          left > kMinTimeToSend;
 }
--- a/src/libserving/attempt_rules_test.cc
+++ b/src/libserving/attempt_rules_test.cc
@@ -78,6 +78,36 @@
   CHECK(MaxIdleTime(route) == std::chrono::seconds(60));
 }
 
+// Guards against a stream that ends because its second target fails, though the
+// first one, which was left for its silence, goes on.
+TEST_CASE("a request whose targets are used up returns to one that was left") {
+  const Route route = MakeRoute(RouteKind::kStream, 2, true);
+  TargetHistory history;
+  history.Exclude("silent");
+  history.RecordRun("silent");
+  CHECK_FALSE(history.CanReturn());
+  history.Readmit("silent");
+  history.Exclude("broken");
+  history.RecordRun("broken");
+  RequestProgress progress{.sends = 2, .runs = history.runs()};
+  CHECK_FALSE(MayRunAgain(route, progress, kMuchTime));
+  CHECK(history.CanReturn());
+  CHECK(MayReturn(route, progress, kMuchTime));
+  // The run after the return is at the same target, and is the last one.
+  history.RecordRun("silent");
+  CHECK(history.runs() == 2);
+  progress = {.sends = 3, .runs = history.runs()};
+  CHECK_FALSE(MayReturn(route, progress, kMuchTime));
+}
+
+TEST_CASE("a request that must not be repeated does not return either") {
+  const RequestProgress progress{.sends = 1, .runs = 1};
+  const Route order = MakeRoute(RouteKind::kNonIdempotent, 2);
+  CHECK_FALSE(MayReturn(order, progress, kMuchTime));
+  const Route stream = MakeRoute(RouteKind::kStream, 2);
+  CHECK_FALSE(MayReturn(stream, progress, kMuchTime));
+}
+
 TEST_CASE("an answer is delivered only with a seal") {
   CHECK(ClassifyAnswer({200, true, false}) == AnswerVerdict::kGood);
   CHECK(ClassifyAnswer({200, false, false}) == AnswerVerdict::kUnusable);
