A silent target keeps its request until another one can have taken it

Cause: after 1.25 s of silence a stream is sent to a second target, and 0.2 s later the first one was left, whether or not the second had answered. A target that loads weights refuses only after 200 to 284 ms. A second refusal came later still, as the 0.2 s were counted from the first send, even when that one had been refused. Then nobody had the request. The class: giving up the one that has the work before another one has taken it.

Change: the overlap lasts 330 ms, below the 400 ms for which two targets may work on a request, and begins anew when every target so far has refused the request, as nobody else can have run it then. If one may have run it, it counts from there on.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -128,6 +128,7 @@
   std::shared_ptr<TargetAttempt> silent_;
   asio::steady_timer handover_timer_;
   bool is_overlapping_ = false;     ///< two targets have the request
+  bool has_run_elsewhere_ = false;  ///< in this overlap, it may have run
   serving::TargetHistory history_;
   serving::RequestProgress progress_;
   serving::EventStreamSplitter splitter_;
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -13,8 +13,9 @@
 using std::chrono::milliseconds;
 
 // Longest time for which two targets may hold a request, while it moves from a
-// silent one to another.
-constexpr milliseconds kMaxOverlap{200};
+// silent one to another. A target that loads weights may refuse it only after a
+// quarter of a second; two targets must not work on it for 400 ms.
+constexpr milliseconds kMaxOverlap{330};
 
 constexpr int kMisdirected = 421;
 constexpr int kServerFailure = 500;
@@ -138,6 +139,7 @@
     DropSilent();
     return;
   }
+  if (silent_ && !has_run_elsewhere_) StopHandoverTimer();
   AbandonAttempt();
   if (serving::MaySendAgain(progress_, TimeLeft()) && WithdrawRetry()) {
     TryTarget();
@@ -222,6 +224,7 @@
 void Exchange::StopHandoverTimer() {
   handover_timer_.cancel();
   is_overlapping_ = false;
+  has_run_elsewhere_ = false;
 }
 
 // The first target may be sending to others again, and its next event be about
@@ -289,6 +292,7 @@
 
 void Exchange::RecordRun(const TargetAttempt& attempt) {
   history_.RecordRun(attempt.target_id());
+  if (silent_ && &attempt != silent_.get()) has_run_elsewhere_ = true;
   progress_.runs = history_.runs();
 }
 
