A request does not return to the target that it leaves

Cause: the check whether a request can return to a target counted the present one, which is excluded only afterwards. With the attempts used up, the answer was thrown away for a retry that no target was left for.

--- a/src/include/dogwoodlatch/serving/attempt_rules.h
+++ b/src/include/dogwoodlatch/serving/attempt_rules.h
@@ -43,8 +43,9 @@
   /// True if the request may have run at the target.
   bool HasRunAt(std::string_view id) const;
 
-  /// True if some target at which the request may have run can get it again.
-  bool CanReturn() const;
+  /// True if some target at which the request may have run, other than the one
+  /// that has it at `present`, can get it again.
+  bool CanReturn(std::string_view present) const;
 
  private:
   std::vector<std::string> excluded_;
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -334,7 +334,7 @@
   const Duration left = TimeLeft();
   const bool is_allowed =
       serving::MayRunAgain(*routed_.route, progress, left) ||
-      (history_.CanReturn() &&
+      (history_.CanReturn(attempt_ ? attempt_->target_id() : "") &&
        serving::MayReturn(*routed_.route, progress, left));
   return is_allowed && !context_.poison.IsBlocked(fingerprint_, SteadyNow());
 }
--- a/src/libserving/attempt_rules.cc
+++ b/src/libserving/attempt_rules.cc
@@ -65,9 +65,9 @@
   return std::ranges::find(ran_at_, id) != ran_at_.end();
 }
 
-bool TargetHistory::CanReturn() const {
-  return std::ranges::any_of(ran_at_, [this](const std::string& id) {
-    return std::ranges::find(excluded_, id) == excluded_.end();
+bool TargetHistory::CanReturn(std::string_view present) const {
+  return std::ranges::any_of(ran_at_, [&](const std::string& id) {
+    return id != present && std::ranges::find(excluded_, id) == excluded_.end();
   });
 }
 
--- a/src/libserving/attempt_rules_test.cc
+++ b/src/libserving/attempt_rules_test.cc
@@ -85,13 +85,13 @@
   TargetHistory history;
   history.Exclude("silent");
   history.RecordRun("silent");
-  CHECK_FALSE(history.CanReturn());
+  CHECK_FALSE(history.CanReturn({}));
   history.Readmit("silent");
   history.Exclude("broken");
   history.RecordRun("broken");
   RequestProgress progress{.sends = 2, .runs = history.runs()};
   CHECK_FALSE(MayRunAgain(route, progress, kMuchTime));
-  CHECK(history.CanReturn());
+  CHECK(history.CanReturn({}));
   CHECK(MayReturn(route, progress, kMuchTime));
   // The run after the return is at the same target, and is the last one.
   history.RecordRun("silent");
@@ -100,6 +100,18 @@
   CHECK_FALSE(MayReturn(route, progress, kMuchTime));
 }
 
+// Guards against an answer of the last target, an error, that is discarded in
+// favour of a return to that same target.
+TEST_CASE("a request does not return to the target that it leaves") {
+  TargetHistory history;
+  history.Exclude("first");
+  history.RecordRun("first");
+  history.RecordRun("second");
+  CHECK_FALSE(history.CanReturn("second"));
+  history.Readmit("first");
+  CHECK(history.CanReturn("second"));
+}
+
 TEST_CASE("a request that must not be repeated does not return either") {
   const RequestProgress progress{.sends = 1, .runs = 1};
   const Route order = MakeRoute(RouteKind::kNonIdempotent, 2);
--- a/testsuite/fleet_path/run.py
+++ b/testsuite/fleet_path/run.py
@@ -76,6 +76,11 @@
     print("write refused", status, "come back", float(headers.get("Retry-After", 0)) > 0, "runs",
           sum(len(plain.ran) for plain in plain_targets))
     reset_targets(plain_targets)
+    # Every target answers with an error: the caller gets the last target's own answer.
+    set_behaviour(plain_targets, "failing")
+    status, headers, _ = fleet.request(ROUTER, "/read/x")
+    print("read fails everywhere", status, "sealed", fleet.is_sealed(headers))
+    reset_targets(plain_targets)
     plain_targets[0].behaviour = plain_targets[1].behaviour = ["full"]
     print("write refused once", fleet.request(ROUTER, "/write/x", "POST", b"1")[0])
     reset_targets(plain_targets)
