An error that a target has answered is kept until another target answers

What callers saw: a 502 or a timeout of the router, though a target had answered (a sealed 500).

Cause: the answer was dropped before another target had taken the request; if the next one refused it, broke off or stayed silent, nothing was left to deliver. Since the route's attempts count targets, a second error was also dropped for a return to a target that was still silent.

Change: an error is dropped only for a further target, never for a return, and is kept with its attempt; it is delivered when no target answers, at the deadline too.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -97,6 +97,9 @@
   void StopHandoverTimer();
   void EndOverlap();
   void SelectAnswering(const TargetAttempt& attempt);
+  serving::TargetHistory PresentHistory() const;
+  std::chrono::milliseconds MaxSilence(TimePoint now) const;
+  bool DeliverFailedAnswer();
   void CompleteHandover();
   void ReturnToSilent();
   void DropSilent();
@@ -126,6 +129,11 @@
   std::shared_ptr<TargetAttempt> attempt_;
   /// The attempt at a silent target, until `attempt_` has taken its place.
   std::shared_ptr<TargetAttempt> silent_;
+  /// What `silent_` has sent of its present event, and all events before.
+  serving::EventStreamSplitter silent_splitter_;
+  /// An attempt that was answered with an error. The answer is delivered if no
+  /// other target takes the request.
+  std::shared_ptr<TargetAttempt> failed_;
   asio::steady_timer handover_timer_;
   bool is_overlapping_ = false;     ///< two targets have the request
   bool has_run_elsewhere_ = false;  ///< in this overlap, it may have run
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -259,11 +259,20 @@
 }
 
 void Exchange::EndWithoutResponse() {
+bool Exchange::DeliverFailedAnswer() {
+  if (!failed_ || progress_.stream_started) return false;
+  WithdrawAttempt(attempt_);
+  attempt_ = std::move(failed_);
+  DeliverResponse();
+  return true;
+}
+
   if (silent_) {
     ReturnToSilent();
     return;
   }
   switch (serving::DetermineFinalOutcome(progress_)) {
+  if (DeliverFailedAnswer()) return;
     case serving::FinalOutcome::kRefuse:
       RefuseForLackOfTargets();
       return;
@@ -318,6 +327,7 @@
     return;
   }
   Fail(Outcome::kTimedOut, kGatewayTimeout);
+  if (DeliverFailedAnswer()) return;
 }
 
 void Exchange::OnCallerGone() { Finish(Outcome::kCallerGone, 0); }
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -105,7 +105,11 @@
 
 void Exchange::OnFailure(int status) {
   RecordRun(*attempt_);
-  if (status >= kServerFailure && MayRunAgain() && WithdrawRetry()) {
+  const bool may_run_elsewhere =
+      serving::MayRunAgain(*routed_.route, progress_, TimeLeft()) &&
+      !context_.poison.IsBlocked(fingerprint_, SteadyNow());
+  if (status >= kServerFailure && may_run_elsewhere && WithdrawRetry()) {
+    failed_ = attempt_;
     AbandonAttempt();
     TryTarget();
     return;
