A stream stays with its silent target until another one has sent an event

What callers saw: streams broken off, and reads answered 502 or 504, although the silent target that they had left went on.

Causes: (1) a part of an event, or the end of a response, of the second target was taken for its answer; (2) sends that were refused used up the return; (3) a second target that sent nothing kept the request until its timeout; (4) after a return, the next overlap was cut short, as the record of the second run was made after the timer had been reset; (5) an overlap that ended while a third target was still being connected to left nobody with the request.

Change: each of two targets that hold a stream has its own splitter, and the second one takes it over with its first whole event in sequence. A return counts sends as a refused request does. A request that may return waits for the second target half as long as its caller still waits, 0.35 s at least. The placement never counts out the target that is being left. An overlap without another holder ends with the first target.

--- a/src/include/dogwoodlatch/serving/attempt_rules.h
+++ b/src/include/dogwoodlatch/serving/attempt_rules.h
@@ -94,6 +94,10 @@
 /// True if the answer is expected sooner from another target.
 bool IsMovePromising(const SilentRequest& request);
 
+/// How long a request that has left a silent target waits for the next one
+/// before it may return, if its caller leaves in `caller_left`.
+std::chrono::milliseconds SilenceBeforeReturn(Duration caller_left);
+
 /// True if a request that did not run at its last target may be sent to
 /// another one.
 bool MaySendAgain(const RequestProgress& progress, Duration left);
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -137,7 +137,8 @@
     OnDeadline();
     return;
   }
-  std::optional<serving::Placement> placement = Place(history_, SteadyNow());
+  std::optional<serving::Placement> placement =
+      Place(PresentHistory(), SteadyNow());
   if (!placement) {
     EndWithoutResponse();
     return;
@@ -166,7 +167,7 @@
       *std::move(placement),
       AttemptRequest{.id = routed_.metadata.id,
                      .is_stream = routed_.route->kind == RouteKind::kStream,
-                     .max_silence = serving::FirstByteTimeout(*routed_.route)});
+                     .max_silence = MaxSilence(SteadyNow())});
   const Duration max_idle = serving::MaxIdleTime(*routed_.route);
   if (!attempt_->Connect(max_idle)) OnConnectFailed(*attempt_, "no address");
 }
@@ -258,7 +259,6 @@
          head.status);
 }
 
-void Exchange::EndWithoutResponse() {
 bool Exchange::DeliverFailedAnswer() {
   if (!failed_ || progress_.stream_started) return false;
   WithdrawAttempt(attempt_);
@@ -267,12 +267,13 @@
   return true;
 }
 
+void Exchange::EndWithoutResponse() {
   if (silent_) {
     ReturnToSilent();
     return;
   }
-  switch (serving::DetermineFinalOutcome(progress_)) {
   if (DeliverFailedAnswer()) return;
+  switch (serving::DetermineFinalOutcome(progress_)) {
     case serving::FinalOutcome::kRefuse:
       RefuseForLackOfTargets();
       return;
@@ -326,8 +327,8 @@
     Finish(Outcome::kTimedOut, 0);
     return;
   }
-  Fail(Outcome::kTimedOut, kGatewayTimeout);
   if (DeliverFailedAnswer()) return;
+  Fail(Outcome::kTimedOut, kGatewayTimeout);
 }
 
 void Exchange::OnCallerGone() { Finish(Outcome::kCallerGone, 0); }
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -13,8 +13,7 @@
 using std::chrono::milliseconds;
 
 // Longest time for which two targets may hold a request, while it moves from a
-// silent one to another. A target that loads weights may refuse it only after a
-// quarter of a second; two targets must not work on it for 400 ms.
+// silent one to another: two targets must not work on it for 400 ms.
 constexpr milliseconds kMaxOverlap{330};
 
 constexpr int kMisdirected = 421;
@@ -23,8 +22,11 @@
 }  // namespace
 
 void Exchange::OnStreamBytes(TargetAttempt& attempt, std::string_view bytes) {
-  SelectAnswering(attempt);
-  RelayEvents(splitter_.Feed(bytes));
+  if (&attempt == silent_.get()) ReturnToSilent();
+  const std::string events = splitter_.Feed(bytes);
+  // Until another target has sent a whole event, the silent one may go on.
+  if (!events.empty() && splitter_.in_sequence()) SelectAnswering(attempt);
+  RelayEvents(events);
   if (attempt_ && splitter_.is_too_long()) {
     OnResponseLost(*attempt_, "event too long");
   }
@@ -59,12 +61,13 @@
 }
 
 void Exchange::OnStreamEnd(TargetAttempt& attempt) {
-  SelectAnswering(attempt);
+  if (&attempt == silent_.get()) ReturnToSilent();
   if (splitter_.has_partial()) {
     context_.pool.Drop(attempt_->target_id());
     OnResponseLost(attempt, "ended inside an event");
     return;
   }
+  SelectAnswering(attempt);
   attempt_->target().signals.OnOutcome(false);
   context_.poison.OnAnswered(fingerprint_);
   const int status = attempt_->head().status;
@@ -175,11 +178,16 @@
   if (silent_ || &attempt != attempt_.get()) return;
   serving::TargetHistory history_after_move = history_;
   history_after_move.Exclude(attempt.target_id());
+  history_after_move.RecordRun(attempt.target_id());
   const std::optional<serving::Placement> other =
       Place(history_after_move, now);
+  const Duration left = TimeLeft();
+  const bool may_move =
+      serving::MayAbandonUnresponsive(*routed_.route, progress_, left) ||
+      (history_after_move.CanReturn(attempt.target_id()) &&
+       serving::MayReturn(*routed_.route, progress_, left));
   const bool is_allowed =
-      serving::MayAbandonUnresponsive(*routed_.route, progress_, TimeLeft()) &&
-      !context_.poison.IsBlocked(fingerprint_, now);
+      may_move && !context_.poison.IsBlocked(fingerprint_, now);
   const bool moves =
       other && is_allowed &&
       serving::IsMovePromising({.silence = attempt.SilentFor(now),
@@ -195,11 +203,28 @@
        {"allowed", is_allowed ? "yes" : "no"},
        {"moves", moves ? "yes" : "no"}});
   if (!moves) return;
-  history_ = std::move(history_after_move);
+  history_.Exclude(attempt.target_id());
   silent_ = std::move(attempt_);
+  silent_splitter_ = splitter_;
+  splitter_.DropPartial();
   TryTarget();
 }
 
+// A request that has left a silent target, and could return to it, waits for
+// the next one only as long as its caller would wait for the return as well.
+milliseconds Exchange::MaxSilence(TimePoint now) const {
+  const milliseconds limit = serving::FirstByteTimeout(*routed_.route);
+  if (!silent_) return limit;
+  return std::min(limit, serving::SilenceBeforeReturn(CallerLeavesIn(now)));
+}
+
+// The targets so far, including the one that the request is about to leave.
+serving::TargetHistory Exchange::PresentHistory() const {
+  serving::TargetHistory history = history_;
+  if (silent_) history.RecordRun(silent_->target_id());
+  return history;
+}
+
 Duration Exchange::CallerLeavesIn(TimePoint now) const {
   const Duration left = TimeLeft();
   if (routed_.route->kind != serving::RouteKind::kStream) return left;
@@ -232,9 +257,11 @@
 }
 
 // The first target may be sending to others again, and its next event be about
-// to come.
+// to come. No other target may have the request: the second one has failed, and
+// the next one is being connected to.
 void Exchange::EndOverlap() {
-  if (silent_->SilentFor(SteadyNow()) < kMaxOverlap) {
+  const bool is_elsewhere = attempt_ && attempt_->is_sent();
+  if (!is_elsewhere || silent_->SilentFor(SteadyNow()) < kMaxOverlap) {
     ReturnToSilent();
   } else {
     CompleteHandover();
@@ -260,19 +287,19 @@
 }
 
 void Exchange::ReturnToSilent() {
-  StopHandoverTimer();
   LogEvent(EventId::kAttemptKept, {{"request", routed_.metadata.id},
                                    {"target", silent_->target_id()}});
   if (attempt_) {
     if (attempt_->is_sent()) RecordRun(*attempt_);
     WithdrawAttempt(attempt_);
   }
+  StopHandoverTimer();
   attempt_ = std::move(silent_);
+  splitter_ = silent_splitter_;
 }
 
 void Exchange::DropSilent() {
   StopHandoverTimer();
-  splitter_.DropPartial();
   silent_->Cancel();
   silent_.reset();
 }
@@ -285,7 +312,7 @@
     DropSilent();
     return;
   }
-  if (!silent_) splitter_.DropPartial();
+  splitter_.DropPartial();
   AbandonAttempt();
   if (splitter_.in_sequence() && MayRunAgain() && WithdrawRetry()) {
     TryTarget();
--- a/src/libserving/attempt_rules.cc
+++ b/src/libserving/attempt_rules.cc
@@ -30,6 +30,10 @@
 // seconds without an event.
 constexpr std::chrono::milliseconds kMaxStreamSilence{1250};
 
+// No target is expected to answer sooner while it loads weights or reads a long
+// prompt.
+constexpr std::chrono::milliseconds kMinSilenceBeforeReturn{350};
+
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 // Statuses by which callers conclude that the request has not run.
@@ -73,14 +77,14 @@
 
 bool MayRunAgain(const Route& route, const RequestProgress& progress,
                  Duration left) {
-  return progress.runs < route.max_attempts && MayReturn(route, progress, left);
+  return route.MayRepeat() && progress.runs < route.max_attempts &&
+         progress.sends < std::max(route.max_attempts, kMaxSends) &&
+         left > kMinTimeToSend;
 }
 
 bool MayReturn(const Route& route, const RequestProgress& progress,
                Duration left) {
-  return route.MayRepeat() &&
-         progress.sends < std::max(route.max_attempts, kMaxSends) &&
-         left > kMinTimeToSend;
+  return route.MayRepeat() && MaySendAgain(progress, left);
 }
 
 bool MayAbandonUnresponsive(const Route& route, RequestProgress progress,
@@ -97,6 +101,13 @@
          std::min(request.silence, request.caller_left);
 }
 
+// Half of the time is left for the return.
+std::chrono::milliseconds SilenceBeforeReturn(Duration caller_left) {
+  return std::max(
+      kMinSilenceBeforeReturn,
+      std::chrono::ceil<std::chrono::milliseconds>(caller_left / 2));
+}
+
 bool MaySendAgain(const RequestProgress& progress, Duration left) {
   return progress.sends < kMaxSends + progress.runs && left > kMinTimeToSend;
 }
