--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -4,6 +4,7 @@
 
 #include <asio.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,8 +12,10 @@
 #include "dogwoodlatch/daemon/coordinator.h"
 #include "dogwoodlatch/daemon/exchange.h"
 #include "dogwoodlatch/daemon/freshness_keeper.h"
+#include "dogwoodlatch/daemon/listener.h"
 #include "dogwoodlatch/daemon/object_feed.h"
 #include "dogwoodlatch/daemon/platform_view.h"
+#include "dogwoodlatch/daemon/router_stop.h"
 #include "dogwoodlatch/dataplane/http_server_session.h"
 #include "dogwoodlatch/serving/update_period.h"
 #include "platform/node_settings.h"
@@ -42,22 +45,6 @@
   void Reload(const platform::NodeSettings& settings);
 
  private:
-  struct Listener {
-    explicit Listener(asio::io_context& context)
-        : acceptor(context), retry_timer(context) {}
-    asio::ip::tcp::acceptor acceptor;
-    asio::steady_timer retry_timer;
-    std::shared_ptr<dataplane::HttpServerState> server_state =
-        std::make_shared<dataplane::HttpServerState>();
-    dataplane::HttpServerSession::Handler handler;
-    std::vector<std::weak_ptr<dataplane::HttpServerSession>> sessions;
-  };
-
-  Result<void> Listen(Listener& listener, const std::string& address);
-  void Accept(Listener& listener);
-  /// Accepts the connections that wait in the listening socket's queue.
-  void AcceptWaiting(Listener& listener);
-  static void Serve(Listener& listener, asio::ip::tcp::socket socket);
   void OnConnectionEnd(const dataplane::ConnectionEnd& end);
   void FollowPlatform();
   void AddFeed(const FeedOptions& options);
@@ -75,7 +62,6 @@
   /// Targets that have said lately that they leave.
   std::vector<RouterUpdate::Leaving> CollectLeaving(TimePoint now);
   void Tick();
-  void AdvanceStop(TimePoint now);
   void DivideRetryBudget(size_t routers);
   void SendUpdate(const RouterUpdate& update,
                   const std::vector<size_t>& receivers);
@@ -116,7 +102,7 @@
   serving::RoundRobinSelector update_rotation_{kMaxRoutersPerUpdate};
   size_t retry_budget_routers_ = 0;
   bool has_known_routers_ = false;  ///< the number of routers was ever known
-  bool is_stopping_ = false;
+  std::optional<RouterStop> stop_;  ///< set once the router is stopping
 };
 
 }  // namespace dogwoodlatch::daemon
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -71,8 +71,6 @@
 
 constexpr milliseconds kSubscriptionPeriod{1000};
 constexpr milliseconds kSweepPeriod{500};
-constexpr milliseconds kAcceptRetryDelay{20};
-constexpr int kListenBacklog = 512;
 
 // Port of the metrics endpoint; deploy/system.toml names the same port.
 constexpr uint16_t kMetricsPort = 9464;
@@ -146,41 +144,42 @@
 }
 
 Result<void> Router::Start() {
-  frontend_.server_state->body_budget.SetCapacity(settings_.memory_bytes /
-                                                  kBodyMemoryDivisor);
-  frontend_.server_state->max_sessions = MaxCallerConnections(settings_);
-  frontend_.handler = [this](
-                          const dataplane::HttpServerSession::Pointer& session,
-                          dataplane::Request request) {
-    std::make_shared<Exchange>(context_, session, std::move(request))->Start();
-  };
-  readiness_.handler = [this](
+  frontend_.server_state().body_budget.SetCapacity(settings_.memory_bytes /
+                                                   kBodyMemoryDivisor);
+  frontend_.server_state().max_sessions = MaxCallerConnections(settings_);
+  frontend_.SetHandler([this](
                            const dataplane::HttpServerSession::Pointer& session,
-                           const dataplane::Request& request) {
-    const bool is_check = request.path() == platform::kReadinessPath;
-    session->SendResponse(!is_check ? 404 : (IsReady() ? 200 : 503), {}, "");
-  };
-  metrics_endpoint_.handler =
+                           dataplane::Request request) {
+    std::make_shared<Exchange>(context_, session, std::move(request))->Start();
+  });
+  readiness_.SetHandler(
+      [this](const dataplane::HttpServerSession::Pointer& session,
+             const dataplane::Request& request) {
+        const bool is_check = request.path() == platform::kReadinessPath;
+        session->SendResponse(!is_check ? 404 : (IsReady() ? 200 : 503), {},
+                              "");
+      });
+  metrics_endpoint_.SetHandler(
       [this](const dataplane::HttpServerSession::Pointer& session,
              const dataplane::Request& request) {
         const bool is_scrape = request.path() == "/metrics";
         session->SendResponse(is_scrape ? 200 : 404,
                               {{"Content-Type", "text/plain; version=0.0.4"}},
                               is_scrape ? metrics_.Text() : "");
-      };
+      });
   view_.SetConfigurationListener([this] {
-    frontend_.server_state->limits = view_.configuration()->limits();
+    frontend_.server_state().limits = view_.configuration()->limits();
     context_.saved_parts.SetCapacity(
         view_.configuration()->CacheStoreCapacityTokens());
   });
-  frontend_.server_state->on_connection_end =
+  frontend_.server_state().on_connection_end =
       [this](const dataplane::ConnectionEnd& end) { OnConnectionEnd(end); };
   view_.SetRemovalListener([this](const std::string& id) { pool_.Drop(id); });
   metrics_.RegisterGauge("dogwoodlatch_requests_in_progress", [this] {
     return static_cast<double>(context_.in_progress);
   });
   metrics_.RegisterGauge("dogwoodlatch_caller_connections", [this] {
-    return static_cast<double>(frontend_.server_state->sessions);
+    return static_cast<double>(frontend_.server_state().sessions);
   });
   metrics_.RegisterGauge("dogwoodlatch_configuration_version", [this] {
     const auto& configuration = view_.configuration();
@@ -207,11 +206,11 @@
   for (const auto& [listener, address] :
        {std::pair{&frontend_, settings_.frontend_address},
         std::pair{&readiness_, settings_.readiness_address}}) {
-    Result<void> listening = Listen(*listener, address);
+    Result<void> listening = listener->Listen(address);
     if (!listening) return listening;
   }
-  const Result<void> scraping = Listen(
-      metrics_endpoint_, settings_.ip + ":" + std::to_string(kMetricsPort));
+  const Result<void> scraping = metrics_endpoint_.Listen(
+      settings_.ip + ":" + std::to_string(kMetricsPort));
   if (!scraping) {
     LogEvent(EventId::kListenFailed, {{"fault", ToString(scraping.error())}});
   }
@@ -221,65 +220,6 @@
   return boost::outcome_v2::success();
 }
 
-Result<void> Router::Listen(Listener& listener, const std::string& address) {
-  const auto endpoint = dataplane::ParseEndpoint(address);
-  std::error_code error;
-  if (!endpoint) return Error{ErrorCode::kIo, address, "not an address"};
-  listener.acceptor.open(asio::ip::tcp::v4(), error);
-  // Lets a restarted process bind the port while old connections still exist.
-  if (!error) {
-    listener.acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) listener.acceptor.bind(*endpoint, error);
-  if (!error) listener.acceptor.listen(kListenBacklog, error);
-  if (!error) listener.acceptor.non_blocking(true, error);
-  if (error) return Error{ErrorCode::kIo, address, error.message()};
-  Accept(listener);
-  return boost::outcome_v2::success();
-}
-
-void Router::Accept(Listener& listener) {
-  listener.acceptor.async_accept(
-      [this, &listener](std::error_code error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) return;
-        if (error) {
-          // Usually the process is out of file descriptors. Connections in
-          // progress release some when they end.
-          dataplane::HttpServerSession::EvictOldestIdle(*listener.server_state);
-          listener.retry_timer.expires_after(kAcceptRetryDelay);
-          listener.retry_timer.async_wait(
-              [this, &listener](std::error_code timer_error) {
-                if (!timer_error && listener.acceptor.is_open()) {
-                  Accept(listener);
-                }
-              });
-          return;
-        }
-        Serve(listener, std::move(socket));
-        Accept(listener);
-      });
-}
-
-void Router::AcceptWaiting(Listener& listener) {
-  std::error_code error;
-  while (!error) {
-    asio::ip::tcp::socket socket(io_);
-    // Fails when the queue is empty. Other errors end the accept operation that
-    // is pending, too.
-    listener.acceptor.accept(socket, error);
-    if (!error) Serve(listener, std::move(socket));
-  }
-}
-
-void Router::Serve(Listener& listener, asio::ip::tcp::socket socket) {
-  auto session = std::make_shared<dataplane::HttpServerSession>(
-      std::move(socket), listener.server_state, listener.handler);
-  std::erase_if(listener.sessions,
-                [](const auto& weak) { return weak.expired(); });
-  listener.sessions.push_back(session);
-  session->Start();
-}
-
 void Router::OnConnectionEnd(const dataplane::ConnectionEnd& end) {
   const std::string reason(ToString(end.reason));
   metrics_.Count("dogwoodlatch_caller_connections_closed_total",
@@ -595,7 +535,7 @@
 }
 
 bool Router::IsReady() const {
-  if (is_stopping_ || !view_.configuration() || !view_.has_targets()) {
+  if (stop_ || !view_.configuration() || !view_.has_targets()) {
     return false;
   }
   return !view_.configuration()->requires_keys() ||
@@ -617,7 +557,10 @@
     next_sweep_ = now + kSweepPeriod;
   }
   FlushLog();
-  if (is_stopping_) AdvanceStop(now);
+  if (stop_ && stop_->Advance(now)) {
+    FlushLog();
+    io_.stop();
+  }
   tick_timer_.expires_after(kTickPeriod);
   tick_timer_.async_wait([this](std::error_code error) {
     if (!error) Tick();
@@ -625,44 +568,8 @@
 }
 
 void Router::Stop() {
-  if (is_stopping_) return;
-  is_stopping_ = true;
-  frontend_.server_state->is_closing = true;
-  context_.stop.emplace(SteadyNow(), settings_.bounds.graceful_stop);
-  LogEvent(EventId::kStopping,
-           {{"in_progress", std::to_string(context_.in_progress)},
-            {"connections", std::to_string(frontend_.server_state->sessions)}});
-}
-
-// New connections arrive until the balancer has taken the VM out of rotation,
-// and later if no other VM is in rotation. The listening socket is therefore
-// closed as late as possible. Keep-alive
-// connections are closed after their next response, and idle ones once the VM
-// is out of rotation. The process ends once no connection has a request or
-// response on its way; idle ones do not delay the restart.
-void Router::AdvanceStop(TimePoint now) {
-  if (context_.stop->IsInRotation(now)) return;
-  for (const auto& weak : frontend_.sessions) {
-    if (const auto session = weak.lock()) session->CloseIfIdle();
-  }
-  const bool must_close = !context_.stop->Listens(now);
-  if (frontend_.acceptor.is_open()) {
-    if (must_close || context_.in_progress == 0) AcceptWaiting(frontend_);
-    std::error_code ignored;  // a failed close leaves nothing to do
-    if (must_close) frontend_.acceptor.close(ignored);
-  }
-  const bool is_busy =
-      std::ranges::any_of(frontend_.sessions, [](const auto& weak) {
-        const auto session = weak.lock();
-        return session && session->IsBusy();
-      });
-  const bool is_done = context_.in_progress == 0 && !is_busy;
-  if (!is_done && !context_.stop->MustExit(now)) return;
-  LogEvent(EventId::kStopped,
-           {{"in_progress", std::to_string(context_.in_progress)},
-            {"connections", std::to_string(frontend_.server_state->sessions)}});
-  FlushLog();
-  io_.stop();
+  if (stop_) return;
+  stop_.emplace(context_, frontend_, settings_.bounds.graceful_stop);
 }
 
 void Router::Reload(const platform::NodeSettings& settings) {
--- /dev/null
+++ b/src/libdaemon/router_stop.cc
@@ -0,0 +1,43 @@
+#include "dogwoodlatch/daemon/router_stop.h"
+
+#include <string>
+
+#include "dogwoodlatch/util/log.h"
+
+namespace dogwoodlatch::daemon {
+
+RouterStop::RouterStop(ExchangeContext& context, Listener& frontend,
+                       Duration grace)
+    : context_(context), frontend_(frontend) {
+  frontend_.server_state().is_closing = true;
+  context_.stop.emplace(SteadyNow(), grace);
+  LogEvent(
+      EventId::kStopping,
+      {{"in_progress", std::to_string(context_.in_progress)},
+       {"connections", std::to_string(frontend_.server_state().sessions)}});
+}
+
+// New connections arrive until the balancer has taken the VM out of rotation,
+// and later if no other VM is in rotation. The listening socket is therefore
+// closed as late as possible. Keep-alive connections are closed after their
+// next response, and idle ones once the VM is out of rotation. The process ends
+// once no connection has a request or response on its way; idle ones do not
+// delay the restart.
+bool RouterStop::Advance(TimePoint now) {
+  if (context_.stop->IsInRotation(now)) return false;
+  frontend_.CloseIdle();
+  if (!context_.stop->Listens(now)) {
+    if (frontend_.is_open()) frontend_.Close();
+  } else if (context_.in_progress == 0) {
+    frontend_.AcceptWaiting();
+  }
+  const bool is_done = context_.in_progress == 0 && !frontend_.IsBusy();
+  if (!is_done && !context_.stop->MustExit(now)) return false;
+  LogEvent(
+      EventId::kStopped,
+      {{"in_progress", std::to_string(context_.in_progress)},
+       {"connections", std::to_string(frontend_.server_state().sessions)}});
+  return true;
+}
+
+}  // namespace dogwoodlatch::daemon
