--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -23,12 +23,10 @@
 #include "dogwoodlatch/retry_budget.h"
 #include "dogwoodlatch/serving/attempt_rules.h"
 #include "dogwoodlatch/serving/event_stream.h"
-#include "dogwoodlatch/serving/peer_stops.h"
 #include "dogwoodlatch/serving/placement.h"
 #include "dogwoodlatch/serving/poison_guard.h"
 #include "dogwoodlatch/serving/saved_parts.h"
 #include "dogwoodlatch/serving/shutdown_plan.h"
-#include "dogwoodlatch/serving/stream_durations.h"
 #include "platform/requests.h"
 
 namespace dogwoodlatch::daemon {
@@ -47,8 +45,6 @@
   dataplane::ByteBudget response_budget;
   /// Set once the router is stopping.
   std::optional<serving::ShutdownPlan> stop{};
-  serving::PeerStops peer_stops{};
-  serving::StreamDurations stream_durations{};
   serving::SavedParts saved_parts{};
   /// Prompt parts sent to each target since the last update to other routers.
   std::map<std::string, std::vector<uint64_t>> sent_parts{};
@@ -83,10 +79,6 @@
   void OnUnresponsive(TargetAttempt& attempt) override;
 
   bool AdmitRequest();
-  /// Refuses the request if it cannot be served before the router ends.
-  bool AdmitDuringStop();
-  /// Time after its arrival at which the request is ended at the latest.
-  std::chrono::milliseconds TimeAllowed() const;
   void StartDeadline();
   std::optional<serving::Placement> Place(const serving::TargetHistory& history,
                                           TimePoint now) const;
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -21,7 +21,6 @@
 constexpr milliseconds kStartupRetryAfter{400};  // the first configuration
 constexpr milliseconds kStaleRetryAfter{800};    // a reachable store
 constexpr milliseconds kStoppingRetryAfter{50};  // another router
-constexpr milliseconds kRestartRetryAfter{400};  // a router that starts again
 constexpr milliseconds kBusyRetryAfter{300};     // a target that serves again
 
 constexpr int kBadRequest = 400;
@@ -99,32 +98,18 @@
     case AccessVerdict::kAllowed:
       break;
   }
-  return !context_.stop || AdmitDuringStop();
-}
-
-bool Exchange::AdmitDuringStop() {
-  const bool is_other_serving = context_.peer_stops.IsAnyServing(arrived_at_);
-  if (context_.stop->Accepts(
-          {.kind = routed_.route->kind,
-           .time_limit = TimeAllowed(),
-           .longest_stream =
-               context_.stream_durations.Longest(routed_.route->name),
-           .is_other_serving = is_other_serving},
-          arrived_at_)) {
-    return true;
+  if (context_.stop && !context_.stop->Accepts(*routed_.route, arrived_at_)) {
+    Refuse(Outcome::kRefused, kStoppingRetryAfter);
+    return false;
   }
-  Refuse(Outcome::kRefused,
-         is_other_serving ? kStoppingRetryAfter : kRestartRetryAfter);
-  return false;
-}
-
-milliseconds Exchange::TimeAllowed() const {
-  return std::min(routed_.route->timeout,
-                  routed_.metadata.time_left.value_or(routed_.route->timeout));
+  return true;
 }
 
 void Exchange::StartDeadline() {
-  const milliseconds allowed = TimeAllowed();
+  milliseconds allowed = routed_.route->timeout;
+  if (routed_.metadata.time_left) {
+    allowed = std::min(allowed, *routed_.metadata.time_left);
+  }
   response_deadline_ = arrived_at_ + allowed;
   deadline_timer_.expires_after(allowed);
   deadline_timer_.async_wait(
@@ -343,11 +328,7 @@
   WithdrawAttempt(silent_);
   deadline_timer_.cancel();
   handover_timer_.cancel();
-  const TimePoint now = SteadyNow();
-  const Duration took = now - arrived_at_;
-  if (outcome == Outcome::kServed && progress_.stream_started) {
-    context_.stream_durations.Record(routed_.route->name, took, now);
-  }
+  const Duration took = SteadyNow() - arrived_at_;
   const std::string label = "outcome=\"" + std::string(ToString(outcome)) +
                             "\",service=\"" + routed_.service + "\"";
   context_.metrics.Count("dogwoodlatch_requests_total", label);
