A stopping router listens to its end and knows whether another one serves

Cause, by the traces and the model (rolling_restart_test): - When no router is in rotation the balancer uses those that stop. The orderly stop closed the listening socket 1 s before its end, on each router in turn. - Past 2.6 s every stream was refused, by all routers, also when none could serve it.

Changed: the socket is open until 0.15 s before the end. Routers tell each other whether they serve, start or stop, in their updates. Out of rotation a stream is accepted if no other router serves and its deadline or its route's timeout lies before the end; a refusal names 0.4 s where no router serves. The router that was stopped last waits, if it has time, until another one has been ready for 1.1 s. In rotation all is accepted as before.

Accepts takes the arrival in place of the route; the old checks are kept with the same times.

--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "dogwoodlatch/error.h"
+#include "dogwoodlatch/serving/peer_stops.h"
 #include "dogwoodlatch/serving/poison_guard.h"
 #include "dogwoodlatch/serving/rollout.h"
 #include "dogwoodlatch/serving/saved_parts.h"
@@ -46,7 +47,8 @@
 /// What a router sends to the other routers: the prompt parts that it has sent
 /// to each target, saved and fetched since its last update, the time that the
 /// targets still need to prefill its requests, the runs that ended with a
-/// broken connection, and the targets that said to it that they leave.
+/// broken connection, the targets that said to it that they leave, and whether
+/// it serves.
 struct RouterUpdate {
   struct TargetLoad {
     std::string target_id;
@@ -66,6 +68,8 @@
   std::vector<serving::PartSave> parts_saved;  ///< saved to the cache stores
   std::vector<uint64_t> parts_fetched{};  ///< fetched from the cache stores
   std::vector<serving::BrokenRun> runs_broken{};
+  serving::RouterPhase phase = serving::RouterPhase::kStarting;
+  Duration stopping_for{0};  ///< since the router's stop began
 
   bool operator==(const RouterUpdate&) const = default;
 };
--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -23,6 +23,7 @@
 #include "dogwoodlatch/retry_budget.h"
 #include "dogwoodlatch/serving/attempt_rules.h"
 #include "dogwoodlatch/serving/event_stream.h"
+#include "dogwoodlatch/serving/peer_stops.h"
 #include "dogwoodlatch/serving/placement.h"
 #include "dogwoodlatch/serving/poison_guard.h"
 #include "dogwoodlatch/serving/saved_parts.h"
@@ -45,6 +46,7 @@
   dataplane::ByteBudget response_budget;
   /// Set once the router is stopping.
   std::optional<serving::ShutdownPlan> stop{};
+  serving::PeerStops peer_stops{};
   serving::SavedParts saved_parts{};
   /// Prompt parts sent to each target since the last update to other routers.
   std::map<std::string, std::vector<uint64_t>> sent_parts{};
@@ -79,6 +81,10 @@
   void OnUnresponsive(TargetAttempt& attempt) override;
 
   bool AdmitRequest();
+  /// Refuses the request if it cannot be served before the router ends.
+  bool AdmitDuringStop();
+  /// Time after its arrival at which the request is ended at the latest.
+  std::chrono::milliseconds TimeAllowed() const;
   void StartDeadline();
   std::optional<serving::Placement> Place(const serving::TargetHistory& history,
                                           TimePoint now) const;
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -63,8 +63,7 @@
   std::vector<RouterUpdate::Leaving> CollectLeaving(TimePoint now);
   void Tick();
   void DivideRetryBudget(size_t routers);
-  void SendUpdate(const RouterUpdate& update,
-                  const std::vector<size_t>& receivers);
+  void SendUpdate(RouterUpdate update, const std::vector<size_t>& receivers);
   bool IsReady() const;
 
   asio::io_context& io_;
@@ -99,6 +98,7 @@
   std::map<std::string, Duration> published_backlogs_;  ///< by target
   std::map<std::string, TimePoint> leaving_since_;      ///< by target
   TimePoint next_update_{};
+  TimePoint next_phase_{};
   serving::RoundRobinSelector update_rotation_{kMaxRoutersPerUpdate};
   size_t retry_budget_routers_ = 0;
   bool has_known_routers_ = false;  ///< the number of routers was ever known
--- a/src/include/dogwoodlatch/serving/shutdown_plan.h
+++ b/src/include/dogwoodlatch/serving/shutdown_plan.h
@@ -18,17 +18,27 @@
   /// True while the load balancer may still send new connections.
   bool IsInRotation(TimePoint now) const;
 
-  /// True if a request of the route that arrives now should be accepted, as it
-  /// can end before the process exits or cannot be served elsewhere.
-  bool Accepts(const Route& route, TimePoint now) const;
-
-  /// True while new connections may be accepted. Later ones could not be served
-  /// before the process exits.
+  /// A request that arrives during the shutdown.
+  struct Arrival {
+    RouteKind kind = RouteKind::kNonIdempotent;
+    /// It is ended after this time at the latest.
+    Duration time_limit{0};
+    bool is_other_serving = true;  ///< another router is ready
+  };
+
+  /// True if the request should be accepted, as it ends before the process
+  /// exits or cannot be served elsewhere.
+  bool Accepts(const Arrival& arrival, TimePoint now) const;
+
+  /// True while new connections may be accepted. Requests on later ones might
+  /// not even be refused before the process exits.
   bool Listens(TimePoint now) const;
 
   /// True if the process must exit, even with requests in progress.
   bool MustExit(TimePoint now) const;
 
+  TimePoint began() const { return began_; }
+
  private:
   TimePoint End() const;
 
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -57,6 +57,12 @@
         {entry.at(0).get<std::string>(),
          WallTime(Duration(entry.at(1).get<int64_t>()))});
   }
+  const int phase = message.value("phase", 0);
+  if (phase >= 0 &&
+      phase <= static_cast<int>(serving::RouterPhase::kStopping)) {
+    update.phase = static_cast<serving::RouterPhase>(phase);
+  }
+  update.stopping_for = Duration(message.value("stopping", int64_t{0}));
   return update;
 }
 
@@ -100,7 +106,9 @@
                             {"sent", targets},
                             {"saved", saved},
                             {"fetched", update.parts_fetched},
-                            {"broken", broken}});
+                            {"broken", broken},
+                            {"phase", static_cast<int>(update.phase)},
+                            {"stopping", update.stopping_for.count()}});
 }
 
 std::vector<uint8_t> Encode(Subscription subscription) {
--- a/src/libdaemon/agent_link_test.cc
+++ b/src/libdaemon/agent_link_test.cc
@@ -24,6 +24,8 @@
   update.runs_broken = {{7, ~0ULL}};
   update.targets_leaving = {
       {"i-2", WallTime(std::chrono::seconds(1790000000))}};
+  update.phase = serving::RouterPhase::kStopping;
+  update.stopping_for = std::chrono::milliseconds(2600);
   CHECK(DecodeDatagram(Encode(update)).value() == Datagram(update));
   const RouterDirectory directory{{"10.0.0.1:7340", "10.0.0.2:7340"}};
   CHECK(DecodeDatagram(Encode(directory)).value() == Datagram(directory));
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -21,6 +21,7 @@
 constexpr milliseconds kStartupRetryAfter{400};  // the first configuration
 constexpr milliseconds kStaleRetryAfter{800};    // a reachable store
 constexpr milliseconds kStoppingRetryAfter{50};  // another router
+constexpr milliseconds kRestartRetryAfter{400};  // a router that starts again
 constexpr milliseconds kBusyRetryAfter{300};     // a target that serves again
 
 constexpr int kBadRequest = 400;
@@ -98,18 +99,29 @@
     case AccessVerdict::kAllowed:
       break;
   }
-  if (context_.stop && !context_.stop->Accepts(*routed_.route, arrived_at_)) {
-    Refuse(Outcome::kRefused, kStoppingRetryAfter);
-    return false;
+  return !context_.stop || AdmitDuringStop();
+}
+
+bool Exchange::AdmitDuringStop() {
+  const bool is_other_serving = context_.peer_stops.IsAnyServing(arrived_at_);
+  if (context_.stop->Accepts({.kind = routed_.route->kind,
+                              .time_limit = TimeAllowed(),
+                              .is_other_serving = is_other_serving},
+                             arrived_at_)) {
+    return true;
   }
-  return true;
+  Refuse(Outcome::kRefused,
+         is_other_serving ? kStoppingRetryAfter : kRestartRetryAfter);
+  return false;
+}
+
+milliseconds Exchange::TimeAllowed() const {
+  return std::min(routed_.route->timeout,
+                  routed_.metadata.time_left.value_or(routed_.route->timeout));
 }
 
 void Exchange::StartDeadline() {
-  milliseconds allowed = routed_.route->timeout;
-  if (routed_.metadata.time_left) {
-    allowed = std::min(allowed, *routed_.metadata.time_left);
-  }
+  const milliseconds allowed = TimeAllowed();
   response_deadline_ = arrived_at_ + allowed;
   deadline_timer_.expires_after(allowed);
   deadline_timer_.async_wait(
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -69,6 +69,9 @@
 // Keeps an update within a few packets.
 constexpr size_t kMaxTargetsPerUpdate = 16;
 
+// A router says at least this often whether it serves.
+constexpr milliseconds kPhasePeriod{500};
+
 constexpr milliseconds kSubscriptionPeriod{1000};
 constexpr milliseconds kSweepPeriod{500};
 
@@ -434,6 +437,7 @@
 
 void Router::OnRouterUpdate(uint64_t router, const RouterUpdate& update) {
   const TimePoint now = SteadyNow();
+  context_.peer_stops.OnPhase(router, update.phase, update.stopping_for, now);
   for (const RouterUpdate::TargetLoad& load : update.targets) {
     const auto target = view_.fleet().Find(load.target_id);
     if (!target) continue;
@@ -512,11 +516,20 @@
     if (update.targets.size() < kMaxTargetsPerUpdate) continue;
     SendUpdate(std::exchange(update, {}), receivers);
   }
-  if (update != RouterUpdate{}) SendUpdate(update, receivers);
+  if (update != RouterUpdate{} || stop_ || now >= next_phase_) {
+    SendUpdate(std::move(update), receivers);
+    next_phase_ = now + kPhasePeriod;
+  }
 }
 
-void Router::SendUpdate(const RouterUpdate& update,
+void Router::SendUpdate(RouterUpdate update,
                         const std::vector<size_t>& receivers) {
+  if (stop_) {
+    update.phase = serving::RouterPhase::kStopping;
+    update.stopping_for = SteadyNow() - context_.stop->began();
+  } else if (IsReady()) {
+    update.phase = serving::RouterPhase::kServing;
+  }
   const std::vector<uint8_t> datagram = Encode(update);
   for (const size_t index : receivers) {
     const auto router =
--- a/src/libdaemon/router_stop.cc
+++ b/src/libdaemon/router_stop.cc
@@ -21,8 +21,8 @@
 // and later if no other VM is in rotation. The listening socket is therefore
 // closed as late as possible. Keep-alive connections are closed after their
 // next response, and idle ones once the VM is out of rotation. The process ends
-// once no connection has a request or response on its way; idle ones do not
-// delay the restart.
+// once no connection has a request or response on its way and another
+// router can serve, or none is expected; idle ones do not delay the restart.
 bool RouterStop::Advance(TimePoint now) {
   if (context_.stop->IsInRotation(now)) return false;
   frontend_.CloseIdle();
@@ -32,7 +32,9 @@
     frontend_.AcceptWaiting();
   }
   const bool is_done = context_.in_progress == 0 && !frontend_.IsBusy();
-  if (!is_done && !context_.stop->MustExit(now)) return false;
+  const bool may_end =
+      is_done && context_.peer_stops.MayEnd(context_.stop->began(), now);
+  if (!may_end && !context_.stop->MustExit(now)) return false;
   LogEvent(
       EventId::kStopped,
       {{"in_progress", std::to_string(context_.in_progress)},
--- a/src/libserving/shutdown_plan.cc
+++ b/src/libserving/shutdown_plan.cc
@@ -10,8 +10,9 @@
 // Time between the process's own exit and the moment at which it is killed.
 constexpr Duration kMargin = std::chrono::milliseconds(600);
 
-// Time for the requests on connections that were set up last.
-constexpr Duration kLastRequestsTime = std::chrono::milliseconds(1000);
+// Time for the requests on connections that were set up last. Those that cannot
+// end in time are refused at once.
+constexpr Duration kLastRequestsTime = std::chrono::milliseconds(150);
 
 }  // namespace
 
@@ -21,11 +22,14 @@
 
 // While the load balancer still sends new connections, their requests cannot be
 // served elsewhere, so they are accepted and streams may use the rest of the
-// grace period. Later requests are served elsewhere; a stream could last longer
-// than the remaining time.
-bool ShutdownPlan::Accepts(const Route& route, TimePoint now) const {
+// grace period. Later ones are accepted only if they are sure to end in time,
+// and streams only if no other router is ready: each of them delays the
+// restart.
+bool ShutdownPlan::Accepts(const Arrival& arrival, TimePoint now) const {
   if (IsInRotation(now)) return true;
-  return route.kind != RouteKind::kStream && now + route.timeout <= End();
+  const bool is_stream = arrival.kind == RouteKind::kStream;
+  if (is_stream && arrival.is_other_serving) return false;
+  return now + arrival.time_limit <= End();
 }
 
 bool ShutdownPlan::Listens(TimePoint now) const {
