Retries are counted in a sliding window, and begun streams come first

What callers saw: in crashes of targets, streams were broken off although another target could go on, and requests ended with 502 although their route allowed another run.

Cause: the token bucket of a router held half of its part of the extra retries, about 6, and discarded what the requests of the window had earned beyond that. Whoever came first took them, refused requests included.

Change: RetryWindow counts first attempts and retries in a ring of short slots. In every window the retries are at most the share of the first attempts, averaged over the window and the one before it, and the router's part of the extra ones. The part is divided by the largest number of routers that was known within the window and 4 s more (RouterCount), so it is not spent twice around a start or an end. Four purposes, with reserves for the more urgent ones; a move needs a retry for the way back. Denied retries are E409, retries are counted by purpose, gauges show the window. Design: 0009. The product's door keeps the token bucket; 0009 says why. The simulation of the serving decisions uses the window.

Ruled out: the best of the windows at each router. Routers may then choose different windows, and their sum is above the bound. Strict parts for each purpose: see the table of 0009.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -20,7 +20,7 @@
 #include "dogwoodlatch/daemon/target_attempt.h"
 #include "dogwoodlatch/dataplane/http_server_session.h"
 #include "dogwoodlatch/dataplane/upstream_connection.h"
-#include "dogwoodlatch/retry_budget.h"
+#include "dogwoodlatch/retry_window.h"
 #include "dogwoodlatch/serving/attempt_rules.h"
 #include "dogwoodlatch/serving/event_stream.h"
 #include "dogwoodlatch/serving/placement.h"
@@ -38,7 +38,8 @@
   dataplane::ConnectionPool& pool;
   Metrics& metrics;
   serving::PlacementPolicy placement;
-  RetryBudgetLimits retry_limits;
+  RetryWindowLimits retry_limits;
+  RouterCount routers;  ///< that share the retries
   /// An older configuration does not prove that a route or key is unknown.
   Duration max_configuration_age;
   /// Bodies of responses that are read whole before they are returned.
@@ -49,7 +50,7 @@
   /// Prompt parts sent to each target since the last update to other routers.
   std::map<std::string, std::vector<uint64_t>> sent_parts{};
   serving::PoisonGuard poison;
-  std::map<std::string, RetryBudget> retry_budgets;  ///< by service
+  std::map<std::string, RetryWindow> retry_windows;  ///< by service
   std::minstd_rand random{std::random_device{}()};
   size_t in_progress = 0;  ///< number of exchanges
 };
@@ -101,7 +102,7 @@
   void ReturnToSilent();
   void DropSilent();
   bool MayRunAgain() const;
-  bool WithdrawRetry();
+  bool WithdrawRetry(RetryPurpose purpose);
   void EndWithoutResponse();
   void RefuseForLackOfTargets();
   void Refuse(Outcome outcome, std::chrono::milliseconds retry_after);
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -75,8 +75,8 @@
   /// Targets that have said lately that they leave.
   std::vector<RouterUpdate::Leaving> CollectLeaving(TimePoint now);
   void Tick();
+  void RegisterRetryGauges();
   void AdvanceStop(TimePoint now);
-  void DivideRetryBudget(size_t routers);
   void SendUpdate(const RouterUpdate& update,
                   const std::vector<size_t>& receivers);
   bool IsReady() const;
@@ -114,8 +114,7 @@
   std::map<std::string, TimePoint> leaving_since_;      ///< by target
   TimePoint next_update_{};
   serving::RoundRobinSelector update_rotation_{kMaxRoutersPerUpdate};
-  size_t retry_budget_routers_ = 0;
-  bool has_known_routers_ = false;  ///< the number of routers was ever known
+  size_t known_routers_ = 0;  ///< this one included; 0 while unknown
   bool is_stopping_ = false;
 };
 
--- a/src/include/dogwoodlatch/retry_budget.h
+++ b/src/include/dogwoodlatch/retry_budget.h
@@ -17,15 +17,12 @@
   double initial = std::numeric_limits<double>::infinity();
 };
 
-/// Token bucket. Not thread-safe; the daemon serializes access.
+/// Token bucket of one process that shares it with no other. Not thread-safe.
 class RetryBudget {
  public:
   explicit RetryBudget(RetryBudgetLimits limits)
       : limits_(limits), saved_(std::min(limits.initial, limits.max_burst)) {}
 
-  /// Replaces the limits; saved retries are capped to the new burst.
-  void SetLimits(RetryBudgetLimits limits);
-
   /// Credits the budget for the first attempt of a request.
   void OnFirstAttempt(TimePoint now);
 
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -55,6 +55,7 @@
   kAttemptWithdrawn = 406,
   kAttemptSilent = 407,
   kAttemptKept = 408,
+  kRetryDenied = 409,
   kCallerCutOff = 410,
   kTargetCrashed = 500,
   kCrashSuspects = 501,
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -221,10 +221,10 @@
 
 void Exchange::RecordSend(const std::vector<uint64_t>& shared_parts) {
   const TimePoint now = SteadyNow();
-  auto& budget =
-      context_.retry_budgets.try_emplace(routed_.service, context_.retry_limits)
-          .first->second;
-  if (progress_.sends == 0) budget.OnFirstAttempt(now);
+  if (progress_.sends == 0) {
+    context_.retry_windows.try_emplace(routed_.service, context_.retry_limits)
+        .first->second.OnFirstAttempt(now);
+  }
   ++progress_.sends;
   if (!shared_parts.empty() && attempt_->placement().fetches_from_store) {
     context_.saved_parts.OnFetch(shared_parts.back());
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -105,7 +105,8 @@
 
 void Exchange::OnFailure(int status) {
   RecordRun(*attempt_);
-  if (status >= kServerFailure && MayRunAgain() && WithdrawRetry()) {
+  if (status >= kServerFailure && MayRunAgain() &&
+      WithdrawRetry(RetryPurpose::kRerun)) {
     AbandonAttempt();
     TryTarget();
     return;
@@ -141,7 +142,9 @@
   }
   if (silent_ && !has_run_elsewhere_) StopHandoverTimer();
   AbandonAttempt();
-  if (serving::MaySendAgain(progress_, TimeLeft()) && WithdrawRetry()) {
+  if (serving::MaySendAgain(progress_, TimeLeft()) &&
+      WithdrawRetry(progress_.stream_started ? RetryPurpose::kResume
+                                             : RetryPurpose::kResend)) {
     TryTarget();
   } else {
     EndWithoutResponse();
@@ -181,7 +184,7 @@
       serving::IsMovePromising({.silence = attempt.SilentFor(now),
                                 .estimate_elsewhere = other->estimate,
                                 .caller_left = CallerLeavesIn(now)}) &&
-      WithdrawRetry();
+      WithdrawRetry(RetryPurpose::kMove);
   LogEvent(
       EventId::kAttemptSilent,
       {{"request", routed_.metadata.id},
@@ -283,7 +286,9 @@
   }
   if (!silent_) splitter_.DropPartial();
   AbandonAttempt();
-  if (splitter_.in_sequence() && MayRunAgain() && WithdrawRetry()) {
+  if (splitter_.in_sequence() && MayRunAgain() &&
+      WithdrawRetry(progress_.stream_started ? RetryPurpose::kResume
+                                             : RetryPurpose::kRerun)) {
     TryTarget();
   } else {
     EndWithoutResponse();
@@ -339,13 +344,28 @@
   return is_allowed && !context_.poison.IsBlocked(fingerprint_, SteadyNow());
 }
 
-bool Exchange::WithdrawRetry() {
-  const auto budget = context_.retry_budgets.find(routed_.service);
-  const bool granted = budget != context_.retry_budgets.end() &&
-                       budget->second.Withdraw(SteadyNow());
-  context_.metrics.Count(granted ? "dogwoodlatch_retries_total"
-                                 : "dogwoodlatch_retries_denied_total");
-  return granted;
+bool Exchange::WithdrawRetry(RetryPurpose purpose) {
+  const TimePoint now = SteadyNow();
+  const size_t routers = context_.routers.Most(now);
+  RetryWindow& window =
+      context_.retry_windows.try_emplace(routed_.service, context_.retry_limits)
+          .first->second;
+  const bool granted = window.Withdraw(purpose, routers, now);
+  context_.metrics.Count(
+      granted ? "dogwoodlatch_retries_total"
+              : "dogwoodlatch_retries_denied_total",
+      "purpose=\"" + std::string(dogwoodlatch::ToString(purpose)) + "\"");
+  if (granted) return true;
+  const RetryCounts counts = window.Counts(routers, now);
+  LogEvent(EventId::kRetryDenied,
+           {{"request", routed_.metadata.id},
+            {"service", routed_.service},
+            {"purpose", std::string(dogwoodlatch::ToString(purpose))},
+            {"left", std::to_string(static_cast<uint64_t>(counts.left))},
+            {"first_attempts", std::to_string(counts.first_attempts)},
+            {"retries", std::to_string(counts.retries)},
+            {"routers", std::to_string(routers)}});
+  return false;
 }
 
 }  // namespace dogwoodlatch::daemon
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 #include "dogwoodlatch/daemon/boot_clock.h"
@@ -38,6 +39,10 @@
 // every time window, and also to targets that this process does not know.
 constexpr double kRetrySafetyFactor = 0.85;
 
+// Time after which every router knows of one that has started, or has forgotten
+// one that has ended.
+constexpr Duration kRouterCountSettleTime = std::chrono::seconds(4);
+
 // Number of routers that are assumed to share the retry budget while no agent
 // and no coordinator lists them.
 constexpr size_t kUnknownRouterCount = 64;
@@ -77,19 +82,10 @@
 // Port of the metrics endpoint; deploy/system.toml names the same port.
 constexpr uint16_t kMetricsPort = 9464;
 
-// The burst and what accrues during one window add up to this process's share
-// of the extra retries.
-RetryBudgetLimits MakeRetryLimits(const platform::PromisedBounds& bounds,
-                                  size_t routers) {
-  const double extra =
-      bounds.retry_extra * kRetrySafetyFactor / static_cast<double>(routers);
-  const double window_s =
-      std::chrono::duration<double>(bounds.retry_window).count();
+RetryWindowLimits MakeRetryLimits(const platform::PromisedBounds& bounds) {
   return {.share = bounds.retry_share * kRetrySafetyFactor,
-          .per_second = extra / 2 / window_s,
-          // At least one, or the share of the traffic could never be used.
-          .max_burst = std::max(1.0, extra / 2),
-          .initial = extra / 2};
+          .extra = bounds.retry_extra * kRetrySafetyFactor,
+          .window = bounds.retry_window};
 }
 
 size_t MaxCallerConnections(const platform::NodeSettings& settings) {
@@ -116,13 +112,15 @@
                .pool = pool_,
                .metrics = metrics_,
                .placement = serving::PlacementPolicy(settings_.failure_domain),
-               .retry_limits =
-                   MakeRetryLimits(settings_.bounds, kUnknownRouterCount),
+               .retry_limits = MakeRetryLimits(settings_.bounds),
+               .routers = RouterCount(
+                   settings_.bounds.retry_window + kRouterCountSettleTime,
+                   kUnknownRouterCount, SteadyNow()),
                .max_configuration_age = settings_.bounds.configuration,
                .response_budget = dataplane::ByteBudget(settings_.memory_bytes /
                                                         kBodyMemoryDivisor),
                .poison = {},
-               .retry_budgets = {}},
+               .retry_windows = {}},
       frontend_(context),
       readiness_(context),
       metrics_endpoint_(context),
@@ -197,9 +195,9 @@
     return coordinator_.IsActive() ? 1.0 : 0.0;
   });
   metrics_.RegisterGauge("dogwoodlatch_routers_known", [this] {
-    return has_known_routers_ ? static_cast<double>(retry_budget_routers_)
-                              : 0.0;
+    return static_cast<double>(known_routers_);
   });
+  RegisterRetryGauges();
   metrics_.RegisterGauge("dogwoodlatch_targets", [this] {
     return static_cast<double>(view_.fleet().targets().size());
   });
@@ -544,14 +542,11 @@
   const bool is_listed = routers_listed_at_ != TimePoint{} &&
                          now - routers_listed_at_ < kRouterLifetime;
   const bool knows_routers = is_listed || coordinator_.IsActive();
-  // The first real share replaces the budgets of the assumed one, which were
-  // nearly empty.
-  if (knows_routers && !std::exchange(has_known_routers_, true)) {
-    context_.retry_budgets.clear();
-  }
-  DivideRetryBudget(knows_routers
-                        ? routers_.size() + 1
-                        : std::max(kUnknownRouterCount, routers_.size() + 1));
+  known_routers_ = knows_routers ? routers_.size() + 1 : 0;
+  context_.routers.Update(
+      knows_routers ? known_routers_
+                    : std::max(kUnknownRouterCount, routers_.size() + 1),
+      now);
   auto sent_parts = std::exchange(context_.sent_parts, {});
   RouterUpdate update;
   update.parts_saved = context_.saved_parts.TakeGranted();
@@ -585,13 +580,24 @@
   }
 }
 
-void Router::DivideRetryBudget(size_t routers) {
-  if (routers == retry_budget_routers_) return;
-  retry_budget_routers_ = routers;
-  context_.retry_limits = MakeRetryLimits(settings_.bounds, routers);
-  for (auto& [service, budget] : context_.retry_budgets) {
-    budget.SetLimits(context_.retry_limits);
-  }
+void Router::RegisterRetryGauges() {
+  const auto sum = [this](uint64_t RetryCounts::*count) {
+    const TimePoint now = SteadyNow();
+    const size_t routers = context_.routers.Most(now);
+    return std::accumulate(
+        context_.retry_windows.begin(), context_.retry_windows.end(), 0.0,
+        [&](double total, const auto& entry) {
+          const RetryCounts counts = entry.second.Counts(routers, now);
+          return total + static_cast<double>(counts.*count);
+        });
+  };
+  metrics_.RegisterGauge("dogwoodlatch_retry_window_first_attempts",
+                         [sum] { return sum(&RetryCounts::first_attempts); });
+  metrics_.RegisterGauge("dogwoodlatch_retry_window_retries",
+                         [sum] { return sum(&RetryCounts::retries); });
+  metrics_.RegisterGauge("dogwoodlatch_retry_routers", [this] {
+    return static_cast<double>(context_.routers.Most(SteadyNow()));
+  });
 }
 
 bool Router::IsReady() const {
--- a/src/libdogwoodlatch/retry_budget.cc
+++ b/src/libdogwoodlatch/retry_budget.cc
@@ -4,11 +4,6 @@
 
 namespace dogwoodlatch {
 
-void RetryBudget::SetLimits(RetryBudgetLimits limits) {
-  limits_ = limits;
-  saved_ = std::min(saved_, limits_.max_burst);
-}
-
 void RetryBudget::OnFirstAttempt(TimePoint now) {
   Refill(now);
   saved_ = std::min(limits_.max_burst, saved_ + limits_.share);
--- a/src/libserving/serving_fuzz_simulation.h
+++ b/src/libserving/serving_fuzz_simulation.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "dogwoodlatch/retry_budget.h"
+#include "dogwoodlatch/retry_window.h"
 #include "dogwoodlatch/serving/access_check.h"
 #include "dogwoodlatch/serving/attempt_rules.h"
 #include "dogwoodlatch/serving/placement.h"
@@ -32,6 +32,8 @@
 constexpr double kRetryShare = 0.2;
 constexpr double kExtraRetries = 54;
 constexpr Duration kRetryWindow = seconds(10);
+constexpr RetryWindowLimits kRetryLimits{
+    .share = kRetryShare, .extra = kExtraRetries, .window = kRetryWindow};
 
 // The decisions under test; a broken variant replaces one of them.
 struct DecisionRules {
@@ -74,7 +76,7 @@
   Fleet fleet;
   PlacementPolicy policy{"a"};
   PoisonGuard poison;
-  std::map<std::string, RetryBudget> budgets;
+  std::map<std::string, RetryWindow> retry_windows;
   TimePoint disconnected_until{};  // from the configuration store
 };
 
@@ -239,8 +241,8 @@
     if (access.verdict != AccessVerdict::kAllowed) return 401;
     if (router.poison.IsBlocked(request.fingerprint, now_)) return 502;
     const std::string& service = Configuration::PickService(*access.route, 0);
-    RetryBudget& budget =
-        router.budgets.try_emplace(service, BudgetOfRouter()).first->second;
+    RetryWindow& retries =
+        router.retry_windows.try_emplace(service, kRetryLimits).first->second;
     RequestProgress progress;
     std::vector<std::string> tried;
     Duration left = kTimeout;
@@ -258,7 +260,7 @@
         continue;
       }
       if (progress.sends == 0) {
-        budget.OnFirstAttempt(now_);
+        retries.OnFirstAttempt(now_);
         first_attempts_.push_back(now_);
       } else {
         retries_.push_back(now_);
@@ -278,7 +280,10 @@
           has_run ? rules_.may_run_again(*access.route, progress, left) &&
                         !router.poison.IsBlocked(request.fingerprint, now_)
                   : MaySendAgain(progress, left);
-      if (!may_go_on || (rules_.uses_budget && !budget.Withdraw(now_))) {
+      if (!may_go_on || (rules_.uses_budget &&
+                         !retries.Withdraw(has_run ? RetryPurpose::kRerun
+                                                   : RetryPurpose::kResend,
+                                           kRouters, now_))) {
         return FinalStatus(progress);
       }
     }
@@ -307,14 +312,6 @@
     return rules_.final_outcome(progress) == FinalOutcome::kRefuse ? 503 : 502;
   }
 
-  RetryBudgetLimits BudgetOfRouter() const {
-    const double extra = kExtraRetries / kRouters;
-    return {.share = kRetryShare,
-            .per_second =
-                extra / 2 / std::chrono::duration<double>(kRetryWindow).count(),
-            .max_burst = extra / 2};
-  }
-
   Endpoint& EndpointAt(const std::string& address) {
     return *std::ranges::find(
         endpoints_, address,
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -127,6 +127,9 @@
     EventSpec{EventId::kAttemptKept, Severity::kInfo, "attempt_kept",
               "A silent target goes on, or no other one can take its request; "
               "the request stays there."},
+    EventSpec{EventId::kRetryDenied, Severity::kInfo, "retry_denied",
+              "A request was not sent once more, as the retries of the window "
+              "are used up or kept for more urgent ones."},
     EventSpec{EventId::kCallerCutOff, Severity::kWarning, "caller_cut_off",
               "A caller's connection was closed while bytes of a request or "
               "response were left; a request may have got no answer."},
