--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -62,7 +62,7 @@
   /// Targets that have said lately that they leave.
   std::vector<RouterUpdate::Leaving> CollectLeaving(TimePoint now);
   void Tick();
-  void DivideRetryBudget(size_t routers);
+  void RegisterRetryGauges();
   void SendUpdate(RouterUpdate update, const std::vector<size_t>& receivers);
   bool IsReady() const;
 
@@ -100,8 +100,7 @@
   TimePoint next_update_{};
   TimePoint next_phase_{};
   serving::RoundRobinSelector update_rotation_{kMaxRoutersPerUpdate};
-  size_t retry_budget_routers_ = 0;
-  bool has_known_routers_ = false;  ///< the number of routers was ever known
+  size_t known_routers_ = 0;  ///< this one included; 0 while unknown
   std::optional<RouterStop> stop_;  ///< set once the router is stopping
 };
 
