Retries after a break wait until the other breaks of a crash have been read

Cause: each retry was placed while the breaks of the other targets' connections had not been read; the second send went to a target that had crashed too.

Nothing that is ready waits: answers, refused requests and requests that a silent target still has are handled at once.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -16,6 +16,7 @@
 #include "dogwoodlatch/daemon/metrics.h"
 #include "dogwoodlatch/daemon/outcome.h"
 #include "dogwoodlatch/daemon/platform_view.h"
+#include "dogwoodlatch/daemon/retry_queue.h"
 #include "dogwoodlatch/daemon/routed_request.h"
 #include "dogwoodlatch/daemon/target_attempt.h"
 #include "dogwoodlatch/dataplane/http_server_session.h"
@@ -50,6 +51,7 @@
   std::map<std::string, std::vector<uint64_t>> sent_parts{};
   serving::PoisonGuard poison;
   std::map<std::string, RetryBudget> retry_budgets;  ///< by service
+  RetryQueue retry_queue;
   std::minstd_rand random{std::random_device{}()};
   size_t in_progress = 0;  ///< number of exchanges
 };
@@ -102,6 +104,8 @@
   void DropSilent();
   bool MayRunAgain() const;
   bool WithdrawRetry();
+  /// Tries another target once other breaks of connections have been read.
+  void RetryAfterBreak();
   void EndWithoutResponse();
   void RefuseForLackOfTargets();
   void Refuse(Outcome outcome, std::chrono::milliseconds retry_after);
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -284,12 +284,25 @@
   if (!silent_) splitter_.DropPartial();
   AbandonAttempt();
   if (splitter_.in_sequence() && MayRunAgain() && WithdrawRetry()) {
-    TryTarget();
+    RetryAfterBreak();
   } else {
     EndWithoutResponse();
   }
 }
 
+// A request that a silent target still has is retried at once: its overlap may
+// end meanwhile.
+void Exchange::RetryAfterBreak() {
+  if (silent_) {
+    TryTarget();
+    return;
+  }
+  context_.retry_queue.Add([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->is_finished_) self->TryTarget();
+  });
+}
+
 void Exchange::RecordRun(const TargetAttempt& attempt) {
   history_.RecordRun(attempt.target_id());
   if (silent_ && &attempt != silent_.get()) has_run_elsewhere_ = true;
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -122,7 +122,8 @@
                .response_budget = dataplane::ByteBudget(settings_.memory_bytes /
                                                         kBodyMemoryDivisor),
                .poison = {},
-               .retry_budgets = {}},
+               .retry_budgets = {},
+               .retry_queue = RetryQueue(context)},
       frontend_(context),
       readiness_(context),
       metrics_endpoint_(context),
