Targets that lose several connections at once are avoided; retries are spread

Cause: only a refused connection or a long silence had a target avoided, not the broken connections themselves; idle connections whose end had arrived but was not read were used; a request that waits for its connection was no load, so that the retries of one instant all saw the same idle target; and a resumed stream was taken for as long as its prompt alone.

Change: a target that loses two connections within 20 ms is avoided for 250 ms, or until a connection to it is made, unless no other is left. Idle connections that the peer has closed count beside one that had a request, and are not handed out any more (a last look at the socket). Single breaks, however many, are no crash; neither is an answer that the router itself cuts for its length. A request counts as load from its placement on. The tokens of the answer so far count as missing. No send whose connection broke is called "not run", as before.

Ruled out: that the breaks were not yet known.

--- a/src/include/dogwoodlatch/daemon/routed_request.h
+++ b/src/include/dogwoodlatch/daemon/routed_request.h
@@ -28,6 +28,7 @@
   const PlatformView& view;
   const serving::PlacementPolicy& policy;
   const serving::SavedParts& saved_parts;
+  uint32_t answered_tokens = 0;  ///< that the caller already has
 };
 
 /// Returns the best target that the request's route and its earlier sends
--- a/src/include/dogwoodlatch/daemon/target_attempt.h
+++ b/src/include/dogwoodlatch/daemon/target_attempt.h
@@ -107,7 +107,9 @@
 
   void StartSilenceTimer(std::chrono::milliseconds wait);
   void OnSilenceTimer();
+  void EndPlacement();
   void RecordEnd();
+  void RecordBreak();
   void RecordTargetState();
 
   dataplane::ConnectionPool& pool_;
@@ -117,7 +119,8 @@
   asio::steady_timer silence_timer_;
   dataplane::UpstreamConnection::Pointer connection_;
   bool is_on_new_connection_ = false;
-  bool is_sent_ = false;  ///< sent, and the attempt has not ended
+  bool is_placed_ = false;  ///< waits for its connection
+  bool is_sent_ = false;    ///< sent, and the attempt has not ended
   bool has_first_event_ = false;
   bool has_head_ = false;
   bool is_event_stream_ = false;
--- a/src/include/dogwoodlatch/dataplane/upstream_connection.h
+++ b/src/include/dogwoodlatch/dataplane/upstream_connection.h
@@ -59,6 +59,13 @@
   /// True if the connection is open and idle and can carry another request.
   bool IsReusable() const;
 
+  /// True if the peer has closed or reset the idle connection, even if the
+  /// event loop has not read that yet.
+  bool IsClosedByPeer();
+
+  /// When the event loop read the end of the connection, if it did.
+  std::optional<TimePoint> broken_at() const { return broken_at_; }
+
   /// Returns how long the connection has been idle.
   Duration IdleFor(TimePoint now) const { return now - idle_since_; }
 
@@ -103,6 +110,7 @@
   bool keeps_alive_ = true;
   std::optional<std::chrono::seconds> idle_limit_;
   TimePoint idle_since_{};
+  std::optional<TimePoint> broken_at_;
 };
 
 /// Idle connections for reuse, keyed by target.
@@ -122,6 +130,10 @@
   /// closes it otherwise.
   void Return(const std::string& key, UpstreamConnection::Pointer connection);
 
+  /// Removes the idle connections of a target that its VM has closed or reset.
+  /// Returns how many of them broke at `since` or later.
+  int DropBroken(const std::string& key, TimePoint since);
+
   /// Closes all idle connections of a target.
   void Drop(const std::string& key);
 
--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -46,6 +46,14 @@
 /// other routers.
 class TargetSignals {
  public:
+  /// A request that waits for its connection will be sent to the target. It
+  /// counts as load at once, so that requests which are placed in the same
+  /// instant do not all go to the target that looks idle.
+  void OnPlaced(Duration prefill);
+
+  /// The request that was placed is sent, or will not be.
+  void OnPlacementEnded(Duration prefill);
+
   /// A request was written to the target; its prefill takes `prefill`.
   void OnSent(TimePoint now, Duration prefill);
 
@@ -69,6 +77,13 @@
   /// No connection could be made, or the target is unresponsive.
   void OnUnreachable(TimePoint now);
 
+  /// `count` connections broke off, idle ones included. Several at once show
+  /// that the target has crashed. Returns true if it is avoided from now on.
+  bool OnConnectionsBroken(int count, TimePoint now);
+
+  /// Breaks of connections that are at most this far apart count as one crash.
+  static constexpr std::chrono::milliseconds kCrashWindow{20};
+
   /// A connection was made: the target is available again.
   void OnReachable() {
     unreachable_streak_ = 0;
@@ -97,7 +112,8 @@
 
   bool IsAvoided(TimePoint now) const { return now < avoid_until_; }
   bool IsRefusing(TimePoint now) const { return now < refusing_until_; }
-  int in_flight() const { return in_flight_; }
+  /// Requests at the target and those that are about to be sent.
+  int load() const { return in_flight_ + placed_; }
   Duration own_backlog() const { return prefill_backlog_; }
   double failure_rate() const { return failure_rate_; }
 
@@ -116,9 +132,12 @@
 
  private:
   int in_flight_ = 0;
+  int placed_ = 0;
   Duration prefill_backlog_{0};
   double failure_rate_ = 0;
   int unreachable_streak_ = 0;
+  int broken_connections_ = 0;  ///< since `broken_since_`
+  TimePoint broken_since_{};
   TimePoint waiting_since_{};
   TimePoint last_received_{};
   TimePoint avoid_until_{};
--- a/src/include/dogwoodlatch/serving/placement.h
+++ b/src/include/dogwoodlatch/serving/placement.h
@@ -18,6 +18,7 @@
 /// Input of the selection, besides the targets.
 struct PlacementRequest {
   const Prompt* prompt = nullptr;        ///< null for a plain service
+  uint32_t answered_tokens = 0;          ///< of an answer that is resumed
   std::string_view workspace{};          ///< set if isolated
   std::span<const std::string> tried{};  ///< ids of targets to exclude
   uint64_t newest_weights = 0;           ///< newest named version of the model
@@ -34,13 +35,15 @@
   /// Expected time until the first event; for plain services the cost by which
   /// the targets were compared, penalties included.
   Duration estimate{0};
-  uint32_t missing_tokens = 0;  ///< prompt tokens not expected in a cache
-  Duration prefill{0};          ///< expected prefill time of these tokens
-  Duration backlog{0};          ///< expected wait before prefill
-  size_t usable = 0;            ///< number of targets considered
-  uint64_t weights = 0;         ///< the target's version; 0 for plain services
-  std::string cache_group;      ///< requests of other groups share no parts
-  std::string fetch_from;       ///< address that may have the cached parts
+  /// Tokens of the prompt and of the answer so far that are not expected in a
+  /// cache.
+  uint32_t missing_tokens = 0;
+  Duration prefill{0};      ///< expected prefill time of these tokens
+  Duration backlog{0};      ///< expected wait before prefill
+  size_t usable = 0;        ///< number of targets considered
+  uint64_t weights = 0;     ///< the target's version; 0 for plain services
+  std::string cache_group;  ///< requests of other groups share no parts
+  std::string fetch_from;   ///< address that may have the cached parts
   bool fetches_from_store = false;  ///< `fetch_from` is the cache store
 };
 
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -125,11 +125,13 @@
 
 std::optional<serving::Placement> Exchange::Place(
     const serving::TargetHistory& history, TimePoint now) const {
-  return PlaceRequest(routed_,
-                      {.view = context_.view,
-                       .policy = context_.placement,
-                       .saved_parts = context_.saved_parts},
-                      history, now);
+  return PlaceRequest(
+      routed_,
+      {.view = context_.view,
+       .policy = context_.placement,
+       .saved_parts = context_.saved_parts,
+       .answered_tokens = static_cast<uint32_t>(splitter_.events())},
+      history, now);
 }
 
 void Exchange::TryTarget() {
--- a/src/libdaemon/routed_request.cc
+++ b/src/libdaemon/routed_request.cc
@@ -34,6 +34,7 @@
   }
   if (request.route->carries_prompt && !prompt.model.empty()) {
     placement_request.prompt = &prompt;
+    placement_request.answered_tokens = context.answered_tokens;
     placement_request.max_queue_wait =
         serving::MaxQueueWait(request.route->objective);
     const auto named = view.weights().find(prompt.model);
--- a/src/libdaemon/target_attempt.cc
+++ b/src/libdaemon/target_attempt.cc
@@ -53,6 +53,8 @@
   const auto endpoint = dataplane::ParseEndpoint(target().record.address);
   if (!endpoint) return false;
   is_on_new_connection_ = true;
+  is_placed_ = true;
+  target().signals.OnPlaced(placement_.prefill);
   connection_ = pool_.Make();
   connection_->Connect(*endpoint, kConnectTimeout,
                        [self = shared_from_this()](std::error_code error) {
@@ -71,6 +73,7 @@
 
 void TargetAttempt::Send(std::string head,
                          std::shared_ptr<const std::string> body) {
+  EndPlacement();
   is_sent_ = true;
   sent_at_ = SteadyNow();
   target().signals.OnSent(sent_at_, placement_.prefill);
@@ -91,11 +94,17 @@
 
 void TargetAttempt::Cancel() {
   is_cancelled_ = true;
+  EndPlacement();
   RecordEnd();
   if (connection_) connection_->Cancel();
   connection_.reset();
 }
 
+void TargetAttempt::EndPlacement() {
+  if (!std::exchange(is_placed_, false)) return;
+  target().signals.OnPlacementEnded(placement_.prefill);
+}
+
 // Records the end of the attempt in the target's signals.
 void TargetAttempt::RecordEnd() {
   silence_timer_.cancel();
@@ -203,7 +212,9 @@
              {{"request", request_.id},
               {"target", target_id()},
               {"bytes", std::to_string(body_.size() + bytes.size())}});
-    OnConnectionLost();
+    const auto keep_alive = shared_from_this();
+    Cancel();
+    owner_.OnConnectionLost(*this);
     return;
   }
   body_.append(bytes);
@@ -220,9 +231,20 @@
   }
 }
 
+void TargetAttempt::RecordBreak() {
+  const TimePoint now = SteadyNow();
+  const int idle =
+      pool_.DropBroken(target_id(), now - serving::TargetSignals::kCrashWindow);
+  if (!target().signals.OnConnectionsBroken(1 + idle, now)) return;
+  LogEvent(EventId::kTargetAvoided, {{"request", request_.id},
+                                     {"target", target_id()},
+                                     {"reason", "connections broke at once"}});
+}
+
 void TargetAttempt::OnConnectionLost() {
   const auto keep_alive = shared_from_this();
   Cancel();
+  RecordBreak();
   owner_.OnConnectionLost(*this);
 }
 
--- a/src/libdataplane/upstream_connection.cc
+++ b/src/libdataplane/upstream_connection.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <numeric>
 #include <utility>
@@ -162,6 +163,15 @@
          listener_ == nullptr;
 }
 
+bool UpstreamConnection::IsClosedByPeer() {
+  if (!is_open_) return true;
+  char byte = 0;
+  const ssize_t count =
+      recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                        errno != EINTR);
+}
+
 bool UpstreamConnection::OnHead(const ResponseHead& head) {
   return listener_ != nullptr && listener_->OnHead(head);
 }
@@ -234,6 +244,7 @@
 void UpstreamConnection::BreakConnection() {
   ResponseListener* listener = std::exchange(listener_, nullptr);
   Cancel();
+  broken_at_ = SteadyNow();
   if (listener != nullptr) listener->OnConnectionLost();
 }
 
@@ -251,7 +262,7 @@
             ? Duration(*connection->idle_limit()) - kIdleMargin
             : kDefaultIdleLimit;
     if (!connection->IsReusable()) continue;
-    if (connection->IdleFor(now) > idle_limit) {
+    if (connection->IsClosedByPeer() || connection->IdleFor(now) > idle_limit) {
       connection->Cancel();
       continue;
     }
@@ -278,6 +289,22 @@
   connections.push_back(std::move(connection));
 }
 
+int ConnectionPool::DropBroken(const std::string& key, TimePoint since) {
+  const auto found = idle_.find(key);
+  if (found == idle_.end()) return 0;
+  int fresh = 0;
+  std::erase_if(
+      found->second, [&](const UpstreamConnection::Pointer& connection) {
+        if (!connection->IsClosedByPeer()) return false;
+        const TimePoint unread = TimePoint::max();
+        const TimePoint broken_at = connection->broken_at().value_or(unread);
+        if (broken_at >= since) ++fresh;
+        connection->Cancel();
+        return true;
+      });
+  return fresh;
+}
+
 // A pending read would keep a connection open that is only released.
 void ConnectionPool::Drop(const std::string& key) {
   const auto found = idle_.find(key);
--- a/src/libdataplane/upstream_connection_test.cc
+++ b/src/libdataplane/upstream_connection_test.cc
@@ -241,4 +241,31 @@
   CHECK_FALSE(ParseEndpoint("10.0.0.1:8x"));
 }
 
+// Guards against a request that is sent over an idle connection of a crashed
+// target, whose end had arrived but had not been read yet.
+TEST_CASE("idle connections that the peer has closed are not used") {
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::address_v4::loopback(), 0});
+  ConnectionPool pool(context);
+  std::vector<asio::ip::tcp::socket> peers;
+  for (int i = 0; i < 3; ++i) {
+    const auto connection = pool.Make();
+    connection->Connect(acceptor.local_endpoint(), milliseconds(1000),
+                        [](std::error_code error) { REQUIRE_FALSE(error); });
+    peers.push_back(acceptor.accept());
+    context.restart();
+    context.run_for(milliseconds(20));
+    pool.Return("a", connection);
+  }
+  CHECK(pool.DropBroken("a", SteadyNow()) == 0);
+  peers[1].close();
+  peers[2].close();
+  CHECK(pool.DropBroken("a", SteadyNow()) == 2);
+  CHECK(pool.DropBroken("a", SteadyNow()) == 0);
+  peers[0].close();
+  CHECK(pool.TakeIdle("a", SteadyNow(), milliseconds(1000)) == nullptr);
+  CHECK(pool.DropBroken("b", SteadyNow()) == 0);
+}
+
 }  // namespace dogwoodlatch::dataplane
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -16,6 +16,9 @@
 constexpr Duration kInitialAvoidance = std::chrono::milliseconds(250);
 constexpr int kMaxAvoidanceDoublings = 3;
 
+// A single connection may break for reasons of its own.
+constexpr int kCrashConnections = 2;
+
 // A replaced target is avoided until the platform has dropped its entry, which
 // takes three heartbeat intervals of 1.2 s.
 constexpr Duration kReplacedTargetAvoidance = std::chrono::seconds(4);
@@ -45,6 +48,16 @@
 
 }  // namespace
 
+void TargetSignals::OnPlaced(Duration prefill) {
+  ++placed_;
+  prefill_backlog_ += prefill;
+}
+
+void TargetSignals::OnPlacementEnded(Duration prefill) {
+  placed_ = std::max(0, placed_ - 1);
+  OnFirstEvent(prefill);
+}
+
 void TargetSignals::OnSent(TimePoint now, Duration prefill) {
   if (in_flight_ == 0) waiting_since_ = now;
   ++in_flight_;
@@ -67,6 +80,18 @@
   ++unreachable_streak_;
 }
 
+bool TargetSignals::OnConnectionsBroken(int count, TimePoint now) {
+  if (now - broken_since_ > kCrashWindow) {
+    broken_since_ = now;
+    broken_connections_ = 0;
+  }
+  broken_connections_ += count;
+  if (broken_connections_ < kCrashConnections) return false;
+  const bool was_avoided = IsAvoided(now);
+  avoid_until_ = std::max(avoid_until_, now + kInitialAvoidance);
+  return !was_avoided;
+}
+
 void TargetSignals::OnReplaced(TimePoint now) {
   avoid_until_ = now + kReplacedTargetAvoidance;
 }
--- a/src/libserving/fleet_test.cc
+++ b/src/libserving/fleet_test.cc
@@ -190,4 +190,39 @@
   CHECK(signals.PushbackLeft(At(1600)) == Duration{0});
 }
 
+// Guards against streams that are sent on to a target that crashed in the same
+// instant: its connections broke, but only a refused connection counted.
+TEST_CASE("a target that loses several connections at once is avoided") {
+  TargetSignals signals;
+  CHECK_FALSE(signals.OnConnectionsBroken(1, At(1000)));
+  CHECK_FALSE(signals.IsAvoided(At(1000)));
+  CHECK(signals.OnConnectionsBroken(1, At(1003)));
+  CHECK(signals.IsAvoided(At(1100)));
+  CHECK_FALSE(signals.OnConnectionsBroken(1, At(1004)));
+  CHECK_FALSE(signals.IsAvoided(At(2000)));
+}
+
+TEST_CASE("idle connections that broke beside one with a request count") {
+  TargetSignals signals;
+  CHECK(signals.OnConnectionsBroken(3, At(1000)));
+  signals.OnReachable();
+  CHECK_FALSE(signals.IsAvoided(At(1001)));
+}
+
+// Guards against avoiding sound targets that break off a part of their answers.
+TEST_CASE("connections that break one after the other are no crash") {
+  TargetSignals signals;
+  for (int64_t ms = 1000; ms < 3000; ms += 25) {
+    CHECK_FALSE(signals.OnConnectionsBroken(1, At(ms)));
+  }
+  CHECK_FALSE(signals.IsAvoided(At(3000)));
+}
+
+TEST_CASE("a break shortens no avoidance that was there before") {
+  TargetSignals signals;
+  signals.OnReplaced(At(0));
+  CHECK_FALSE(signals.OnConnectionsBroken(2, At(100)));
+  CHECK(signals.IsAvoided(At(3600)));
+}
+
 }  // namespace dogwoodlatch::serving
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -275,7 +275,7 @@
     std::span<const TargetPtr> usable, TimePoint now) const {
   const double min_failure_rate = MinFailureRate(usable);
   const auto cost_ms = [&](const TargetPtr& target) {
-    const double busy = static_cast<double>(target->signals.in_flight()) /
+    const double busy = static_cast<double>(target->signals.load()) /
                         std::max(1, target->record.slots);
     return kPlainWorkMs * busy + PenaltyMs(*target, min_failure_rate, now);
   };
@@ -294,6 +294,8 @@
     by_weights[target->LoadedVersion(prompt.model)].push_back(target);
   }
   const double min_failure_rate = MinFailureRate(usable);
+  // A target that resumes an answer prefills what there is of it, too.
+  const uint32_t tokens = prompt.input_tokens + request.answered_tokens;
 
   Placement best;
   double best_ms = 0;
@@ -306,18 +308,16 @@
     // Parts that one target has cached can be fetched by the others within a
     // few milliseconds.
     const uint32_t missing =
-        prompt.input_tokens - CachedTokens(prompt, group.cached_part_count);
+        tokens - CachedTokens(prompt, group.cached_part_count);
     for (const TargetPtr& target : group.ranked) {
       const TargetSignals& signals = target->signals;
       const LoadReport report = signals.Report(now);
       const bool is_home = target == group.ranked.front();
       const double backlog_ms = ToMs(signals.TotalBacklog(now));
-      const double prefill_ms =
-          PrefillMs(missing, prompt.input_tokens, report.active);
+      const double prefill_ms = PrefillMs(missing, tokens, report.active);
       const double reported_ms =
           kTypicalPrefillMs * (report.prefilling + report.queued);
-      const double memory_ms =
-          MemoryWaitMs(report, backlog_ms, prompt.input_tokens);
+      const double memory_ms = MemoryWaitMs(report, backlog_ms, tokens);
       const double begin_ms = std::max({backlog_ms, reported_ms, memory_ms});
       const bool is_late =
           request.max_queue_wait && begin_ms > ToMs(*request.max_queue_wait);
--- a/src/libserving/placement_test.cc
+++ b/src/libserving/placement_test.cc
@@ -250,4 +250,45 @@
   CHECK(policy.Choose(targets, {}, At(1000)));
 }
 
+// Guards against the retries of a crash that all go to one target: a request
+// counted as load only once its connection had been made.
+TEST_CASE("requests that wait for a connection count as load") {
+  for (const uint64_t weights : {0, 1}) {
+    const auto targets = MakeTargets(4, weights);
+    const PlacementPolicy policy("a");
+    const Prompt prompt = MakePrompt(7, 1);
+    const PlacementRequest request{.prompt = weights > 0 ? &prompt : nullptr};
+    std::map<std::string, int> placed;
+    std::vector<Placement> placements;
+    for (int i = 0; i < 24; ++i) {
+      placements.push_back(*policy.Choose(targets, request, At(0)));
+      ++placed[placements.back().target->record.id];
+      placements.back().target->signals.OnPlaced(placements.back().prefill);
+    }
+    CHECK(placed.size() == 4);
+    for (const auto& [id, count] : placed) CHECK(count <= 9);
+    for (const Placement& placement : placements) {
+      placement.target->signals.OnPlacementEnded(placement.prefill);
+    }
+    for (const auto& target : targets) {
+      CHECK(target->signals.load() == 0);
+      CHECK(target->signals.TotalBacklog(At(0)) == Duration{0});
+    }
+  }
+}
+
+// Guards against resumed streams that are taken for shorter than they are: the
+// answer so far has to be prefilled too.
+TEST_CASE("the answer so far counts as missing when a stream is resumed") {
+  const auto targets = MakeTargets(2);
+  const PlacementPolicy policy("a");
+  const Prompt prompt = MakePrompt(7, 1);
+  const auto fresh = policy.Choose(targets, {.prompt = &prompt}, At(0));
+  const auto resumed = policy.Choose(
+      targets, {.prompt = &prompt, .answered_tokens = 700}, At(0));
+  CHECK(resumed->missing_tokens == fresh->missing_tokens + 700);
+  CHECK(resumed->prefill > fresh->prefill);
+  CHECK(resumed->estimate > fresh->estimate);
+}
+
 }  // namespace dogwoodlatch::serving
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -91,7 +91,8 @@
               "A peer sent more bytes than such a message may have; its "
               "connection was closed."},
     EventSpec{EventId::kTargetAvoided, Severity::kWarning, "target_avoided",
-              "A connection to the target could not be established."},
+              "A connection to the target could not be established, or several "
+              "broke at once."},
     EventSpec{EventId::kWeightsOrdered, Severity::kInfo, "weights_ordered",
               "The agent orders its target to load weights."},
     EventSpec{
