--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -100,7 +100,7 @@
   TimePoint next_update_{};
   TimePoint next_phase_{};
   serving::RoundRobinSelector update_rotation_{kMaxRoutersPerUpdate};
-  size_t known_routers_ = 0;  ///< this one included; 0 while unknown
+  size_t known_routers_ = 0;        ///< this one included; 0 while unknown
   std::optional<RouterStop> stop_;  ///< set once the router is stopping
 };
 
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -121,7 +121,8 @@
                .response_budget = dataplane::ByteBudget(settings_.memory_bytes /
                                                         kBodyMemoryDivisor),
                .poison = {},
-               .retry_windows = {}},
+               .retry_windows = {},
+               .retry_queue = RetryQueue(context)},
       frontend_(context),
       readiness_(context),
       metrics_endpoint_(context),
