The door's silent target keeps its request until another one answers

Cause: on silence the lifecycle cancelled the attempt, recorded the target as failed and only then asked for another one. With no other target, an empty retry budget or a second target that refused, nobody had the request. The driver also dropped every message for the request that arrived while it probed other targets. The class: giving up the one that has the work before another one has taken it.

Change: the lifecycle keeps a list of open attempts, two at most. A silent one stays open while another is chosen and asked; the first of the two that answers keeps the request, the other is cancelled then. Whatever would end the request or make it pause leaves it with the one that is still open, which is asked for again after the part timeout. A third target takes the place of the first. Text that can't be continued belongs to its attempt. Suspects stay apart: a request whose target crashed, or that must run alone, is at one target only, as before. The driver keeps messages for open attempts that arrive while it probes, and tells a lost connection to every attempt that used it.

The simulation of outcomes_fuzz_test stands for the driver and knew one open attempt per request; it now records each, so that a lost connection reaches each attempt it concerns. Its properties, mutations and counts are unchanged.

Ruled out: a bounded overlap as in the daemon. The target that was asked may queue the request for long, and only its first part shows that it has taken it.

--- a/src/dogwoodlatch-router/request_driver.cc
+++ b/src/dogwoodlatch-router/request_driver.cc
@@ -184,64 +184,113 @@
   submit.claim.lookup_only = command.lookup_only;
   submit.time_left = context_.deadline - SteadyNow();
   current_target_ = command.target;
-  current_address_ = FindAgentAddress(command.target);
-  current_attempt_ = command.attempt;
-  current_runs_alone_ = command.run_alone;
-  links_.SendForRequest(current_address_, submit.request_id, submit, mailbox_);
+  // An attempt that must not be repeated is the only one.
+  if (!context_.order.idempotent) open_attempts_.clear();
+  const OpenAttempt& sent = open_attempts_.emplace_back(
+      OpenAttempt{command.attempt, command.target,
+                  FindAgentAddress(command.target), command.run_alone});
+  links_.SendForRequest(sent.agent_address, submit.request_id, submit,
+                        mailbox_);
 }
 
 void RequestDriver::Execute(const CancelAttempt& command) {
-  links_.SendForRequest(current_address_, context_.order.request_id,
+  const auto open =
+      std::ranges::find(open_attempts_, command.attempt, &OpenAttempt::number);
+  const std::string address = open == open_attempts_.end()
+                                  ? FindAgentAddress(command.target)
+                                  : open->agent_address;
+  links_.SendForRequest(address, context_.order.request_id,
                         Cancel{context_.order.request_id, command.attempt},
                         mailbox_);
+  if (open != open_attempts_.end() && context_.order.idempotent) {
+    open_attempts_.erase(open);
+  }
 }
 
 void RequestDriver::WaitForEvent(TimePoint until) {
-  std::optional<MailboxItem> item = mailbox_->Wait(
-      std::min({until, context_.deadline, lifecycle_->WakeAt()}));
+  std::optional<MailboxItem> item = NextItem();
+  if (!item) {
+    item = mailbox_->Wait(
+        std::min({until, context_.deadline, lifecycle_->WakeAt()}));
+  }
   const TimePoint now = SteadyNow();
   lifecycle_->Advance(now);
   if (now >= context_.deadline) {
     Push(lifecycle_->Handle(DeadlineReached{}));
+  } else if (item && std::holds_alternative<LinkLost>(item->content)) {
+    HandleLinkLost(item->agent_address);
   } else if (item) {
-    const std::optional<RequestEvent> event = ToEvent(std::move(*item));
-    if (!event) return;
-    NotifyCrashGuard(*event);
-    Push(lifecycle_->Handle(*event));
+    HandleMessage(std::get<Message>(std::move(item->content)));
   } else if (now >= lifecycle_->WakeAt()) {
     Push(lifecycle_->OnTimer());
   }
 }
 
+std::optional<MailboxItem> RequestDriver::NextItem() {
+  if (deferred_.empty()) return std::nullopt;
+  MailboxItem item = std::move(deferred_.front());
+  deferred_.pop_front();
+  return item;
+}
+
+void RequestDriver::HandleLinkLost(const std::string& agent_address) {
+  for (const OpenAttempt& open : open_attempts_) {
+    if (open.agent_address != agent_address) continue;
+    Push(lifecycle_->Handle(ConnectionLost{open.number}));
+  }
+}
+
+void RequestDriver::HandleMessage(Message message) {
+  std::visit(
+      [this](auto& content) {
+        using T = std::remove_cvref_t<decltype(content)>;
+        if constexpr (std::is_constructible_v<RequestEvent, T>) {
+          const RequestEvent event(std::move(content));
+          RecordAnswering(event);
+          NotifyCrashGuard(event);
+          Push(lifecycle_->Handle(event));
+        }
+      },
+      message);
+}
+
+void RequestDriver::RecordAnswering(const RequestEvent& event) {
+  const auto* part = std::get_if<Chunk>(&event);
+  if (part == nullptr) return;
+  const auto open =
+      std::ranges::find(open_attempts_, part->attempt, &OpenAttempt::number);
+  if (open != open_attempts_.end()) current_target_ = open->target;
+}
+
 // Called before the event is passed to the RequestLifecycle, so that its next
 // choice of a target takes the crash into account.
 void RequestDriver::NotifyCrashGuard(const RequestEvent& event) {
   if (const auto* broken = std::get_if<Broken>(&event)) {
     if (broken->cause != BreakCause::kTargetCrashed) return;
-    crash_guard_.OnCrash(
-        broken->crash_suspects,
-        current_runs_alone_ && broken->attempt == current_attempt_);
+    crash_guard_.OnCrash(broken->crash_suspects, RunsAlone(broken->attempt));
   } else if (const auto* finished = std::get_if<Finished>(&event)) {
-    if (current_runs_alone_ && finished->attempt == current_attempt_) {
+    if (RunsAlone(finished->attempt)) {
       crash_guard_.OnCompletedAlone(context_.order.digest);
     }
   }
 }
 
-std::optional<RequestEvent> RequestDriver::ToEvent(MailboxItem item) const {
-  if (std::holds_alternative<LinkLost>(item.content)) {
-    if (item.agent_address != current_address_) return std::nullopt;
-    return ConnectionLost{current_attempt_};
+bool RequestDriver::RunsAlone(uint32_t attempt) const {
+  const auto open =
+      std::ranges::find(open_attempts_, attempt, &OpenAttempt::number);
+  return open != open_attempts_.end() && open->runs_alone;
+}
+
+// Only a request that may be repeated keeps an attempt while another target is
+// chosen.
+bool RequestDriver::ConcernsOpenAttempt(const MailboxItem& item) const {
+  if (!context_.order.idempotent) return false;
+  const auto* message = std::get_if<Message>(&item.content);
+  if (message != nullptr) {
+    return !std::holds_alternative<ProbeReply>(*message);
   }
-  return std::visit(
-      [](auto& message) -> std::optional<RequestEvent> {
-        using T = std::remove_cvref_t<decltype(message)>;
-        if constexpr (std::is_constructible_v<RequestEvent, T>) {
-          return RequestEvent(std::move(message));
-        }
-        return std::nullopt;
-      },
-      std::get<Message>(item.content));
+  return std::ranges::find(open_attempts_, item.agent_address,
+                           &OpenAttempt::agent_address) != open_attempts_.end();
 }
 
 // A leaving target takes no new requests, but may hold an answer.
@@ -278,6 +327,7 @@
     const std::optional<MailboxItem> item =
         mailbox_->Wait(std::min(start + reply_timeout, context_.deadline));
     if (!item) break;
+    if (ConcernsOpenAttempt(*item)) deferred_.push_back(*item);
     const auto target = std::ranges::find(
         candidates, item->agent_address,
         [this](const TargetId& id) { return FindAgentAddress(id); });
--- a/src/dogwoodlatch-router/request_driver.h
+++ b/src/dogwoodlatch-router/request_driver.h
@@ -59,18 +59,31 @@
   // attempt and returns the outcome.
   Outcome Abandon();
 
-  // Target of the last attempt; empty before the first.
+  // Target of the last attempt that answered or was sent; empty before.
   const TargetId& target() const { return current_target_; }
 
  private:
+  // An attempt that was sent and has not ended.
+  struct OpenAttempt {
+    uint32_t number = 0;
+    TargetId target;
+    std::string agent_address;
+    bool runs_alone = false;
+  };
+
   void Push(std::vector<RequestCommand> commands);
   void Execute(const ChooseTargetCommand& command);
   void Execute(const SendAttempt& command);
   void Execute(const CancelAttempt& command);
   void WaitForEvent(TimePoint until);
+  std::optional<MailboxItem> NextItem();
+  void HandleLinkLost(const std::string& agent_address);
+  void HandleMessage(Message message);
+  void RecordAnswering(const RequestEvent& event);
   void NotifyCrashGuard(const RequestEvent& event);
   void CacheOwner(const Outcome& outcome);
-  std::optional<RequestEvent> ToEvent(MailboxItem item) const;
+  bool RunsAlone(uint32_t attempt) const;
+  bool ConcernsOpenAttempt(const MailboxItem& item) const;
   std::vector<TargetId> SelectCandidates(
       const ChooseTargetCommand& command) const;
   void ChooseClaimOwner(const ChooseTargetCommand& command);
@@ -88,9 +101,9 @@
   std::unique_ptr<RequestLifecycle> lifecycle_;
   std::deque<RequestCommand> commands_;
   TargetId current_target_;
-  std::string current_address_;
-  uint32_t current_attempt_ = 0;
-  bool current_runs_alone_ = false;
+  std::vector<OpenAttempt> open_attempts_;
+  // Received for open attempts while targets were probed.
+  std::deque<MailboxItem> deferred_;
 };
 
 }  // namespace dogwoodlatch::router
--- a/src/libdogwoodlatch/idempotent_lifecycle.cc
+++ b/src/libdogwoodlatch/idempotent_lifecycle.cc
@@ -1,6 +1,7 @@
 #include "dogwoodlatch/idempotent_lifecycle.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace dogwoodlatch {
@@ -43,21 +44,26 @@
   return std::visit([this](const auto& e) { return On(e); }, event);
 }
 
+// A silent target may go on at any moment, so it keeps the request while
+// another one is chosen and asked.
 std::vector<RequestCommand> IdempotentLifecycle::OnTimer() {
   if (phase_ == Phase::kEnded || now_ < wake_at_) return {};
   if (phase_ == Phase::kPausing) {
-    return retry_same_target_ ? Send() : Choose(true);
+    return retry_same_target_ ? Send(last_target_) : Choose(true);
   }
   if (phase_ != Phase::kRunning) return {};
-  RecordTargetFailure();
-  return CancelAndRetry(OutcomeReason::kStreamBroken);
+  if (!plan_.idempotent || failed_attempts_ + 1 >= plan_.retry.max_attempts) {
+    wake_at_ = TimePoint::max();
+    return {};
+  }
+  return Choose(true);
 }
 
 IdempotentLifecycle::Commands IdempotentLifecycle::On(
     const TargetChosen& event) {
   if (phase_ != Phase::kChoosing) return {};
   if (event.suspicion == Suspicion::kQuarantined) {
-    return End(MakeRejected(OutcomeReason::kQuarantined));
+    return EndUnlessOpen(MakeRejected(OutcomeReason::kQuarantined));
   }
   const FailedIncarnation failed{event.target, event.incarnation};
   if (std::ranges::find(failed_incarnations_, failed) !=
@@ -65,40 +71,48 @@
     avoid_.push_back(event.target);
     return Choose(false);
   }
-  target_ = event;
-  run_alone_ = event.suspicion == Suspicion::kSuspect;
-  return Send();
+  return Send(event);
 }
 
 IdempotentLifecycle::Commands IdempotentLifecycle::On(
     const NoTargetFound& event) {
   if (phase_ != Phase::kChoosing) return {};
+  if (!open_.empty()) return Wait();
   Outcome fallback = MakeFailure(event.reason, event.retry_after);
-  if (event.reason == OutcomeReason::kRetryBudget || attempt_ == 0) {
+  if (event.reason == OutcomeReason::kRetryBudget || attempts_ == 0) {
     return End(std::move(fallback));
   }
   return Pause(std::move(fallback), false);
 }
 
 IdempotentLifecycle::Commands IdempotentLifecycle::On(const Refused& event) {
-  if (!IsCurrent(event.request_id, event.attempt)) return {};
+  const Attempt* open = FindOpen(event.request_id, event.attempt);
   // A refusal proves that nothing ran, so one that follows parts of the answer
   // is ignored.
-  if (next_sequence_ > 0) return {};
+  if (open == nullptr || open->next_sequence > 0) return {};
+  const Attempt refused = Remove(event.attempt);
+  const TargetId& target = refused.target.target;
+  // The target that was asked later has the request.
+  if (refused.is_silent && !open_.empty()) {
+    if (!IsStaleRoute(event.reason)) avoid_.push_back(target);
+    return {};
+  }
   phase_ = Phase::kChoosing;
   if (IsFinalRefusal(event.reason)) {
-    return End(MakeRejected(ToOutcomeReason(event.reason), event.retry_after));
+    return EndUnlessOpen(
+        MakeRejected(ToOutcomeReason(event.reason), event.retry_after));
   }
-  if (event.reason == RefusalReason::kBusyAlone && run_alone_) {
+  if (event.reason == RefusalReason::kBusyAlone && refused.run_alone) {
     return Pause(MakeFailure(OutcomeReason::kOverloaded, event.retry_after),
                  true);
   }
   // The target with the lowest cost cannot meet the deadline, so the others
   // cannot either; a retry would only take queue space from other requests.
   if (event.reason == RefusalReason::kTooLate && delivered_text_.empty()) {
-    return End(MakeFailure(OutcomeReason::kOverloaded, event.retry_after));
+    return EndUnlessOpen(
+        MakeFailure(OutcomeReason::kOverloaded, event.retry_after));
   }
-  if (!IsStaleRoute(event.reason)) avoid_.push_back(target_.target);
+  if (!IsStaleRoute(event.reason)) avoid_.push_back(target);
   // A draining target counts neither as a failed attempt nor against the retry
   // budget.
   if (event.reason == RefusalReason::kDraining) return Choose(false);
@@ -106,63 +120,79 @@
 }
 
 IdempotentLifecycle::Commands IdempotentLifecycle::On(const Chunk& event) {
-  if (!IsCurrent(event.request_id, event.attempt)) return {};
-  if (event.sequence < next_sequence_) return {};
-  if (event.sequence > next_sequence_) {
-    avoid_.push_back(target_.target);
-    return CancelAndRetry(OutcomeReason::kStreamBroken);
+  Attempt* open = FindOpen(event.request_id, event.attempt);
+  if (open == nullptr || event.sequence < open->next_sequence) return {};
+  if (event.sequence > open->next_sequence) {
+    avoid_.push_back(open->target.target);
+    return CancelAndRetry(event.attempt, OutcomeReason::kStreamBroken);
   }
-  ++next_sequence_;
+  Commands commands = KeepOnly(event.attempt);
+  Attempt& attempt = open_.front();
+  ++attempt.next_sequence;
+  attempt.is_silent = false;
   may_have_run_ = true;
   wake_at_ = now_ + plan_.retry.part_timeout;
-  delivered_text_ += event.data;
-  if (!plan_.can_continue) return {};
-  return {Deliver{event.data}};
+  if (plan_.can_continue) {
+    delivered_text_ += event.data;
+    commands.push_back(Deliver{event.data});
+  } else {
+    attempt.text += event.data;
+  }
+  return commands;
 }
 
 IdempotentLifecycle::Commands IdempotentLifecycle::On(const Finished& event) {
-  if (!IsCurrent(event.request_id, event.attempt)) return {};
-  if (event.sequence != next_sequence_) {
-    avoid_.push_back(target_.target);
-    return CancelAndRetry(OutcomeReason::kStreamBroken);
-  }
-  phase_ = Phase::kChoosing;
-  Commands commands;
-  if (!plan_.can_continue && !delivered_text_.empty()) {
-    commands.push_back(Deliver{delivered_text_});
+  const Attempt* open = FindOpen(event.request_id, event.attempt);
+  if (open == nullptr) return {};
+  if (event.sequence != open->next_sequence) {
+    avoid_.push_back(open->target.target);
+    return CancelAndRetry(event.attempt, OutcomeReason::kStreamBroken);
   }
-  const Commands end = End({OutcomeKind::kComplete, OutcomeReason::kNone,
-                            Duration(0), event, plan_.idempotent});
-  commands.insert(commands.end(), end.begin(), end.end());
+  const Attempt finished = Remove(event.attempt);
+  Commands commands = CancelAll();
+  if (!finished.text.empty()) commands.push_back(Deliver{finished.text});
+  std::ranges::move(End({OutcomeKind::kComplete, OutcomeReason::kNone,
+                         Duration(0), event, plan_.idempotent}),
+                    std::back_inserter(commands));
   return commands;
 }
 
 IdempotentLifecycle::Commands IdempotentLifecycle::On(const Broken& event) {
-  if (!IsCurrent(event.request_id, event.attempt)) return {};
-  phase_ = Phase::kChoosing;
+  if (FindOpen(event.request_id, event.attempt) == nullptr) return {};
+  const Attempt broken = Remove(event.attempt);
   may_have_run_ = true;
   // A planned handover counts neither as a failed attempt nor against the retry
   // budget.
   if (event.cause == BreakCause::kHandedOver && plan_.idempotent) {
-    avoid_.push_back(target_.target);
+    avoid_.push_back(broken.target.target);
+    if (broken.is_silent && !open_.empty()) return {};
     return Choose(false);
   }
-  if (event.cause == BreakCause::kTargetCrashed && run_alone_) {
+  RecordTargetFailure(broken);
+  if (event.cause != BreakCause::kTargetCrashed) {
+    return RetryAfterLoss(broken, event.cause == BreakCause::kDeadline
+                                      ? OutcomeReason::kDeadline
+                                      : OutcomeReason::kTargetLost);
+  }
+  if (broken.run_alone) {
     return End(MakeRejected(OutcomeReason::kQuarantined));
   }
-  RecordTargetFailure();
-  return RetryAfterLoss(event.cause == BreakCause::kDeadline
-                            ? OutcomeReason::kDeadline
-                            : OutcomeReason::kTargetLost);
+  // The request may have caused the crash, so no other target may go on with it
+  // before it runs alone.
+  Commands commands = CancelAll();
+  std::ranges::move(RetryAfterLoss(broken, OutcomeReason::kTargetLost),
+                    std::back_inserter(commands));
+  return commands;
 }
 
 // A lost connection is no evidence against the target, which may be tried again
 // once no other is left.
 IdempotentLifecycle::Commands IdempotentLifecycle::On(
     const ConnectionLost& event) {
-  if (event.attempt != attempt_ || phase_ != Phase::kRunning) return {};
-  avoid_.push_back(target_.target);
-  return CancelAndRetry(OutcomeReason::kTargetLost);
+  const Attempt* open = FindOpen(plan_.request_id, event.attempt);
+  if (open == nullptr) return {};
+  avoid_.push_back(open->target.target);
+  return CancelAndRetry(event.attempt, OutcomeReason::kTargetLost);
 }
 
 IdempotentLifecycle::Commands IdempotentLifecycle::On(const CallerGone&) {
@@ -173,30 +203,78 @@
   return End(MakeFailure(OutcomeReason::kDeadline, Duration(0)));
 }
 
-bool IdempotentLifecycle::IsCurrent(const RequestId& request_id,
-                                    uint32_t attempt) const {
-  return phase_ == Phase::kRunning && attempt == attempt_ &&
-         request_id == plan_.request_id;
+IdempotentLifecycle::Attempt* IdempotentLifecycle::FindOpen(
+    const RequestId& request_id, uint32_t number) {
+  if (request_id != plan_.request_id) return nullptr;
+  const auto found = std::ranges::find(open_, number, &Attempt::number);
+  return found == open_.end() ? nullptr : &*found;
+}
+
+IdempotentLifecycle::Attempt IdempotentLifecycle::Remove(uint32_t number) {
+  const auto found = std::ranges::find(open_, number, &Attempt::number);
+  Attempt removed = std::move(*found);
+  open_.erase(found);
+  return removed;
 }
 
-IdempotentLifecycle::Commands IdempotentLifecycle::Send() {
-  ++attempt_;
+// The silent target that is open keeps the request, unless a third one is asked
+// or the request must run alone.
+IdempotentLifecycle::Commands IdempotentLifecycle::Send(
+    const TargetChosen& target) {
+  const bool run_alone = target.suspicion == Suspicion::kSuspect;
+  Commands commands;
+  if (!open_.empty()) {
+    Attempt& silent = open_.back();
+    if (!std::exchange(silent.is_silent, true)) ++failed_attempts_;
+    commands = run_alone ? CancelAll() : KeepOnly(silent.number);
+  }
+  last_target_ = target;
+  ++attempts_;
+  Attempt& attempt = open_.emplace_back();
+  attempt.target = target;
+  attempt.number = attempts_;
+  attempt.run_alone = run_alone;
   phase_ = Phase::kRunning;
-  next_sequence_ = 0;
   wake_at_ = now_ + plan_.retry.first_part_timeout;
-  return {SendAttempt{target_.target,
-                      attempt_,
-                      target_.incarnation,
-                      target_.weights_version,
-                      delivered_text_,
-                      {},
-                      run_alone_}};
+  commands.push_back(SendAttempt{target.target,
+                                 attempts_,
+                                 target.incarnation,
+                                 target.weights_version,
+                                 delivered_text_,
+                                 {},
+                                 run_alone});
+  return commands;
+}
+
+// Cancels the other attempts. A target that was left for its silence is avoided
+// at first, as any other that did not answer.
+IdempotentLifecycle::Commands IdempotentLifecycle::KeepOnly(uint32_t number) {
+  Commands commands;
+  for (const Attempt& attempt : open_) {
+    if (attempt.number == number) continue;
+    if (attempt.is_silent) avoid_.push_back(attempt.target.target);
+    may_have_run_ = true;
+    commands.push_back(CancelAttempt{attempt.target.target, attempt.number});
+  }
+  std::erase_if(open_, [number](const Attempt& attempt) {
+    return attempt.number != number;
+  });
+  if (!open_.empty()) phase_ = Phase::kRunning;
+  return commands;
+}
+
+IdempotentLifecycle::Commands IdempotentLifecycle::CancelAll() {
+  return KeepOnly(0);
 }
 
 IdempotentLifecycle::Commands IdempotentLifecycle::Choose(bool spends_budget) {
   phase_ = Phase::kChoosing;
   wake_at_ = TimePoint::max();
-  return {ChooseTargetCommand{avoid_, {}, spends_budget}};
+  std::vector<TargetId> avoid = avoid_;
+  std::ranges::transform(
+      open_, std::back_inserter(avoid),
+      [](const Attempt& attempt) { return attempt.target.target; });
+  return {ChooseTargetCommand{std::move(avoid), {}, spends_budget}};
 }
 
 // Exponential back-off with equal jitter. A suspect that waits for its target
@@ -204,6 +282,7 @@
 // up after `max_pauses` pauses.
 IdempotentLifecycle::Commands IdempotentLifecycle::Pause(Outcome fallback,
                                                          bool same_target) {
+  if (!open_.empty()) return Wait();
   if (!same_target && pauses_ >= plan_.retry.max_pauses) {
     return End(std::move(fallback));
   }
@@ -228,7 +307,7 @@
     OutcomeReason reason, Duration retry_after) {
   ++failed_attempts_;
   if (failed_attempts_ >= plan_.retry.max_attempts) {
-    return End(MakeFailure(reason, retry_after));
+    return EndUnlessOpen(MakeFailure(reason, retry_after));
   }
   return Choose(true);
 }
@@ -236,34 +315,35 @@
 // The attempt may have run, so only an idempotent request may be retried. An
 // answer that cannot be continued is restarted from the beginning.
 IdempotentLifecycle::Commands IdempotentLifecycle::RetryAfterLoss(
-    OutcomeReason reason) {
-  phase_ = Phase::kChoosing;
+    const Attempt& lost, OutcomeReason reason) {
   may_have_run_ = true;
+  if (lost.is_silent && !open_.empty()) return {};
+  phase_ = Phase::kChoosing;
   if (!plan_.idempotent || reason == OutcomeReason::kDeadline) {
-    return End(MakeFailure(reason, Duration(0)));
+    return EndUnlessOpen(MakeFailure(reason, Duration(0)));
   }
-  if (!plan_.can_continue) delivered_text_.clear();
   return RetryElsewhere(reason, Duration(0));
 }
 
 IdempotentLifecycle::Commands IdempotentLifecycle::CancelAndRetry(
-    OutcomeReason reason) {
-  Commands commands = {CancelAttempt{target_.target, attempt_}};
-  const Commands retry = RetryAfterLoss(reason);
-  commands.insert(commands.end(), retry.begin(), retry.end());
+    uint32_t number, OutcomeReason reason) {
+  const Attempt lost = Remove(number);
+  Commands commands = {CancelAttempt{lost.target.target, number}};
+  std::ranges::move(RetryAfterLoss(lost, reason), std::back_inserter(commands));
   return commands;
 }
 
-void IdempotentLifecycle::RecordTargetFailure() {
-  avoid_.push_back(target_.target);
-  failed_incarnations_.push_back({target_.target, target_.incarnation});
+void IdempotentLifecycle::RecordTargetFailure(const Attempt& attempt) {
+  avoid_.push_back(attempt.target.target);
+  failed_incarnations_.push_back(
+      {attempt.target.target, attempt.target.incarnation});
 }
 
 // A request that was sent to a target and not refused may have run, so it is
 // never reported as not run.
 Outcome IdempotentLifecycle::MakeFailure(OutcomeReason reason,
                                          Duration retry_after) const {
-  const bool ran = may_have_run_ || phase_ == Phase::kRunning;
+  const bool ran = may_have_run_ || !open_.empty();
   return {ran ? OutcomeKind::kUnknown : OutcomeKind::kNotRun,
           reason,
           retry_after > Duration(0) ? retry_after : kDefaultRetryAfter,
@@ -271,11 +351,20 @@
           plan_.idempotent};
 }
 
+// Waits for the open attempts alone; asks another target after a while.
+IdempotentLifecycle::Commands IdempotentLifecycle::Wait() {
+  phase_ = Phase::kRunning;
+  wake_at_ = now_ + plan_.retry.part_timeout;
+  return {};
+}
+
+IdempotentLifecycle::Commands IdempotentLifecycle::EndUnlessOpen(
+    Outcome outcome) {
+  return open_.empty() ? End(std::move(outcome)) : Wait();
+}
+
 IdempotentLifecycle::Commands IdempotentLifecycle::End(Outcome outcome) {
-  Commands commands;
-  if (phase_ == Phase::kRunning) {
-    commands.push_back(CancelAttempt{target_.target, attempt_});
-  }
+  Commands commands = CancelAll();
   phase_ = Phase::kEnded;
   wake_at_ = TimePoint::max();
   commands.push_back(ReportOutcome{std::move(outcome)});
--- a/src/libdogwoodlatch/outcomes_fuzz_routers.h
+++ b/src/libdogwoodlatch/outcomes_fuzz_routers.h
@@ -63,7 +63,7 @@
       to_agents_.push_back(
           {target, targets_[target].connection, index,
            Cancel{{"r" + std::to_string(index)}, cancel->attempt}});
-      request.target.reset();
+      request.Close(cancel->attempt);
     } else if (auto* deliver = std::get_if<Deliver>(&command)) {
       if (!request.outcomes.empty()) request.sent_after_outcome = true;
       request.sent += deliver->data;
@@ -78,7 +78,7 @@
 // due soon.
 inline void OutcomesSimulation::CheckPending(size_t index) {
   const Request& request = requests_[index];
-  if (!request.outcomes.empty() || request.target) return;
+  if (!request.outcomes.empty() || request.HasOpenAttempt()) return;
   if (request.lifecycle->WakeAt() > now_ + std::chrono::milliseconds(500)) {
     late_outcome_ = "request " + std::to_string(index) +
                     " has neither an outcome nor a timer that is due soon";
@@ -87,7 +87,7 @@
 
 inline void OutcomesSimulation::RecordOutcome(size_t index, Outcome outcome) {
   Request& request = requests_[index];
-  request.target.reset();
+  request.CloseAll();
   const bool may_have_run = outcome.kind == OutcomeKind::kUnknown;
   if (mutation_ == Mutation::kReportNotRun && may_have_run) {
     outcome.kind = OutcomeKind::kNotRun;
@@ -137,10 +137,8 @@
                                               const SendAttempt& command) {
   Request& request = requests_[index];
   const size_t target = std::stoul(command.target.value.substr(1));
-  request.target = target;
-  request.attempt = command.attempt;
-  request.alone = command.run_alone;
-  request.parts_handled = 0;
+  request.attempts[command.attempt] = {.target = target,
+                                       .alone = command.run_alone};
   Submit submit;
   submit.request_id.value = "r" + std::to_string(index);
   submit.attempt = command.attempt;
@@ -164,7 +162,7 @@
     if (request.router != index || !request.outcomes.empty()) continue;
     if (request.abandoned) continue;
     request.abandoned = true;
-    request.target.reset();
+    request.CloseAll();
     std::erase_if(to_routers_, [i](const auto& m) { return m.request == i; });
     std::erase_if(to_agents_, [i](const auto& m) { return m.request == i; });
     for (Target& target : targets_) {
@@ -219,14 +217,15 @@
     ReportCrash(request, *broken);
   } else if (const auto* finished = std::get_if<Finished>(&event)) {
     const Request& owner = requests_[request];
-    if (owner.alone && finished->attempt == owner.attempt) {
+    if (owner.RanAlone(finished->attempt)) {
       for (Router& r : routers_) r.quarantine.Clear(owner.digest);
     }
   }
-  const bool is_part = std::holds_alternative<Chunk>(event);
-  if (is_part) ++requests_[request].parts_handled;
-  if (!is_part && AttemptOf(event) == requests_[request].attempt) {
-    requests_[request].target.reset();
+  if (const auto* part = std::get_if<Chunk>(&event)) {
+    const auto sent = requests_[request].attempts.find(part->attempt);
+    if (sent != requests_[request].attempts.end()) ++sent->second.parts_handled;
+  } else {
+    requests_[request].Close(AttemptOf(event));
   }
   HandleEvent(request, event);
 }
@@ -247,7 +246,7 @@
       }
     }
   } else {
-    const bool alone = request.alone && broken.attempt == request.attempt;
+    const bool alone = request.RanAlone(broken.attempt);
     changed = router.quarantine.OnCrash(broken.crash_suspects, alone, now_);
   }
   for (Router& peer : routers_) {
@@ -260,11 +259,15 @@
   const Request& request = requests_[index];
   if (auto* chunk = std::get_if<Chunk>(&event)) {
     if (mutation_ == Mutation::kIgnoreSequence) {
-      chunk->sequence = request.parts_handled;
+      const auto sent = request.attempts.find(chunk->attempt);
+      if (sent != request.attempts.end()) {
+        chunk->sequence = sent->second.parts_handled;
+      }
     }
     if (mutation_ == Mutation::kAcceptOtherAnswer) {
       chunk->request_id.value = "r" + std::to_string(index);
-      chunk->attempt = request.attempt;
+      chunk->attempt =
+          request.attempts.empty() ? 0 : request.attempts.rbegin()->first;
     }
   }
   const auto* broken = std::get_if<Broken>(&event);
--- a/src/libdogwoodlatch/outcomes_fuzz_simulation.h
+++ b/src/libdogwoodlatch/outcomes_fuzz_simulation.h
@@ -66,6 +66,14 @@
   std::string routed_weights;
 };
 
+// An attempt that a router has sent; two may be open while a request moves.
+struct SentAttempt {
+  size_t target = 0;
+  bool open = true;
+  bool alone = false;
+  uint64_t parts_handled = 0;
+};
+
 struct Request {
   uint64_t digest = 0;
   bool poison = false;
@@ -78,10 +86,26 @@
   bool abandoned = false;  // its router was restarted
   std::vector<Outcome> outcomes;
   std::vector<Outcome> delayed_outcomes;
-  std::optional<size_t> target;  // target of the open attempt
-  uint32_t attempt = 0;
-  bool alone = false;
-  uint64_t parts_handled = 0;
+  std::map<uint32_t, SentAttempt> attempts;
+
+  bool HasOpenAttempt() const {
+    return std::ranges::any_of(attempts, &SentAttempt::open,
+                               &std::pair<const uint32_t, SentAttempt>::second);
+  }
+
+  void Close(uint32_t attempt) {
+    const auto found = attempts.find(attempt);
+    if (found != attempts.end()) found->second.open = false;
+  }
+
+  void CloseAll() {
+    for (auto& [number, sent] : attempts) sent.open = false;
+  }
+
+  bool RanAlone(uint32_t attempt) const {
+    const auto found = attempts.find(attempt);
+    return found != attempts.end() && found->second.alone;
+  }
 };
 
 struct Run {
--- a/src/libdogwoodlatch/outcomes_fuzz_targets.h
+++ b/src/libdogwoodlatch/outcomes_fuzz_targets.h
@@ -256,9 +256,10 @@
   target.core = std::make_unique<AgentCore>(limits_);
   Poll(target);
   for (size_t i = 0; i < requests_.size(); ++i) {
-    if (requests_[i].target == index) {
+    for (const auto& [number, sent] : requests_[i].attempts) {
+      if (!sent.open || sent.target != index) continue;
       to_routers_.push_back(
-          {index, target.connection, i, ConnectionLost{requests_[i].attempt}});
+          {index, target.connection, i, ConnectionLost{number}});
     }
   }
 }
