Calls to the store: an idle close on the way is no failed call

A call sent while the store closes that connection ends as a lost one, counts as a failure of the store, and is followed by a pause; a lease write ends as a failed election step.

Cause: HttpClient reused any connection that looked open, whatever the peer had said in Keep-Alive and however long it had been idle, and had one answer for a connection that broke after ten seconds of waiting and one that had been closed before the call came. The class: reusing what the other side may just be closing.

Change: UpstreamConnection::MayCarry is the one rule for reuse, with the idle limit and margin that the connection pool had; the pool and HttpClient both use it. A call that may be repeated (reads, and the lease writes, which depend on the revision that they end) is sent once more on a new connection if the old one had carried an answer, breaks within 250 ms of the send, and brought no byte. The call's timeout holds over both sends; if the second connection can't be made, the outcome of the first is unknown. Weights orders are not repeated.

--- a/src/include/dogwoodlatch/dataplane/http_client.h
+++ b/src/include/dogwoodlatch/dataplane/http_client.h
@@ -29,17 +29,22 @@
   std::chrono::milliseconds timeout{1000};
   /// A response with a longer body is an error.
   size_t max_body_bytes = 256UL * 1024;
+  /// The call changes nothing, or only while a condition holds that its first
+  /// success ends, so that it may be sent twice.
+  bool may_repeat = false;
 
   static Call Get(std::string target, std::chrono::milliseconds timeout) {
     Call call;
     call.target = std::move(target);
     call.timeout = timeout;
+    call.may_repeat = true;
     return call;
   }
 };
 
 /// Runs one call at a time. A connection on which a call failed is closed and
-/// replaced at the next call.
+/// replaced at the next call. A call that may be repeated and meets the peer's
+/// close of an idle connection is sent once more, on a new connection.
 class HttpClient {
  public:
   using Done = std::function<void(Result<CallResponse>)>;
--- a/src/include/dogwoodlatch/dataplane/upstream_connection.h
+++ b/src/include/dogwoodlatch/dataplane/upstream_connection.h
@@ -59,12 +59,12 @@
   /// True if the connection is open and idle and can carry another request.
   bool IsReusable() const;
 
+  /// The same, and the peer will not close it soon for being idle.
+  bool MayCarry(TimePoint now) const;
+
   /// Returns how long the connection has been idle.
   Duration IdleFor(TimePoint now) const { return now - idle_since_; }
 
-  /// Idle timeout that the peer announced in its last response, if any.
-  std::optional<std::chrono::seconds> idle_limit() const { return idle_limit_; }
-
   /// Returns how many of the bytes sent the peer's VM has not acknowledged, or
   /// nothing where the system does not tell.
   std::optional<size_t> UnacknowledgedBytes();
@@ -72,6 +72,9 @@
   /// True once a response has been completed on this connection.
   bool is_used() const { return is_used_; }
 
+  /// True once a byte has arrived since the last Send.
+  bool has_received() const { return has_received_; }
+
  private:
   // Forward the reader's calls to the listener until the request is cancelled.
   // The reader calls only OnHead and OnBody; FinishResponse and BreakConnection
@@ -97,6 +100,7 @@
   ResponseListener* listener_ = nullptr;
   bool is_open_ = false;
   bool is_used_ = false;
+  bool has_received_ = false;
   bool is_reading_ = false;
   bool is_paused_ = false;
   bool is_writing_ = false;
--- a/src/libdaemon/coordinator.cc
+++ b/src/libdaemon/coordinator.cc
@@ -177,6 +177,7 @@
   call.headers = {{"Content-Type", "application/json"}};
   call.body = platform::EncodeLease(lease, expected, ++renewals_);
   call.timeout = kLeaseCallTimeout;
+  call.may_repeat = true;  // both writes depend on the revision that they end
   lease_client_.Start(std::move(call),
                       [this, sent = BootNow()](
                           const Result<dataplane::CallResponse>& response) {
--- a/src/libdataplane/http_client.cc
+++ b/src/libdataplane/http_client.cc
@@ -1,5 +1,6 @@
 #include "dogwoodlatch/dataplane/http_client.h"
 
+#include <optional>
 #include <utility>
 
 namespace dogwoodlatch::dataplane {
@@ -8,6 +9,10 @@
 // The platform normally accepts a connection within milliseconds.
 constexpr std::chrono::milliseconds kConnectTimeout{600};
 
+// A call that crosses the close of its connection learns it within a round
+// trip.
+constexpr std::chrono::milliseconds kCloseNotice{250};
+
 }  // namespace
 
 // One call in progress. Its pending asynchronous handlers own it and so keep it
@@ -29,27 +34,12 @@
       if (!error) self->Fail(ErrorCode::kUnknownOutcome, "no answer in time");
     });
     call_.headers.insert(call_.headers.begin(), Header{"Host", address});
-    if (owner_->connection_ && owner_->connection_->IsReusable()) {
+    if (owner_->connection_ && owner_->connection_->MayCarry(SteadyNow())) {
+      is_on_used_connection_ = true;
       Send();
       return;
     }
-    const auto endpoint = ParseEndpoint(address);
-    if (!endpoint) {
-      Fail(ErrorCode::kUnavailable, "not an address");
-      return;
-    }
-    owner_->connection_ =
-        std::make_shared<UpstreamConnection>(owner_->context_);
-    owner_->connection_->Connect(
-        *endpoint, kConnectTimeout,
-        [self = shared_from_this()](std::error_code error) {
-          if (!self->done_) return;
-          if (error) {
-            self->Fail(ErrorCode::kUnavailable, error.message());
-          } else {
-            self->Send();
-          }
-        });
+    Connect();
   }
 
   void Abandon() {
@@ -71,11 +61,50 @@
   }
   void OnEnd() override { Finish(std::move(response_)); }
   void OnConnectionLost() override {
-    Fail(ErrorCode::kUnknownOutcome, "the connection broke");
+    if (HasCrossedClose()) {
+      is_on_used_connection_ = false;
+      Connect();
+    } else {
+      Fail(ErrorCode::kUnknownOutcome, "the connection broke");
+    }
   }
 
  private:
+  // A pending read would keep a connection open that is only released.
+  void Connect() {
+    if (owner_->connection_) owner_->connection_->Cancel();
+    owner_->connection_.reset();
+    const auto endpoint = ParseEndpoint(owner_->address_);
+    if (!endpoint) {
+      Fail(ErrorCode::kUnavailable, "not an address");
+      return;
+    }
+    owner_->connection_ =
+        std::make_shared<UpstreamConnection>(owner_->context_);
+    owner_->connection_->Connect(
+        *endpoint, kConnectTimeout,
+        [self = shared_from_this()](std::error_code error) {
+          if (!self->done_) return;
+          if (error) {
+            self->Fail(self->sent_at_ ? ErrorCode::kUnknownOutcome
+                                      : ErrorCode::kUnavailable,
+                       error.message());
+          } else {
+            self->Send();
+          }
+        });
+  }
+
+  // The peer may have closed the connection for being idle just before the call
+  // reached it.
+  bool HasCrossedClose() const {
+    return call_.may_repeat && is_on_used_connection_ &&
+           !owner_->connection_->has_received() &&
+           SteadyNow() - *sent_at_ <= kCloseNotice;
+  }
+
   void Send() {
+    sent_at_ = SteadyNow();
     owner_->connection_->Send(
         BuildRequestHead(call_.method, call_.target, call_.headers,
                          call_.body.size()),
@@ -101,6 +130,8 @@
   Call call_;
   Done done_;
   CallResponse response_;
+  std::optional<TimePoint> sent_at_;
+  bool is_on_used_connection_ = false;
 };
 
 HttpClient::HttpClient(asio::io_context& context, std::string address)
--- a/src/libdataplane/upstream_connection.cc
+++ b/src/libdataplane/upstream_connection.cc
@@ -121,6 +121,7 @@
   listener_ = listener;
   is_writing_ = true;
   is_paused_ = false;
+  has_received_ = false;
   reader_.Reset();
   head_ = std::move(head);
   body_ = std::move(body);
@@ -162,6 +163,12 @@
          listener_ == nullptr;
 }
 
+bool UpstreamConnection::MayCarry(TimePoint now) const {
+  const Duration limit =
+      idle_limit_ ? Duration(*idle_limit_) - kIdleMargin : kDefaultIdleLimit;
+  return IsReusable() && IdleFor(now) <= limit;
+}
+
 bool UpstreamConnection::OnHead(const ResponseHead& head) {
   return listener_ != nullptr && listener_->OnHead(head);
 }
@@ -193,6 +200,7 @@
     BreakConnection();
     return;
   }
+  has_received_ = true;
   input_.append(read_buffer_, 0, count);
   // Input without a pending request belongs to no response.
   if (listener_ == nullptr) {
@@ -246,12 +254,7 @@
   while (!connections.empty()) {
     UpstreamConnection::Pointer connection = std::move(connections.back());
     connections.pop_back();
-    const Duration idle_limit =
-        connection->idle_limit()
-            ? Duration(*connection->idle_limit()) - kIdleMargin
-            : kDefaultIdleLimit;
-    if (!connection->IsReusable()) continue;
-    if (connection->IdleFor(now) > idle_limit) {
+    if (!connection->MayCarry(now)) {
       connection->Cancel();
       continue;
     }
@@ -290,17 +293,12 @@
 
 void ConnectionPool::Sweep(TimePoint now) {
   for (auto& [key, connections] : idle_) {
-    std::erase_if(
-        connections, [&](const UpstreamConnection::Pointer& connection) {
-          const Duration limit =
-              connection->idle_limit()
-                  ? Duration(*connection->idle_limit()) - kIdleMargin
-                  : kDefaultIdleLimit;
-          const bool is_expired =
-              !connection->IsReusable() || connection->IdleFor(now) > limit;
-          if (is_expired) connection->Cancel();
-          return is_expired;
-        });
+    std::erase_if(connections,
+                  [&](const UpstreamConnection::Pointer& connection) {
+                    const bool is_expired = !connection->MayCarry(now);
+                    if (is_expired) connection->Cancel();
+                    return is_expired;
+                  });
   }
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
