daemon_stopped waits for its agent before it sends signals

What was seen: in a build with address and undefined sanitizers the case failed twice: "SIGHUP and SIGTERM: agent -1", and an agent without a line in its log. No sanitizer report in either run.

Cause: the case waited for the router alone.

Change: the four parts that stop a router and an agent wait for the agent's E100 too. What they expect is unchanged: codes, plans and last lines. Signals during the start stay a line of their own. check_silent_store still waits half a second, as nothing is ready there.

Evidence: passes with the plain build, and with address,undefined in one run. The thread sanitizer was not run.

--- a/testsuite/daemon_stopped/run.py
+++ b/testsuite/daemon_stopped/run.py
@@ -36,6 +36,13 @@
         return "late"
 
 
+def start_both(bin_dir):
+    """Starts a router and an agent and waits for both; a signal before the start ends a process as by default."""
+    router, agent = fleet.start_router(bin_dir, ROUTER), fleet.start_agent(bin_dir, MODEL)
+    print("ready", fleet.wait_until(lambda: fleet.is_ready(ROUTER) and " E100 " in agent.log_text()))
+    return router, agent
+
+
 class SilentStore:
     """Accepts connections and never answers."""
 
@@ -72,8 +79,7 @@
 # Guards against processes that outlast the grace period: a library's threads could not be joined at exit where one
 # thread of a process runs at a time.
 def check_idle(bin_dir):
-    router, agent = fleet.start_router(bin_dir, ROUTER), fleet.start_agent(bin_dir, MODEL)
-    print("ready", fleet.wait_until(lambda: fleet.is_ready(ROUTER)))
+    router, agent = start_both(bin_dir)
     print("threads: router", count_threads(router), "agent", count_threads(agent))
     for daemon in (router, agent):
         os.sched_setaffinity(daemon.process.pid, {min(os.sched_getaffinity(0))})
@@ -86,13 +92,11 @@
 
 
 def check_signals(bin_dir):
-    router, agent = fleet.start_router(bin_dir, ROUTER), fleet.start_agent(bin_dir, MODEL)
-    print("ready", fleet.wait_until(lambda: fleet.is_ready(ROUTER)))
+    router, agent = start_both(bin_dir)
     twice = (signal.SIGTERM, signal.SIGTERM)
     print("SIGTERM twice: agent", end(agent, AGENT_PLAN_SECONDS, twice), "router",
           end(router, ROUTER_PLAN_SECONDS, twice))
-    router, agent = fleet.start_router(bin_dir, ROUTER), fleet.start_agent(bin_dir, MODEL)
-    print("ready", fleet.wait_until(lambda: fleet.is_ready(ROUTER)))
+    router, agent = start_both(bin_dir)
     mixed = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)
     print("SIGHUP and SIGTERM: agent", end(agent, AGENT_PLAN_SECONDS, mixed), "router",
           end(router, ROUTER_PLAN_SECONDS, mixed))
@@ -106,8 +110,7 @@
 
 
 def check_streams(bin_dir, model):
-    router, agent = fleet.start_router(bin_dir, ROUTER), fleet.start_agent(bin_dir, MODEL)
-    print("ready", fleet.wait_until(lambda: fleet.is_ready(ROUTER)))
+    router, agent = start_both(bin_dir)
     model.behaviour = ["mute"]
     callers = [threading.Thread(target=fleet.stream, args=(ROUTER,), daemon=True) for _ in range(3)]
     idle = [socket.create_connection((ROUTER, fleet.FRONTEND_PORT)) for _ in range(20)]
