A move holds the retry for its way back; a reload changes the retry limits

Cause: a move was granted when two retries were left, but nothing kept the second one for it, so that moves of the same instant spent each other's way back. Besides, limits changed by a reload no longer reached the windows since they count.

Change: a move holds a retry until another target has sent an event, the silent one goes on, or the request ends; it pays for the next send of that request. A reload replaces the share and the extra retries of every window; what was spent counts on.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -114,6 +114,9 @@
   void DropSilent();
   bool MayRunAgain() const;
   bool WithdrawRetry(RetryPurpose purpose);
+  RetryWindow& Retries();
+  void HoldRetry();
+  void ReleaseRetry();
   /// Tries another target once other breaks of connections have been read.
   void RetryAfterBreak();
   void EndWithoutResponse();
@@ -148,6 +151,7 @@
   asio::steady_timer handover_timer_;
   bool is_overlapping_ = false;     ///< two targets have the request
   bool has_run_elsewhere_ = false;  ///< in this overlap, it may have run
+  bool holds_retry_ = false;        ///< for the way back to `silent_`
   serving::TargetHistory history_;
   serving::RequestProgress progress_;
   serving::EventStreamSplitter splitter_;
--- a/src/include/dogwoodlatch/retry_window.h
+++ b/src/include/dogwoodlatch/retry_window.h
@@ -83,6 +83,20 @@
   /// extra retries are this router's.
   bool Withdraw(RetryPurpose purpose, double part, TimePoint now);
 
+  /// Keeps one of the retries that are left from others, for the way back of a
+  /// request that has moved.
+  void Hold() { ++held_; }
+
+  /// The retry that was held is not needed any more.
+  void Release() { --held_; }
+
+  /// Takes the retry that was held; false if none is left, as this router's
+  /// part has shrunk.
+  bool WithdrawHeld(double part, TimePoint now);
+
+  /// Replaces the share and the extra retries; the window's length stays.
+  void SetLimits(const RetryWindowLimits& limits);
+
   RetryCounts Counts(double part, TimePoint now) const;
 
  private:
@@ -99,6 +113,7 @@
   RetryWindowLimits limits_;
   Duration slot_width_;
   std::vector<Slot> slots_;  ///< two windows
+  int held_ = 0;
 };
 
 }  // namespace dogwoodlatch
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -351,6 +351,7 @@
   if (std::exchange(is_finished_, true)) return;
   WithdrawAttempt(attempt_);
   WithdrawAttempt(silent_);
+  ReleaseRetry();
   deadline_timer_.cancel();
   handover_timer_.cancel();
   const Duration took = SteadyNow() - arrived_at_;
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -206,6 +206,7 @@
        {"allowed", is_allowed ? "yes" : "no"},
        {"moves", moves ? "yes" : "no"}});
   if (!moves) return;
+  HoldRetry();
   history_.Exclude(attempt.target_id());
   silent_ = std::move(attempt_);
   silent_splitter_ = splitter_;
@@ -274,6 +275,7 @@
 // One of two targets that hold the request answers: it is the one that keeps
 // it.
 void Exchange::SelectAnswering(const TargetAttempt& attempt) {
+  ReleaseRetry();
   if (!silent_) return;
   if (&attempt == silent_.get()) {
     ReturnToSilent();
@@ -297,6 +299,7 @@
     WithdrawAttempt(attempt_);
   }
   StopHandoverTimer();
+  ReleaseRetry();
   attempt_ = std::move(silent_);
   splitter_ = silent_splitter_;
 }
@@ -388,13 +391,28 @@
   return is_allowed && !context_.poison.IsBlocked(fingerprint_, SteadyNow());
 }
 
+RetryWindow& Exchange::Retries() {
+  return context_.retry_windows
+      .try_emplace(routed_.service, context_.retry_limits)
+      .first->second;
+}
+
+void Exchange::HoldRetry() {
+  if (!std::exchange(holds_retry_, true)) Retries().Hold();
+}
+
+void Exchange::ReleaseRetry() {
+  if (std::exchange(holds_retry_, false)) Retries().Release();
+}
+
 bool Exchange::WithdrawRetry(RetryPurpose purpose) {
   const TimePoint now = SteadyNow();
   const double part = context_.routers.Part(now);
-  RetryWindow& window =
-      context_.retry_windows.try_emplace(routed_.service, context_.retry_limits)
-          .first->second;
-  const bool granted = window.Withdraw(purpose, part, now);
+  RetryWindow& window = Retries();
+  const bool uses_held = holds_retry_ && purpose != RetryPurpose::kMove;
+  if (uses_held) holds_retry_ = false;
+  const bool granted = uses_held ? window.WithdrawHeld(part, now)
+                                 : window.Withdraw(purpose, part, now);
   context_.metrics.Count(
       granted ? "dogwoodlatch_retries_total"
               : "dogwoodlatch_retries_denied_total",
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -595,6 +595,10 @@
 void Router::Reload(const platform::NodeSettings& settings) {
   settings_.bounds = settings.bounds;
   context_.max_configuration_age = settings.bounds.configuration;
+  context_.retry_limits = MakeRetryLimits(settings.bounds);
+  for (auto& [service, window] : context_.retry_windows) {
+    window.SetLimits(context_.retry_limits);
+  }
   LogEvent(EventId::kReloaded, {{"vm", settings.vm}});
 }
 
--- a/src/libdogwoodlatch/retry_window.cc
+++ b/src/libdogwoodlatch/retry_window.cc
@@ -103,6 +103,16 @@
   return true;
 }
 
+bool RetryWindow::WithdrawHeld(double part, TimePoint now) {
+  Release();
+  return Withdraw(RetryPurpose::kResume, part, now);
+}
+
+void RetryWindow::SetLimits(const RetryWindowLimits& limits) {
+  limits_.share = limits.share;
+  limits_.extra = limits.extra;
+}
+
 RetryCounts RetryWindow::Counts(double part, TimePoint now) const {
   RetryCounts counts{.left = std::max(0.0, Left(1, part, now))};
   const int64_t current = BucketNumber(now, slot_width_);
@@ -147,7 +157,7 @@
         limits_.share * first_attempts / 2 + limits_.extra * part;
     left = std::min(left, allowed * usable_share - retries);
   }
-  return left;
+  return left - held_;
 }
 
 }  // namespace dogwoodlatch
--- a/src/libdogwoodlatch/retry_window_test.cc
+++ b/src/libdogwoodlatch/retry_window_test.cc
@@ -302,4 +302,36 @@
   CHECK(window.Counts(0.5, At(112'000)).retries == 0);
 }
 
+// Guards against streams that leave their silent targets together and then have
+// no retry left for the way back.
+TEST_CASE("a retry that is held is left for its holder only") {
+  RetryWindow window(
+      {.share = 0, .extra = 4, .window = std::chrono::seconds(10)});
+  const TimePoint now = TimePoint() + std::chrono::seconds(100);
+  window.Hold();
+  window.Hold();
+  CHECK(window.Withdraw(RetryPurpose::kResume, 1, now));
+  CHECK(window.Withdraw(RetryPurpose::kResume, 1, now));
+  CHECK_FALSE(window.Withdraw(RetryPurpose::kResume, 1, now));
+  CHECK(window.WithdrawHeld(1, now));
+  CHECK_FALSE(window.Withdraw(RetryPurpose::kResume, 1, now));
+  window.Release();
+  CHECK(window.Withdraw(RetryPurpose::kResume, 1, now));
+  CHECK_FALSE(window.Withdraw(RetryPurpose::kResume, 1, now));
+}
+
+// Guards against limits of a reload that apply only after a restart.
+TEST_CASE("changed limits apply at once, and what was spent counts") {
+  RetryWindow window(
+      {.share = 0, .extra = 2, .window = std::chrono::seconds(10)});
+  const TimePoint now = TimePoint() + std::chrono::seconds(100);
+  CHECK(window.Withdraw(RetryPurpose::kResume, 1, now));
+  window.SetLimits({.share = 0, .extra = 1});
+  CHECK_FALSE(window.Withdraw(RetryPurpose::kResume, 1, now));
+  window.SetLimits({.share = 0, .extra = 3});
+  CHECK(window.Withdraw(RetryPurpose::kResume, 1, now));
+  CHECK(window.Withdraw(RetryPurpose::kResume, 1, now));
+  CHECK_FALSE(window.Withdraw(RetryPurpose::kResume, 1, now));
+}
+
 }  // namespace dogwoodlatch
