--- a/testsuite/silent_targets_twice/run.py
+++ b/testsuite/silent_targets_twice/run.py
@@ -33,5 +33,5 @@
 # Guards against a second overlap that ends too early, as if the request might have run at a target that has refused it.
 def check_second_silence(model):
     model.planned = [(1.4, "silent 1.9"), (3, "good")] + [(0.28, "full")] * 4
-    status, events = fleet.stream(ROUTER, headers={"X-Dogwoodlatch-Deadline-Ms": "6000"})
+    status, events = fleet.stream(ROUTER, headers=fleet.LATER_DEADLINE)
     print(f"silent twice: status {status} events {len(events)}")
