--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -191,12 +191,16 @@
        serving::MayReturn(*routed_.route, progress_, left));
   const bool is_allowed =
       may_move && !context_.poison.IsBlocked(fingerprint_, now);
+  // The way back to a target that was left is paid for.
+  const bool is_return = holds_retry_;
+  const RetryPurpose purpose =
+      is_return ? RetryPurpose::kResume : RetryPurpose::kMove;
   const bool moves =
       other && is_allowed &&
       serving::IsMovePromising({.silence = attempt.SilentFor(now),
                                 .estimate_elsewhere = other->estimate,
                                 .caller_left = CallerLeavesIn(now)}) &&
-      WithdrawRetry(RetryPurpose::kMove);
+      WithdrawRetry(purpose);
   LogEvent(
       EventId::kAttemptSilent,
       {{"request", routed_.metadata.id},
@@ -206,7 +210,7 @@
        {"allowed", is_allowed ? "yes" : "no"},
        {"moves", moves ? "yes" : "no"}});
   if (!moves) return;
-  HoldRetry();
+  if (!is_return) HoldRetry();
   history_.Exclude(attempt.target_id());
   silent_ = std::move(attempt_);
   silent_splitter_ = splitter_;
