The listening socket of a stopping router closes 1 s before its end again

Not traced further: a request that follows its connection by more than the 20 ms that count as on its way is cut if the process ends in between.

A refused connection loses nothing.

--- a/src/libserving/shutdown_plan.cc
+++ b/src/libserving/shutdown_plan.cc
@@ -12,7 +12,7 @@
 
 // Time for the requests on connections that were set up last. Those that cannot
 // end in time are refused at once.
-constexpr Duration kLastRequestsTime = std::chrono::milliseconds(500);
+constexpr Duration kLastRequestsTime = std::chrono::milliseconds(1000);
 
 }  // namespace
 
