Logs: broken runs that count against a request, and requests held back

The logs could not tell whether requests that crash targets were never compared, counted but not shared between routers, or forgotten too soon. E411 names fingerprint, shared parts and count of each broken run; E412 each request that is not sent. No decision changed.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -100,6 +100,7 @@
   void OnResponseLost(TargetAttempt& attempt, std::string_view why);
   void RecordRun(const TargetAttempt& attempt);
   void RecordLostRun(const TargetAttempt& attempt, std::string_view why);
+  void LogHeldBack() const;
   void AbandonAttempt();
   void WithdrawAttempt(std::shared_ptr<TargetAttempt>& attempt);
   Duration CallerLeavesIn(TimePoint now) const;
--- a/src/include/dogwoodlatch/daemon/target_attempt.h
+++ b/src/include/dogwoodlatch/daemon/target_attempt.h
@@ -86,6 +86,7 @@
   const std::string& target_id() const { return target().record.id; }
   bool is_on_new_connection() const { return is_on_new_connection_; }
   bool is_sent() const { return is_sent_; }
+  bool has_first_event() const { return has_first_event_; }
   TimePoint sent_at() const { return sent_at_; }
 
   /// For a stream, how long the target has sent nothing to anyone; for another
--- a/src/include/dogwoodlatch/serving/poison_guard.h
+++ b/src/include/dogwoodlatch/serving/poison_guard.h
@@ -1,6 +1,7 @@
 /// Detects poison requests, which crash the targets that run them.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
@@ -45,6 +46,9 @@
   /// Clears a request that ended with an answer and is therefore harmless.
   void OnAnswered(uint64_t fingerprint) { broken_.erase(fingerprint); }
 
+  /// Number of targets that broke off while they ran the request.
+  size_t BrokenTargets(uint64_t fingerprint) const;
+
   /// True if the request must not be sent to another target.
   bool IsBlocked(uint64_t fingerprint, TimePoint now) const;
 
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -59,6 +59,8 @@
   kAttemptKept = 408,
   kRetryDenied = 409,
   kCallerCutOff = 410,
+  kBrokenRunCounted = 411,
+  kRequestHeldBack = 412,
   kTargetCrashed = 500,
   kCrashSuspects = 501,
   kQuarantined = 502,
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -59,6 +59,7 @@
       routed_.workspace ? routed_.workspace->name : std::string(),
       request_.body);
   if (context_.poison.IsBlocked(fingerprint_, arrived_at_)) {
+    LogHeldBack();
     Fail(Outcome::kPoisoned, kBadGateway);
     return;
   }
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <utility>
 
 #include "dogwoodlatch/daemon/exchange.h"
@@ -20,6 +22,22 @@
 constexpr int kMisdirected = 421;
 constexpr int kServerFailure = 500;
 
+std::string FormatHex(uint64_t value) {
+  std::array<char, 2 * sizeof(value)> digits{};
+  const auto end =
+      std::to_chars(digits.data(), digits.data() + digits.size(), value, 16);
+  return {digits.data(), end.ptr};
+}
+
+// The ids of the shared parts, as callers state them.
+std::string FormatSharedParts(const serving::Prompt& prompt) {
+  std::string ids;
+  for (size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    ids += (i > 0 ? "," : "") + FormatHex(prompt.parts[i].id);
+  }
+  return ids;
+}
+
 }  // namespace
 
 void Exchange::OnStreamBytes(TargetAttempt& attempt, std::string_view bytes) {
@@ -186,6 +204,14 @@
       {.request = fingerprint_,
        .target = serving::IncarnationKey(attempt.target().record)},
       SteadyNow());
+  LogEvent(EventId::kBrokenRunCounted,
+           {{"request", routed_.metadata.id},
+            {"target", attempt.target_id()},
+            {"fingerprint", FormatHex(fingerprint_)},
+            {"shared_parts", FormatSharedParts(routed_.metadata.prompt)},
+            {"has_answered", attempt.has_first_event() ? "yes" : "no"},
+            {"targets",
+             std::to_string(context_.poison.BrokenTargets(fingerprint_))}});
   OnResponseLost(attempt, "connection broke");
 }
 
@@ -442,6 +468,15 @@
   attempt.reset();
 }
 
+void Exchange::LogHeldBack() const {
+  LogEvent(EventId::kRequestHeldBack,
+           {{"request", routed_.metadata.id},
+            {"fingerprint", FormatHex(fingerprint_)},
+            {"shared_parts", FormatSharedParts(routed_.metadata.prompt)},
+            {"targets",
+             std::to_string(context_.poison.BrokenTargets(fingerprint_))}});
+}
+
 bool Exchange::MayRunAgain() const {
   serving::RequestProgress progress = progress_;
   if (silent_) ++progress.runs;
--- a/src/libserving/poison_guard.cc
+++ b/src/libserving/poison_guard.cc
@@ -65,6 +65,11 @@
   return true;
 }
 
+size_t PoisonGuard::BrokenTargets(uint64_t fingerprint) const {
+  const auto found = broken_.find(fingerprint);
+  return found == broken_.end() ? 0 : found->second.targets.size();
+}
+
 bool PoisonGuard::IsBlocked(uint64_t fingerprint, TimePoint now) const {
   const auto found = broken_.find(fingerprint);
   return found != broken_.end() &&
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -139,6 +139,14 @@
     EventSpec{EventId::kCallerCutOff, Severity::kWarning, "caller_cut_off",
               "A caller's connection was closed while bytes of a request or "
               "response were left; a request may have got no answer."},
+    EventSpec{EventId::kBrokenRunCounted, Severity::kWarning,
+              "broken_run_counted",
+              "A target broke off while it ran a request; the run counts "
+              "against the request."},
+    EventSpec{EventId::kRequestHeldBack, Severity::kWarning,
+              "request_held_back",
+              "A request is not sent to a target, as too many targets have "
+              "broken off while they ran it."},
     EventSpec{EventId::kTargetCrashed, Severity::kWarning, "target_crashed",
               "A run failed and the target's incarnation has ended."},
     EventSpec{EventId::kCrashSuspects, Severity::kWarning, "crash_suspects",
