A prompt part that crashes targets holds requests back, at all routers

Cause: crashes were counted by path, workspace and whole body, so no two of these requests were ever compared (E411: 130 of 165 broken runs were the first of their request). What was counted was sent once, to 32 routers at most, 64 runs at most, and forgotten 20 s after the last crash even while such requests still came; an answer cleared the count of one router only.

PoisonGuard counts by suspect: the request, and each shared part of its prompt. A whole answer acquits all suspects in a request; a part that was answered within 3 s is not counted. A suspect explained by another one that a request does not have lets the request through. What is held back is tried again by one router at a time, ever more rarely. Reports merge in any order, are repeated and passed on.

The case waited for streams of a list that still grew and did not end on this code; it takes a copy of the list now.

--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -46,9 +46,9 @@
 
 /// What a router sends to the other routers: the prompt parts that it has sent
 /// to each target, saved and fetched since its last update, the time that the
-/// targets still need to prefill its requests, the runs that ended with a
-/// broken connection, the targets that said to it that they leave, and whether
-/// it serves.
+/// targets still need to prefill its requests, what it knows of requests and
+/// parts that crash targets, the targets that said to it that they leave, and
+/// whether it serves.
 struct RouterUpdate {
   struct TargetLoad {
     std::string target_id;
@@ -67,7 +67,7 @@
   std::vector<Leaving> targets_leaving{};
   std::vector<serving::PartSave> parts_saved;  ///< saved to the cache stores
   std::vector<uint64_t> parts_fetched{};  ///< fetched from the cache stores
-  std::vector<serving::BrokenRun> runs_broken{};
+  std::vector<serving::SuspectReport> suspects{};
   serving::RouterPhase phase = serving::RouterPhase::kStarting;
   Duration stopping_for{0};  ///< since the router's stop began
 
--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -100,7 +100,11 @@
   void OnResponseLost(TargetAttempt& attempt, std::string_view why);
   void RecordRun(const TargetAttempt& attempt);
   void RecordLostRun(const TargetAttempt& attempt, std::string_view why);
-  void LogHeldBack() const;
+  /// Refuses a request that has crashed targets, or shares a part with such.
+  bool AdmitSuspects();
+  bool IsHeldBack(TimePoint now) const;
+  void RecordBrokenRun(const TargetAttempt& attempt, TimePoint now);
+  void LogVerdict(const serving::PoisonVerdict& verdict) const;
   void AbandonAttempt();
   void WithdrawAttempt(std::shared_ptr<TargetAttempt>& attempt);
   Duration CallerLeavesIn(TimePoint now) const;
@@ -143,7 +147,7 @@
   dataplane::Request request_;
   std::shared_ptr<const std::string> body_;
   RoutedRequest routed_;
-  uint64_t fingerprint_ = 0;
+  std::vector<serving::Suspect> suspects_;
   TimePoint arrived_at_;
   TimePoint response_deadline_;
   asio::steady_timer deadline_timer_;
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -30,6 +30,9 @@
 /// Maximum number of addresses in a directory, so that it fits into one packet.
 inline constexpr size_t kMaxRoutersPerDirectory = 40;
 
+/// Maximum number of routers that receive one set of reports on suspects.
+inline constexpr size_t kMaxRoutersPerReport = 8;
+
 class Router {
  public:
   Router(asio::io_context& context, platform::NodeSettings settings);
@@ -60,6 +63,7 @@
   void PublishTargetStatus(const TargetStatus& status);
   void OnRouterUpdate(uint64_t router, const RouterUpdate& update);
   void PublishUpdate(TimePoint now);
+  void PublishSuspects(TimePoint now);
   /// Targets that have said lately that they leave.
   std::vector<RouterUpdate::Leaving> CollectLeaving(TimePoint now);
   void Tick();
@@ -102,6 +106,8 @@
   TimePoint next_update_{};
   TimePoint next_phase_{};
   serving::RoundRobinSelector update_rotation_{kMaxRoutersPerUpdate};
+  TimePoint suspects_sent_at_{};
+  serving::RoundRobinSelector suspects_rotation_{kMaxRoutersPerReport};
   size_t known_routers_ = 0;        ///< this one included; 0 while unknown
   std::optional<RouterStop> stop_;  ///< set once the router is stopping
 };
--- a/src/include/dogwoodlatch/daemon/target_attempt.h
+++ b/src/include/dogwoodlatch/daemon/target_attempt.h
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -86,7 +87,11 @@
   const std::string& target_id() const { return target().record.id; }
   bool is_on_new_connection() const { return is_on_new_connection_; }
   bool is_sent() const { return is_sent_; }
-  bool has_first_event() const { return has_first_event_; }
+
+  /// How long ago the first event of the response arrived; 0 if none has.
+  Duration AnsweringFor(TimePoint now) const {
+    return first_event_at_ ? now - *first_event_at_ : Duration{0};
+  }
   TimePoint sent_at() const { return sent_at_; }
 
   /// For a stream, how long the target has sent nothing to anyone; for another
@@ -129,7 +134,7 @@
   bool is_on_new_connection_ = false;
   bool is_placed_ = false;  ///< waits for its connection
   bool is_sent_ = false;    ///< sent, and the attempt has not ended
-  bool has_first_event_ = false;
+  std::optional<TimePoint> first_event_at_;
   bool has_head_ = false;
   bool is_event_stream_ = false;
   bool is_cancelled_ = false;
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -61,6 +61,7 @@
   kCallerCutOff = 410,
   kBrokenRunCounted = 411,
   kRequestHeldBack = 412,
+  kSuspectChanged = 413,
   kTargetCrashed = 500,
   kCrashSuspects = 501,
   kQuarantined = 502,
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -1,5 +1,7 @@
 #include "dogwoodlatch/daemon/agent_link.h"
 
+#include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -36,6 +38,36 @@
   return Datagram(std::move(status));
 }
 
+serving::SuspectReport ReadSuspectReport(const json& entry) {
+  serving::SuspectReport report;
+  const bool is_part = entry.at(0).get<bool>();
+  report.suspect = {
+      is_part ? serving::SuspectKind::kPart : serving::SuspectKind::kRequest,
+      entry.at(1).get<uint64_t>()};
+  report.wanted_ago = Duration(entry.at(2).get<int64_t>());
+  if (!entry.at(3).is_null()) {
+    report.answered_ago = Duration(entry.at(3).get<int64_t>());
+  }
+  for (const json& crash : entry.at(4)) {
+    report.crashes.push_back({.target = crash.at(0).get<uint64_t>(),
+                              .age = Duration(crash.at(1).get<int64_t>()),
+                              .was_answering = crash.at(2).get<bool>()});
+  }
+  return report;
+}
+
+json WriteSuspectReport(const serving::SuspectReport& report) {
+  json crashes = json::array();
+  for (const serving::SuspectReport::Crash& crash : report.crashes) {
+    crashes.push_back({crash.target, crash.age.count(), crash.was_answering});
+  }
+  const json answered_ago =
+      report.answered_ago ? json(report.answered_ago->count()) : json();
+  return {report.suspect.kind == serving::SuspectKind::kPart,
+          report.suspect.hash, report.wanted_ago.count(), answered_ago,
+          std::move(crashes)};
+}
+
 RouterUpdate ReadRouterUpdate(const json& message) {
   RouterUpdate update;
   for (const json& entry : message.at("sent")) {
@@ -50,9 +82,8 @@
         {entry.at(0).get<uint64_t>(), entry.at(1).get<uint32_t>()});
   }
   message.at("fetched").get_to(update.parts_fetched);
-  for (const json& entry : message.at("broken")) {
-    update.runs_broken.push_back(
-        {entry.at(0).get<uint64_t>(), entry.at(1).get<uint64_t>()});
+  for (const json& entry : message.value("suspects", json::array())) {
+    update.suspects.push_back(ReadSuspectReport(entry));
   }
   for (const json& entry : message.value("leaving", json::array())) {
     update.targets_leaving.push_back(
@@ -94,10 +125,9 @@
   for (const serving::PartSave& save : update.parts_saved) {
     saved.push_back({save.part, save.tokens});
   }
-  json broken = json::array();
-  for (const serving::BrokenRun& run : update.runs_broken) {
-    broken.push_back({run.request, run.target});
-  }
+  json suspects = json::array();
+  std::ranges::transform(update.suspects, std::back_inserter(suspects),
+                         WriteSuspectReport);
   json leaving = json::array();
   for (const RouterUpdate::Leaving& target : update.targets_leaving) {
     leaving.push_back(
@@ -108,7 +138,9 @@
                             {"sent", targets},
                             {"saved", saved},
                             {"fetched", update.parts_fetched},
-                            {"broken", broken},
+                            {"suspects", suspects},
+                            // Required by routers of earlier builds.
+                            {"broken", json::array()},
                             {"phase", static_cast<int>(update.phase)},
                             {"stopping", update.stopping_for.count()}});
 }
--- a/src/libdaemon/agent_link_test.cc
+++ b/src/libdaemon/agent_link_test.cc
@@ -21,7 +21,13 @@
   update.targets.push_back({"i-1", std::chrono::milliseconds(12), {1, ~0ULL}});
   update.parts_saved = {{9, 5382}};
   update.parts_fetched = {10, 11};
-  update.runs_broken = {{7, ~0ULL}};
+  update.suspects = {{.suspect = {serving::SuspectKind::kPart, ~0ULL},
+                      .crashes = {{.target = 7,
+                                   .age = std::chrono::milliseconds(40),
+                                   .was_answering = true}},
+                      .answered_ago = std::chrono::seconds(3),
+                      .wanted_ago = std::chrono::milliseconds(5)},
+                     {.suspect = {serving::SuspectKind::kRequest, 8}}};
   update.targets_leaving = {
       {"i-2", WallTime(std::chrono::seconds(1790000000))}};
   update.phase = serving::RouterPhase::kStopping;
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -24,6 +24,10 @@
 constexpr milliseconds kRestartRetryAfter{400};  // a router that starts again
 constexpr milliseconds kBusyRetryAfter{300};     // a target that serves again
 
+// A request that crashes targets may be tried again after this time at the
+// earliest, if it is another router's turn to try it.
+constexpr milliseconds kMinHeldBackRetryAfter{2000};
+
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
@@ -54,15 +58,11 @@
   session_->SetDisconnectHandler(
       [self = shared_from_this()] { self->OnCallerGone(); });
   if (!AdmitRequest()) return;
-  fingerprint_ = serving::RequestFingerprint(
+  suspects_ = serving::SuspectsOf(
       request_.target,
       routed_.workspace ? routed_.workspace->name : std::string(),
-      request_.body);
-  if (context_.poison.IsBlocked(fingerprint_, arrived_at_)) {
-    LogHeldBack();
-    Fail(Outcome::kPoisoned, kBadGateway);
-    return;
-  }
+      request_.body, routed_.metadata.prompt);
+  if (!AdmitSuspects()) return;
   body_ = std::make_shared<const std::string>(std::move(request_.body));
   routed_.service = serving::Configuration::PickService(
       *routed_.route,
@@ -103,6 +103,16 @@
   return !context_.stop || AdmitDuringStop();
 }
 
+bool Exchange::AdmitSuspects() {
+  const serving::PoisonVerdict verdict =
+      context_.poison.Admit(suspects_, arrived_at_);
+  if (verdict.is_held_back || verdict.is_trial) LogVerdict(verdict);
+  if (!verdict.is_held_back) return true;
+  RefuseAfter(Outcome::kPoisoned,
+              std::max<Duration>(verdict.next_trial, kMinHeldBackRetryAfter));
+  return false;
+}
+
 bool Exchange::AdmitDuringStop() {
   const bool is_other_serving = context_.peer_stops.IsAnyServing(arrived_at_);
   if (context_.stop->Accepts({.kind = routed_.route->kind,
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -1,9 +1,8 @@
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <utility>
 
 #include "dogwoodlatch/daemon/exchange.h"
+#include "dogwoodlatch/quarantine.h"
 #include "dogwoodlatch/serving/admission.h"
 #include "dogwoodlatch/util/log.h"
 
@@ -19,21 +18,18 @@
 // silent one to another: two targets must not work on it for 400 ms.
 constexpr milliseconds kMaxOverlap{330};
 
+// A target that crashes at the start of a run may still send a first event. One
+// that has gone on for this long did not crash at the start.
+constexpr milliseconds kAnswerBegun{100};
+
 constexpr int kMisdirected = 421;
 constexpr int kServerFailure = 500;
 
-std::string FormatHex(uint64_t value) {
-  std::array<char, 2 * sizeof(value)> digits{};
-  const auto end =
-      std::to_chars(digits.data(), digits.data() + digits.size(), value, 16);
-  return {digits.data(), end.ptr};
-}
-
 // The ids of the shared parts, as callers state them.
 std::string FormatSharedParts(const serving::Prompt& prompt) {
   std::string ids;
   for (size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-    ids += (i > 0 ? "," : "") + FormatHex(prompt.parts[i].id);
+    ids += (i > 0 ? "," : "") + FormatDigestHex(prompt.parts[i].id);
   }
   return ids;
 }
@@ -107,7 +103,7 @@
   }
   SelectAnswering(attempt);
   attempt_->target().signals.OnOutcome(false);
-  context_.poison.OnAnswered(fingerprint_);
+  context_.poison.OnAnswered(suspects_, SteadyNow());
   const int status = attempt_->head().status;
   if (!progress_.stream_started) {
     session_->StartChunkedResponse(
@@ -133,7 +129,7 @@
   attempt.target().signals.OnOutcome(!is_good);
   if (is_good) {
     SelectAnswering(attempt);
-    context_.poison.OnAnswered(fingerprint_);
+    context_.poison.OnAnswered(suspects_, SteadyNow());
     DeliverResponse();
   } else if (verdict == serving::AnswerVerdict::kUnusable) {
     OnResponseLost(attempt,
@@ -150,7 +146,7 @@
   RecordRun(*attempt_);
   const bool may_run_elsewhere =
       serving::MayRunAgain(*routed_.route, progress_, TimeLeft()) &&
-      !context_.poison.IsBlocked(fingerprint_, SteadyNow());
+      !IsHeldBack(SteadyNow());
   if (status >= kServerFailure && may_run_elsewhere &&
       WithdrawRetry(RetryPurpose::kRerun)) {
     failed_ = attempt_;
@@ -200,18 +196,7 @@
 
 void Exchange::OnConnectionLost(TargetAttempt& attempt) {
   attempt.target().signals.OnOutcome(true);
-  context_.poison.OnBroken(
-      {.request = fingerprint_,
-       .target = serving::IncarnationKey(attempt.target().record)},
-      SteadyNow());
-  LogEvent(EventId::kBrokenRunCounted,
-           {{"request", routed_.metadata.id},
-            {"target", attempt.target_id()},
-            {"fingerprint", FormatHex(fingerprint_)},
-            {"shared_parts", FormatSharedParts(routed_.metadata.prompt)},
-            {"has_answered", attempt.has_first_event() ? "yes" : "no"},
-            {"targets",
-             std::to_string(context_.poison.BrokenTargets(fingerprint_))}});
+  RecordBrokenRun(attempt, SteadyNow());
   OnResponseLost(attempt, "connection broke");
 }
 
@@ -246,8 +231,7 @@
       serving::MayAbandonUnresponsive(*routed_.route, progress_, left) ||
       (history_after_move.CanReturn(attempt.target_id()) &&
        serving::MayReturn(*routed_.route, progress_, left));
-  const bool is_allowed =
-      may_move && !context_.poison.IsBlocked(fingerprint_, now);
+  const bool is_allowed = may_move && !IsHeldBack(now);
   // The way back to a target that was left is paid for.
   const bool is_return = holds_retry_;
   const Duration vm_silence = attempt.target().signals.vm().SilentFor(now);
@@ -468,15 +452,6 @@
   attempt.reset();
 }
 
-void Exchange::LogHeldBack() const {
-  LogEvent(EventId::kRequestHeldBack,
-           {{"request", routed_.metadata.id},
-            {"fingerprint", FormatHex(fingerprint_)},
-            {"shared_parts", FormatSharedParts(routed_.metadata.prompt)},
-            {"targets",
-             std::to_string(context_.poison.BrokenTargets(fingerprint_))}});
-}
-
 bool Exchange::MayRunAgain() const {
   serving::RequestProgress progress = progress_;
   if (silent_) ++progress.runs;
@@ -485,7 +460,46 @@
       serving::MayRunAgain(*routed_.route, progress, left) ||
       (history_.CanReturn(attempt_ ? attempt_->target_id() : "") &&
        serving::MayReturn(*routed_.route, progress, left));
-  return is_allowed && !context_.poison.IsBlocked(fingerprint_, SteadyNow());
+  if (!is_allowed) return false;
+  const serving::PoisonVerdict verdict =
+      context_.poison.Check(suspects_, SteadyNow());
+  if (verdict.is_held_back) LogVerdict(verdict);
+  return !verdict.is_held_back;
+}
+
+bool Exchange::IsHeldBack(TimePoint now) const {
+  return context_.poison.Check(suspects_, now).is_held_back;
+}
+
+void Exchange::RecordBrokenRun(const TargetAttempt& attempt, TimePoint now) {
+  const bool was_answering = attempt.AnsweringFor(now) >= kAnswerBegun;
+  context_.poison.OnBroken(
+      suspects_,
+      {.target = serving::IncarnationKey(attempt.target().record),
+       .was_answering = was_answering},
+      now);
+  std::string crashes;
+  for (const serving::Suspect& suspect : suspects_) {
+    crashes += (crashes.empty() ? "" : ",") +
+               std::to_string(context_.poison.Crashes(suspect));
+  }
+  LogEvent(EventId::kBrokenRunCounted,
+           {{"request", routed_.metadata.id},
+            {"target", attempt.target_id()},
+            {"fingerprint", FormatDigestHex(suspects_.front().hash)},
+            {"shared_parts", FormatSharedParts(routed_.metadata.prompt)},
+            {"was_answering", was_answering ? "yes" : "no"},
+            {"crashes", crashes}});
+}
+
+void Exchange::LogVerdict(const serving::PoisonVerdict& verdict) const {
+  LogEvent(EventId::kRequestHeldBack,
+           {{"request", routed_.metadata.id},
+            {"suspect", ToString(verdict.suspect)},
+            {"shared_parts", FormatSharedParts(routed_.metadata.prompt)},
+            {"crashes", std::to_string(verdict.crashes)},
+            {"trial", verdict.is_trial ? "yes" : "no"},
+            {"next_trial_ms", FormatMilliseconds(verdict.next_trial)}});
 }
 
 RetryPurpose Exchange::RepeatPurpose() const {
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -77,6 +77,10 @@
 // A router says at least this often whether it serves.
 constexpr milliseconds kPhasePeriod{500};
 
+// Reports on suspects go to few routers at a time, which pass them on.
+constexpr milliseconds kFreshSuspectsPeriod{100};
+constexpr milliseconds kSuspectsPeriod{1000};
+
 constexpr milliseconds kSubscriptionPeriod{1000};
 constexpr milliseconds kSweepPeriod{500};
 
@@ -94,6 +98,10 @@
                   settings.max_descriptors / kSessionDescriptorDivisor);
 }
 
+uint64_t RouterKey(const asio::ip::udp::endpoint& router) {
+  return (uint64_t{router.address().to_v4().to_uint()} << 16) | router.port();
+}
+
 bool IsModelTarget(const serving::Target& target) {
   return !target.record.weights.empty();
 }
@@ -202,6 +210,9 @@
     return static_cast<double>(known_routers_);
   });
   RegisterRetryGauges();
+  metrics_.RegisterGauge("dogwoodlatch_suspects_holding_back", [this] {
+    return static_cast<double>(context_.poison.holding_back());
+  });
   metrics_.RegisterGauge("dogwoodlatch_vms_silent", [this] {
     return static_cast<double>(vm_prober_.silent_count());
   });
@@ -368,9 +379,7 @@
     OnTargetStatus(*status);
   } else if (const auto* update =
                  std::get_if<RouterUpdate>(&datagram.value())) {
-    const uint64_t router =
-        (uint64_t{from.address().to_v4().to_uint()} << 16) | from.port();
-    OnRouterUpdate(router, *update);
+    OnRouterUpdate(RouterKey(from), *update);
   }
 }
 
@@ -463,9 +472,7 @@
   std::ranges::for_each(update.parts_fetched, [this](uint64_t part) {
     context_.saved_parts.OnFetchedByPeer(part);
   });
-  for (const serving::BrokenRun& run : update.runs_broken) {
-    context_.poison.OnBrokenAtPeer(run, now);
-  }
+  context_.poison.OnReports(update.suspects, now);
 }
 
 std::vector<RouterUpdate::Leaving> Router::CollectLeaving(TimePoint now) {
@@ -503,7 +510,6 @@
   RouterUpdate update;
   update.parts_saved = context_.saved_parts.TakeGranted();
   update.parts_fetched = context_.saved_parts.TakeFetched();
-  update.runs_broken = context_.poison.TakeUnsent();
   update.targets_leaving = CollectLeaving(now);
   for (const auto& [id, target] : view_.fleet().targets()) {
     if (!IsModelTarget(*target)) continue;
@@ -525,6 +531,34 @@
   }
 }
 
+// Sends what is known of requests and parts that crash targets. A report holds
+// all that this router knows of a suspect, so that one that is lost, or that a
+// router was not there to receive, is made up for by the next.
+void Router::PublishSuspects(TimePoint now) {
+  for (const serving::SuspectChange& change : context_.poison.TakeChanges()) {
+    LogEvent(EventId::kSuspectChanged,
+             {{"suspect", ToString(change.suspect)},
+              {"holds_back", change.holds_back ? "yes" : "no"},
+              {"crashes", std::to_string(change.crashes)}});
+  }
+  if (!link_ || !context_.poison.has_suspects()) return;
+  const Duration period = context_.poison.HasFreshReports(now)
+                              ? kFreshSuspectsPeriod
+                              : kSuspectsPeriod;
+  if (now - suspects_sent_at_ < period) return;
+  suspects_sent_at_ = now;
+  std::vector<uint64_t> routers{
+      RouterKey({asio::ip::make_address_v4(settings_.ip), link_->port()})};
+  std::ranges::transform(
+      routers_, std::back_inserter(routers),
+      [](const auto& entry) { return RouterKey(entry.first); });
+  context_.poison.SetRouters(std::move(routers));
+  RouterUpdate update;
+  update.suspects = context_.poison.TakeReports(now);
+  if (update.suspects.empty()) return;
+  SendUpdate(std::move(update), suspects_rotation_.Next(routers_.size()));
+}
+
 void Router::SendUpdate(RouterUpdate update,
                         const std::vector<size_t>& receivers) {
   if (stop_) {
@@ -580,6 +614,7 @@
   Subscribe(now);
   PublishDirectory(now);
   PublishUpdate(now);
+  PublishSuspects(now);
   if (now >= next_sweep_) {
     pool_.Sweep(now);
     next_sweep_ = now + kSweepPeriod;
--- a/src/libdaemon/target_attempt.cc
+++ b/src/libdaemon/target_attempt.cc
@@ -125,12 +125,13 @@
 void TargetAttempt::RecordEnd() {
   silence_timer_.cancel();
   if (!std::exchange(is_sent_, false)) return;
-  if (!has_first_event_) target().signals.OnFirstEvent(placement_.prefill);
+  if (!first_event_at_) target().signals.OnFirstEvent(placement_.prefill);
   target().signals.OnEnded();
 }
 
 void TargetAttempt::RecordFirstEvent() {
-  if (std::exchange(has_first_event_, true)) return;
+  if (first_event_at_) return;
+  first_event_at_ = SteadyNow();
   target().signals.OnFirstEvent(placement_.prefill);
 }
 
--- a/src/libserving/serving_fuzz_simulation.h
+++ b/src/libserving/serving_fuzz_simulation.h
@@ -54,7 +54,7 @@
   std::string id;
   std::string path;
   std::string key;
-  uint64_t fingerprint = 0;
+  std::vector<Suspect> suspects;
   bool is_poison = false;
 };
 
@@ -89,6 +89,10 @@
     }
     configuration_ = MakeConfiguration(1, {"k1", "k2"});
     routers_.resize(kRouters);
+    for (uint64_t i = 0; i < kRouters; ++i) {
+      routers_[i].poison.SetRouters(
+          {i, (i + 1) % kRouters, (i + 2) % kRouters});
+    }
     UpdateRouters();
   }
 
@@ -204,7 +208,8 @@
     request.id = std::to_string(step);
     request.path = is_poison || Chance(0.5) ? "/read/x" : "/write/x";
     request.key = Chance(0.5) ? "k1" : "k2";
-    request.fingerprint = is_poison ? 1 : 1000 + static_cast<uint64_t>(step);
+    request.suspects = {{SuspectKind::kRequest,
+                         is_poison ? 1 : 1000 + static_cast<uint64_t>(step)}};
     request.is_poison = is_poison;
     return request;
   }
@@ -239,7 +244,7 @@
         {request.id, "h", request.path, request.key}, kMaxAgeToDeny, now_);
     if (access.verdict == AccessVerdict::kStale) return 503;
     if (access.verdict != AccessVerdict::kAllowed) return 401;
-    if (router.poison.IsBlocked(request.fingerprint, now_)) return 502;
+    if (router.poison.Admit(request.suspects, now_).is_held_back) return 503;
     const std::string& service = Configuration::PickService(*access.route, 0);
     RetryWindow& retries =
         router.retry_windows.try_emplace(service, kRetryLimits).first->second;
@@ -277,9 +282,10 @@
       const bool has_run = !answer || !answer->not_run;
       if (has_run) ++progress.runs;
       const bool may_go_on =
-          has_run ? rules_.may_run_again(*access.route, progress, left) &&
-                        !router.poison.IsBlocked(request.fingerprint, now_)
-                  : MaySendAgain(progress, left);
+          has_run
+              ? rules_.may_run_again(*access.route, progress, left) &&
+                    !router.poison.Check(request.suspects, now_).is_held_back
+              : MaySendAgain(progress, left);
       if (!may_go_on || (rules_.uses_budget &&
                          !retries.Withdraw(has_run ? RetryPurpose::kRerun
                                                    : RetryPurpose::kResend,
@@ -350,14 +356,12 @@
 
   void ReportBrokenRun(SimulatedRouter& router, const Request& request,
                        const TargetRecord& target) {
-    router.poison.OnBroken({request.fingerprint, IncarnationKey(target)}, now_);
-    const std::vector<BrokenRun> broken_runs = router.poison.TakeUnsent();
+    router.poison.OnBroken(request.suspects, {.target = IncarnationKey(target)},
+                           now_);
     if (!rules_.shares_crashes) return;
+    const std::vector<SuspectReport> reports = router.poison.TakeReports(now_);
     for (SimulatedRouter& other : routers_) {
-      if (&other == &router) continue;
-      for (const BrokenRun& run : broken_runs) {
-        other.poison.OnBrokenAtPeer(run, now_);
-      }
+      if (&other != &router) other.poison.OnReports(reports, now_);
     }
   }
 
@@ -368,7 +372,8 @@
             "a request ran at a service that its route does not name");
       }
     }
-    // Routers remember crashes for 20 s, so any 15 s contain at most three.
+    // A fourth target is tried 20 s after the third crash at the earliest, so
+    // any 15 s contain at most three.
     for (const TimePoint& crash : poison_crashes_) {
       const auto later =
           std::ranges::count_if(poison_crashes_, [&](TimePoint at) {
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -142,11 +142,14 @@
     EventSpec{EventId::kBrokenRunCounted, Severity::kWarning,
               "broken_run_counted",
               "A target broke off while it ran a request; the run counts "
-              "against the request."},
+              "against the request and its shared parts."},
     EventSpec{EventId::kRequestHeldBack, Severity::kWarning,
               "request_held_back",
-              "A request is not sent to a target, as too many targets have "
-              "broken off while they ran it."},
+              "Targets have crashed under a request or a part of its prompt; "
+              "it is not sent to another one, or it is sent as a trial."},
+    EventSpec{EventId::kSuspectChanged, Severity::kWarning, "suspect_changed",
+              "A request or prompt part that crashes targets begins to hold "
+              "requests back, or no longer does."},
     EventSpec{EventId::kTargetCrashed, Severity::kWarning, "target_crashed",
               "A run failed and the target's incarnation has ended."},
     EventSpec{EventId::kCrashSuspects, Severity::kWarning, "crash_suspects",
--- a/testsuite/crashing_part/run.py
+++ b/testsuite/crashing_part/run.py
@@ -42,7 +42,7 @@
             if self.stopped.wait(max(0.0, next_at - time.monotonic())):
                 return
             next_at += self.period
-            headers = {"X-Dogwoodlatch-Prompt-Prefix": ",".join([*self.make_parts(number), f"{1 << 30 | number:x}:200"])}
+            headers = fleet.prompt_of([*self.make_parts(number), f"{1 << 30 | number:x}:200"])
             self.streams.append((time.monotonic(), self.executor.submit(
                 fleet.stream, next(routers), headers=headers, body=b"prompt %d" % number)))
 
@@ -51,7 +51,7 @@
         self.thread.join()
 
     def share_whole(self, since):
-        results = [stream.result() for at, stream in self.streams if at >= since]
+        results = [stream.result() for at, stream in list(self.streams) if at >= since]
         return sum(status == 200 and events == ALL_EVENTS for status, events in results) / len(results)
 
 
