A stopping router answers what it has passed on before it exits

Cause: the process ended its event loop with exchanges in progress. 250 ms before it exits, callers without a response now get 502, or 503 if their request was not sent; streams that have begun go on until the exit and are then ended with a log line. No request is taken in these 250 ms.

testsuite/requests_left_at_stop failed before: three requests with status 0, one E400 line of four. Now 502 each at 7.2 s of 8, four lines. One more case in shutdown_plan_test; the figures of its other cases are unchanged.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -11,6 +11,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "dogwoodlatch/daemon/metrics.h"
@@ -33,6 +34,8 @@
 
 namespace dogwoodlatch::daemon {
 
+class Exchange;
+
 /// State shared by all exchanges of a router. It outlives them.
 struct ExchangeContext {
   asio::io_context& io;
@@ -56,7 +59,7 @@
   std::map<std::string, RetryWindow> retry_windows;  ///< by service
   RetryQueue retry_queue;
   std::minstd_rand random{std::random_device{}()};
-  size_t in_progress = 0;  ///< number of exchanges
+  std::unordered_set<Exchange*> exchanges{};  ///< in progress
 };
 
 /// Chooses the targets to try and determines the caller's response. Each send
@@ -73,6 +76,12 @@
 
   void Start();
 
+  /// Tells the caller, as the router ends, that no response will come. A
+  /// response that has begun may still be completed.
+  void EndUnanswered();
+  /// Ends the exchange, as the router ends now.
+  void EndNow();
+
  private:
   void OnConnectFailed(TargetAttempt& attempt,
                        const std::string& reason) override;
--- a/src/include/dogwoodlatch/daemon/router_stop.h
+++ b/src/include/dogwoodlatch/daemon/router_stop.h
@@ -17,6 +17,8 @@
   bool Advance(TimePoint now);
 
  private:
+  void ForEachExchange(void (Exchange::*act)());
+
   ExchangeContext& context_;
   Listener& frontend_;
 };
--- a/src/include/dogwoodlatch/serving/shutdown_plan.h
+++ b/src/include/dogwoodlatch/serving/shutdown_plan.h
@@ -34,6 +34,10 @@
   /// not even be refused before the process exits.
   bool Listens(TimePoint now) const;
 
+  /// True if callers without a response must get one now, as the process is
+  /// about to exit.
+  bool MustAnswer(TimePoint now) const;
+
   /// True if the process must exit, even with requests in progress.
   bool MustExit(TimePoint now) const;
 
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -49,10 +49,10 @@
       response_deadline_(arrived_at_),
       deadline_timer_(context.io),
       handover_timer_(context.io) {
-  ++context_.in_progress;
+  context_.exchanges.insert(this);
 }
 
-Exchange::~Exchange() { --context_.in_progress; }
+Exchange::~Exchange() { context_.exchanges.erase(this); }
 
 void Exchange::Start() {
   session_->SetDisconnectHandler(
@@ -356,6 +356,23 @@
   Fail(Outcome::kTimedOut, kGatewayTimeout);
 }
 
+void Exchange::EndUnanswered() {
+  if (is_finished_ || progress_.stream_started) return;
+  if (DeliverFailedAnswer()) return;
+  if (progress_.sends == 0) {
+    Refuse(Outcome::kRefused, kStoppingRetryAfter);
+  } else {
+    Fail(Outcome::kUnknown, kBadGateway);
+  }
+}
+
+void Exchange::EndNow() {
+  EndUnanswered();
+  if (is_finished_) return;
+  session_->Abort();
+  Finish(Outcome::kStreamBroken, 0);
+}
+
 void Exchange::OnCallerGone() { Finish(Outcome::kCallerGone, 0); }
 
 void Exchange::Finish(Outcome outcome, int status) {
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -187,7 +187,7 @@
       [this](const dataplane::ConnectionEnd& end) { OnConnectionEnd(end); };
   view_.SetRemovalListener([this](const std::string& id) { pool_.Drop(id); });
   metrics_.RegisterGauge("dogwoodlatch_requests_in_progress", [this] {
-    return static_cast<double>(context_.in_progress);
+    return static_cast<double>(context_.exchanges.size());
   });
   metrics_.RegisterGauge("dogwoodlatch_caller_connections", [this] {
     return static_cast<double>(frontend_.server_state().sessions);
--- a/src/libserving/shutdown_plan.cc
+++ b/src/libserving/shutdown_plan.cc
@@ -14,6 +14,9 @@
 // end in time are refused at once.
 constexpr Duration kLastRequestsTime = std::chrono::milliseconds(1000);
 
+// Time for a last response to reach its caller.
+constexpr Duration kLastAnswerTime = std::chrono::milliseconds(250);
+
 }  // namespace
 
 bool ShutdownPlan::IsInRotation(TimePoint now) const {
@@ -29,13 +32,17 @@
   if (IsInRotation(now)) return true;
   const bool is_stream = arrival.kind == RouteKind::kStream;
   if (is_stream && arrival.is_other_serving) return false;
-  return now + arrival.time_limit <= End();
+  return now + arrival.time_limit <= End() && !MustAnswer(now);
 }
 
 bool ShutdownPlan::Listens(TimePoint now) const {
   return IsInRotation(now) || now < End() - kLastRequestsTime;
 }
 
+bool ShutdownPlan::MustAnswer(TimePoint now) const {
+  return now >= End() - kLastAnswerTime;
+}
+
 bool ShutdownPlan::MustExit(TimePoint now) const { return now >= End(); }
 
 TimePoint ShutdownPlan::End() const { return began_ + grace_ - kMargin; }
--- a/src/libserving/shutdown_plan_test.cc
+++ b/src/libserving/shutdown_plan_test.cc
@@ -54,6 +54,18 @@
   CHECK_FALSE(plan.Accepts(unlimited, At(4130)));
 }
 
+// Guards against requests that are cut without an answer when the process
+// exits: their callers are told a while before.
+TEST_CASE("callers without a response get one before the process exits") {
+  const ShutdownPlan plan(At(0), milliseconds(8000));
+  CHECK_FALSE(plan.MustAnswer(At(7149)));
+  CHECK(plan.MustAnswer(At(7150)));
+  const ShutdownPlan::Arrival brief =
+      MakeArrival(RouteKind::kNonIdempotent, 100);
+  CHECK(plan.Accepts(brief, At(7149)));
+  CHECK_FALSE(plan.Accepts(brief, At(7150)));
+}
+
 // Guards against a process that is cut off by its own end while callers still
 // open connections, and against one that turns them away for long before it.
 TEST_CASE("the process stops listening a while before it must exit") {
