The door: a chunked response that is cut between chunks is not complete

Report of another operator: a target stopped in the middle of an answer and closed; callers got a 200 with a short body, framed as whole. On the platform's path it does not happen: http_reader_test (each position of framed, chunked and interim answers) and testsuite/cut_answers pass on the code before. At the product's own door it did: a service's chunked response that ended inside the line break after a chunk was delivered as complete.

Cause: cpp-httplib reads the line after a chunk with a reader that takes an end of the stream for the end of the line, and leaves its loop as if the last chunk had been read. The agent's calls to services now use the data plane's client, which knows an incomplete body; its timeout counts for the whole call. Engines' streams need their end marker and are not affected.

--- a/src/dogwoodlatch-agent/target_client.cc
+++ b/src/dogwoodlatch-agent/target_client.cc
@@ -2,11 +2,13 @@
 
 #include <httplib.h>
 
+#include <asio.hpp>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
 #include "dogwoodlatch/agent_core.h"
+#include "dogwoodlatch/dataplane/http_client.h"
 #include "dogwoodlatch/json_reader.h"
 #include "dogwoodlatch/util/address.h"
 #include "dogwoodlatch/util/log.h"
@@ -17,6 +19,7 @@
 using Json = nlohmann::json;
 
 constexpr std::chrono::milliseconds kConnectTimeout{500};
+constexpr size_t kMaxServiceBodyBytes = 64UL * 1024 * 1024;
 constexpr std::string_view kEventDataPrefix = "data: ";
 constexpr std::string_view kDoneMarker = "[DONE]";
 
@@ -154,6 +157,37 @@
   return response;
 }
 
+// Returns "ip:port", or nothing if the host has no IPv4 address.
+std::optional<std::string> Resolve(asio::io_context& context,
+                                   std::string_view target) {
+  if (dataplane::ParseEndpoint(target)) return std::string(target);
+  const Address address = ParseAddress(std::string(target));
+  std::error_code error;
+  const auto found = asio::ip::tcp::resolver(context).resolve(
+      asio::ip::tcp::v4(), address.host, std::to_string(address.port), error);
+  if (error || found.empty()) return std::nullopt;
+  const asio::ip::tcp::endpoint endpoint = found.begin()->endpoint();
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+dataplane::Call MakeServiceCall(const Submit& order,
+                                std::chrono::milliseconds timeout) {
+  dataplane::Call call;
+  call.method = order.method;
+  call.target = order.path;
+  call.body = order.body;
+  call.timeout = timeout;
+  call.max_body_bytes = kMaxServiceBodyBytes;
+  call.headers.push_back({"Connection", "close"});
+  if (!order.content_type.empty()) {
+    call.headers.push_back({"Content-Type", order.content_type});
+  }
+  if (!order.idempotency_key.empty()) {
+    call.headers.push_back({"Idempotency-Key", order.idempotency_key});
+  }
+  return call;
+}
+
 }  // namespace
 
 void Cancellation::Cancel(BreakCause cause) {
@@ -234,30 +268,43 @@
   return result;
 }
 
+// cpp-httplib takes a chunked body that ends in the line break after a chunk
+// for a whole one, so the data plane's client, which does not, is used here.
 CallResult TargetClient::RunService(const Submit& order,
                                     Cancellation& cancellation,
                                     const PartHandler& on_part) const {
   CallResult result;
-  httplib::Client client = MakeClient(settings_, settings_.target_timeout);
-  httplib::Request request;
-  request.method = order.method;
-  request.path = order.path;
-  request.body = order.body;
-  if (!order.content_type.empty()) {
-    request.set_header("Content-Type", order.content_type);
-  }
-  if (!order.idempotency_key.empty()) {
-    request.set_header("Idempotency-Key", order.idempotency_key);
+  asio::io_context context;
+  const std::optional<std::string> address =
+      Resolve(context, settings_.target_address);
+  if (!address) {
+    result.outcome = CallOutcome::kNotSent;
+    return result;
   }
-  const auto response = SendCancellable(client, request, cancellation);
-  if (!response) {
-    result.outcome = ClassifyFailure(response, cancellation);
+  dataplane::HttpClient client(context, *address);
+  std::optional<Result<dataplane::CallResponse>> response;
+  client.Start(MakeServiceCall(order, settings_.target_timeout),
+               [&](Result<dataplane::CallResponse> received) {
+                 response = std::move(received);
+                 context.stop();
+               });
+  cancellation.Attach([&context] { context.stop(); });
+  if (!cancellation.is_cancelled()) context.run();
+  cancellation.Detach();
+  if (!response || !*response) {
+    result.outcome =
+        cancellation.is_cancelled() ? CallOutcome::kCancelled
+        : response && response->error().code == ErrorCode::kUnavailable
+            ? CallOutcome::kNotSent
+            : CallOutcome::kLost;
     return result;
   }
+  dataplane::CallResponse& answer = response->value();
   result.outcome = CallOutcome::kComplete;
-  result.status = response->status;
-  result.content_type = response->get_header_value("Content-Type");
-  if (!response->body.empty()) on_part(response->body);
+  result.status = answer.status;
+  result.content_type =
+      std::string(dataplane::FindHeader(answer.headers, "content-type"));
+  if (!answer.body.empty()) on_part(std::move(answer.body));
   return result;
 }
 
--- a/src/libdataplane/http_reader_test.cc
+++ b/src/libdataplane/http_reader_test.cc
@@ -7,6 +7,8 @@
 namespace dogwoodlatch::dataplane {
 namespace {
 
+using std::string_literals::operator""s;
+
 ReadState ReadOne(std::string input) {
   RequestReader reader({.header_bytes = 512, .body_bytes = 64});
   return reader.Feed(input);
@@ -148,6 +150,35 @@
   CHECK_FALSE(framed.FinishAtClose());
 }
 
+// Guards against a response that stops in its head, or short of its length, and
+// reaches the caller as a whole one.
+TEST_CASE("no part of a framed response is completed by the close") {
+  for (const std::string& response :
+       {"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nbody"s,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "4\r\nbody\r\n0\r\n\r\n"s,
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"s}) {
+    for (size_t length = 0; length < response.size(); ++length) {
+      ResponseReader reader;
+      Collector collector;
+      std::string input = response.substr(0, length);
+      INFO(length << " bytes of\n" << response);
+      CHECK(reader.Feed(input, collector));
+      CHECK_FALSE(reader.done());
+      CHECK_FALSE(reader.FinishAtClose());
+    }
+  }
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Seal: s\r\n\r\n";
+  for (size_t length = 0; length < head.size(); ++length) {
+    ResponseReader reader;
+    Collector collector;
+    std::string input = head.substr(0, length);
+    CHECK(reader.Feed(input, collector));
+    CHECK_FALSE(reader.FinishAtClose());
+  }
+}
+
 TEST_CASE("interim responses are skipped") {
   ResponseReader reader;
   Collector collector;
