--- a/src/libserving/crashing_parts_test.cc
+++ b/src/libserving/crashing_parts_test.cc
@@ -1,6 +1,6 @@
 // Prompts with a part that crashes targets, beside sound ones that share their
-// other parts, in virtual time: several routers that tell each other what they
-// know by datagrams that may be lost.
+// other parts, in virtual time: several routers that report to each other what
+// they know by datagrams that may be lost.
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
@@ -302,7 +302,7 @@
   }
 }
 
-// The checks above find routers that do not tell each other, and routers that
+// The checks above find routers that get no reports, and routers that
 // learn nothing from whole answers.
 TEST_CASE("the simulation finds broken routers") {
   const Result silent =
--- a/src/libserving/poison_guard.cc
+++ b/src/libserving/poison_guard.cc
@@ -46,13 +46,13 @@
 
 // How long a suspect is remembered after its last crash or refused request.
 constexpr Duration kRetention = minutes(2);
-// How long an acquittal is told, so that older reports do not undo it.
+// How long an acquittal is reported, so that older reports do not undo it.
 constexpr Duration kAcquittalRetention = seconds(10);
 
 constexpr size_t kMaxRecords = 512;
 constexpr size_t kMaxCrashes = 16;
 
-// A change is told until it has spread through several other routers.
+// A change is reported often until it has spread through several other routers.
 constexpr Duration kFreshTime = milliseconds(1500);
 // Keeps a datagram small.
 constexpr size_t kMaxReports = 24;
@@ -256,8 +256,8 @@
   });
 }
 
-// Drops acquittals that need not be told any more, and suspects that no request
-// had for long.
+// Drops acquittals that need not be reported any more, and suspects that no
+// request had for long.
 void PoisonGuard::DropExpired(TimePoint now) {
   std::erase_if(records_, [&](const auto& entry) {
     const auto& [suspect, record] = entry;
--- a/src/libserving/poison_guard_test.cc
+++ b/src/libserving/poison_guard_test.cc
@@ -170,7 +170,7 @@
 }
 
 // Of two parts that always came together either may be the guilty one. Each of
-// them alone is tried, and what happens tells.
+// them alone is tried, and the outcome shows which.
 TEST_CASE("a part that came with the guilty one is let through alone") {
   PoisonGuard guard;
   for (uint64_t target = 1; target <= 4; ++target) {
--- a/src/libserving/shutdown_plan_test.cc
+++ b/src/libserving/shutdown_plan_test.cc
@@ -55,7 +55,7 @@
 }
 
 // Guards against requests that are cut without an answer when the process
-// exits: their callers are told a while before.
+// exits: their callers get a response a while before.
 TEST_CASE("callers without a response get one before the process exits") {
   const ShutdownPlan plan(At(0), milliseconds(8000));
   CHECK_FALSE(plan.MustAnswer(At(7149)));
