WALL: the shared cache scope follows the set of isolated workspaces

Cause: the cache group of all that share was the weights' version alone. Taking a workspace out of the group changed what it reads next, not what it had read. A request that was sent again after the change also kept the configuration with which it had arrived.

Ruled out: an old configuration (E212 in time), fetches (same group).

Why it works: whoever is isolated has a scope of its own, so a shared scope named by the set of isolated workspaces never holds a part of one of them. The name needs no history, so routers that start later agree. A change of keys keeps it.

placement_test follows the new argument; it compares the same groups.

--- a/src/include/dogwoodlatch/daemon/routed_request.h
+++ b/src/include/dogwoodlatch/daemon/routed_request.h
@@ -37,6 +37,11 @@
     const RoutedRequest& request, const PlacementContext& context,
     const serving::TargetHistory& history, TimePoint now);
 
+/// False if the configuration has changed since the placement so that the
+/// request must not share the parts of its cache group any more.
+bool IsCacheGroupCurrent(const RoutedRequest& request, const PlatformView& view,
+                         const serving::Placement& placement);
+
 /// Returns the delay after which the caller should retry if the placed request
 /// would miss its objective or deadline, and nothing if it would not.
 std::optional<Duration> RetryAfterIfTooLate(const RoutedRequest& request,
--- a/src/include/dogwoodlatch/serving/configuration.h
+++ b/src/include/dogwoodlatch/serving/configuration.h
@@ -3,7 +3,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -96,6 +98,12 @@
   /// The workspace that owns the API key `key`, or null.
   const Workspace* FindWorkspace(std::string_view key) const;
 
+  /// Name of the scope within which requests of `workspace` share cached prompt
+  /// parts: its own if it is isolated, else that of all others. It depends only
+  /// on which workspaces are isolated. `workspace` may be of an earlier
+  /// version, or null for requests without a key.
+  std::string CacheScope(const Workspace* workspace) const;
+
   /// The service for a request of this route. `draw` is a random number that
   /// spreads requests over the route's shares by weight; the same draw gives
   /// the same service.
@@ -116,6 +124,8 @@
   HttpLimits limits_;
   std::vector<Route> routes_;
   std::vector<Workspace> workspaces_;
+  std::set<std::string, std::less<>> isolated_;  ///< names of workspaces
+  std::string shared_cache_scope_;               ///< of all that are not
   bool requires_keys_ = false;
   ByName<std::vector<size_t>> routes_by_host_;  ///< longest prefix first
   ByName<Service> services_;
--- a/src/include/dogwoodlatch/serving/placement.h
+++ b/src/include/dogwoodlatch/serving/placement.h
@@ -19,7 +19,7 @@
 struct PlacementRequest {
   const Prompt* prompt = nullptr;        ///< null for a plain service
   uint32_t answered_tokens = 0;          ///< of an answer that is resumed
-  std::string_view workspace{};          ///< set if isolated
+  std::string_view cache_scope{};        ///< see Configuration::CacheScope
   std::span<const std::string> tried{};  ///< ids of targets to exclude
   uint64_t newest_weights = 0;           ///< newest named version of the model
   uint64_t oldest_weights = 0;           ///< older versions must not be used
@@ -72,8 +72,8 @@
 };
 
 /// Name of the group of requests that may share cached parts: those that run on
-/// the same weights and, if `workspace` is not empty, belong to that workspace.
-std::string CacheGroupName(uint64_t weights, std::string_view workspace);
+/// the same weights, within one scope (see Configuration::CacheScope).
+std::string CacheGroupName(uint64_t weights, std::string_view scope);
 
 /// Key of a part within a cache group.
 uint64_t PartKey(const PromptPart& part, std::string_view cache_group);
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -219,11 +219,12 @@
     OnDeadline();
     return;
   }
-  // The target may have begun to leave, or asked for a pause, while the
-  // connection was made.
+  // While the connection was made, the target may have begun to leave or asked
+  // for a pause, or a workspace may have become isolated.
   const serving::Target& target = attempt.target();
   if (target.IsLeaving() ||
-      target.signals.PushbackLeft(SteadyNow()) > Duration{0}) {
+      target.signals.PushbackLeft(SteadyNow()) > Duration{0} ||
+      !IsCacheGroupCurrent(routed_, context_.view, attempt.placement())) {
     AbandonAttempt();
     TryTarget();
     return;
@@ -269,6 +270,7 @@
             {"estimate_ms", FormatMilliseconds(placement.estimate)},
             {"missing_tokens", std::to_string(placement.missing_tokens)},
             {"weights", std::to_string(placement.weights)},
+            {"cache_group", placement.cache_group},
             {"fetch_from", placement.fetch_from},
             {"weighed", std::to_string(placement.usable)},
             {"configuration", std::to_string(routed_.configuration->version())},
--- a/src/libdaemon/routed_request.cc
+++ b/src/libdaemon/routed_request.cc
@@ -20,8 +20,22 @@
   return store->cache_store_address;
 }
 
+// A request that has waited, or is sent again, may be of an earlier
+// configuration. What it may share is decided by the one in force.
+std::string CacheScope(const RoutedRequest& request, const PlatformView& view) {
+  return view.configuration()->CacheScope(request.workspace);
+}
+
 }  // namespace
 
+bool IsCacheGroupCurrent(const RoutedRequest& request, const PlatformView& view,
+                         const serving::Placement& placement) {
+  return placement.cache_group.empty() ||
+         placement.cache_group ==
+             serving::CacheGroupName(placement.weights,
+                                     CacheScope(request, view));
+}
+
 std::optional<serving::Placement> PlaceRequest(
     const RoutedRequest& request, const PlacementContext& context,
     const serving::TargetHistory& history, TimePoint now) {
@@ -29,9 +43,8 @@
   const serving::Prompt& prompt = request.metadata.prompt;
   serving::PlacementRequest placement_request;
   placement_request.tried = history.excluded();
-  if (request.workspace != nullptr && request.workspace->isolated) {
-    placement_request.workspace = request.workspace->name;
-  }
+  const std::string cache_scope = CacheScope(request, view);
+  placement_request.cache_scope = cache_scope;
   if (request.route->carries_prompt && !prompt.model.empty()) {
     placement_request.prompt = &prompt;
     placement_request.answered_tokens = context.answered_tokens;
--- a/src/libserving/configuration.cc
+++ b/src/libserving/configuration.cc
@@ -6,7 +6,29 @@
 #include <numeric>
 #include <utility>
 
+#include "dogwoodlatch/quarantine.h"
+
 namespace dogwoodlatch::serving {
+namespace {
+
+// What a workspace read before it became isolated stays cached under the name
+// that the shared scope had then. So the name follows the set of isolated
+// workspaces: a scope of one name holds only parts of workspaces that share
+// them whenever that name is used. A name that every router derives from the
+// present configuration alone needs no history, which a router that has just
+// started does not have.
+std::string SharedCacheScope(
+    const std::set<std::string, std::less<>>& isolated) {
+  if (isolated.empty()) return {};
+  std::string names;
+  for (const std::string& name : isolated) {
+    names.append(std::to_string(name.size())).append(":").append(name);
+  }
+  const XXH128_hash_t digest = XXH3_128bits(names.data(), names.size());
+  return "~" + FormatDigestHex(digest.high64) + FormatDigestHex(digest.low64);
+}
+
+}  // namespace
 
 const Route* Configuration::FindRoute(std::string_view host,
                                       std::string_view path) const {
@@ -57,6 +79,18 @@
                                           : &workspaces_[found->second];
 }
 
+std::string Configuration::CacheScope(const Workspace* workspace) const {
+  if (workspace == nullptr) return shared_cache_scope_;
+  // A workspace that was removed stays as it was.
+  const auto is_removed = [&] {
+    return std::ranges::find(workspaces_, workspace->name, &Workspace::name) ==
+           workspaces_.end();
+  };
+  const bool is_isolated = isolated_.contains(workspace->name) ||
+                           (workspace->isolated && is_removed());
+  return is_isolated ? "/" + workspace->name : shared_cache_scope_;
+}
+
 const std::string& Configuration::PickService(const Route& route,
                                               uint64_t draw) {
   const uint64_t total =
@@ -101,6 +135,7 @@
 Builder& Builder::AddWorkspace(Workspace workspace,
                                const std::vector<std::string>& keys) {
   const size_t index = built_.workspaces_.size();
+  if (workspace.isolated) built_.isolated_.insert(workspace.name);
   built_.workspaces_.push_back(std::move(workspace));
   for (const std::string& key : keys) built_.workspace_by_key_[key] = index;
   built_.requires_keys_ = true;
@@ -121,6 +156,7 @@
       return built_.routes_[i].path_prefix.size();
     });
   }
+  built_.shared_cache_scope_ = SharedCacheScope(built_.isolated_);
   return std::exchange(built_, {});
 }
 
--- a/src/libserving/configuration_test.cc
+++ b/src/libserving/configuration_test.cc
@@ -1,7 +1,14 @@
 #include "dogwoodlatch/serving/configuration.h"
 
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <bitset>
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace dogwoodlatch::serving {
 namespace {
@@ -23,6 +30,26 @@
   return service;
 }
 
+std::string NameOf(size_t workspace) { return "t" + std::to_string(workspace); }
+
+// Workspaces t0, t1 and so on, the given ones of which are isolated. The key of
+// each is its name.
+template <size_t kCount>
+Configuration MakeIsolating(const std::bitset<kCount>& isolated) {
+  Configuration::Builder builder;
+  for (size_t i = 0; i < kCount; ++i) {
+    builder.AddWorkspace(
+        {.name = NameOf(i), .priority = {}, .isolated = isolated.test(i)},
+        {NameOf(i)});
+  }
+  return builder.Build();
+}
+
+const Workspace* FindNumber(const Configuration& configuration,
+                            size_t workspace) {
+  return configuration.FindWorkspace(NameOf(workspace));
+}
+
 }  // namespace
 
 TEST_CASE("the route with the longest prefix on the host is selected") {
@@ -94,4 +121,75 @@
   CHECK(build({}).FindCacheStore(1) == nullptr);
 }
 
+// WALL (review/3): parts that a workspace had made before it became isolated
+// stayed in the group that all others share. Requests of random workspaces at
+// one replica, which shares parts by scope, while the set of isolated
+// workspaces changes at random.
+TEST_CASE("no request uses parts of others across any history of isolation") {
+  CHECK(rc::check([](const std::vector<uint8_t>& steps) {
+    constexpr size_t kWorkspaces = 4;
+    std::bitset<kWorkspaces> isolated;
+    std::map<std::string, std::set<size_t>> makers;
+    Configuration configuration = MakeIsolating(isolated);
+    for (const uint8_t step : steps) {
+      const size_t workspace = step % kWorkspaces;
+      if (step >= 192) {
+        isolated.flip(workspace);
+        configuration = MakeIsolating(isolated);
+        continue;
+      }
+      std::set<size_t>& made_by = makers[configuration.CacheScope(
+          FindNumber(configuration, workspace))];
+      made_by.insert(workspace);
+      if (made_by.size() == 1) continue;
+      RC_ASSERT(std::ranges::none_of(
+          made_by, [&](size_t maker) { return isolated.test(maker); }));
+    }
+  }));
+}
+
+TEST_CASE("cache scopes depend on nothing but who is isolated") {
+  const Workspace north{.name = "north", .priority = {}, .isolated = true};
+  const Workspace south{.name = "south", .priority = {}, .isolated = true};
+  const Workspace west{.name = "west", .priority = {}, .isolated = false};
+  const auto none = Configuration::Builder().AddWorkspace(west, {}).Build();
+  CHECK(none.CacheScope(nullptr).empty());
+  const auto first = Configuration::Builder()
+                         .Version(3)
+                         .AddWorkspace(north, {"k1"})
+                         .AddWorkspace(west, {"k3"})
+                         .AddWorkspace(south, {"k2"})
+                         .Build();
+  const auto second =
+      Configuration::Builder()
+          .Version(9)
+          .AddRoute(MakeRoute("r", "a.example", "/"))
+          .AddWorkspace(south, {"k5"})
+          .AddWorkspace(north, {})
+          .AddWorkspace({.name = "east", .priority = {}}, {"k4"})
+          .Build();
+  CHECK(first.CacheScope(&west) == second.CacheScope(nullptr));
+  CHECK(first.CacheScope(&west) != none.CacheScope(&west));
+  CHECK(first.CacheScope(&north) != first.CacheScope(&south));
+  CHECK(first.CacheScope(&north) == second.CacheScope(&north));
+  // Isolation follows the configuration that is asked, unless it lacks the
+  // workspace.
+  const Workspace earlier{.name = "north", .priority = {}, .isolated = false};
+  CHECK(first.CacheScope(&earlier) == first.CacheScope(&north));
+  CHECK(none.CacheScope(&south) != none.CacheScope(&west));
+}
+
+TEST_CASE("names of workspaces cannot be joined to those of another set") {
+  const auto joined =
+      Configuration::Builder()
+          .AddWorkspace({.name = "a2:bc", .priority = {}, .isolated = true}, {})
+          .Build();
+  const auto apart =
+      Configuration::Builder()
+          .AddWorkspace({.name = "a", .priority = {}, .isolated = true}, {})
+          .AddWorkspace({.name = "bc", .priority = {}, .isolated = true}, {})
+          .Build();
+  CHECK(joined.CacheScope(nullptr) != apart.CacheScope(nullptr));
+}
+
 }  // namespace dogwoodlatch::serving
--- a/src/libserving/placement.cc
+++ b/src/libserving/placement.cc
@@ -149,7 +149,7 @@
 WeightsGroup MakeGroup(std::vector<TargetPtr> targets, uint64_t weights,
                        const PlacementRequest& request, TimePoint now) {
   WeightsGroup group;
-  group.cache_group = CacheGroupName(weights, request.workspace);
+  group.cache_group = CacheGroupName(weights, request.cache_scope);
   group.shared_parts = SharedPartKeys(*request.prompt, group.cache_group);
   const uint64_t affinity =
       group.shared_parts.empty() ? 0 : group.shared_parts.back();
@@ -212,10 +212,8 @@
 
 }  // namespace
 
-std::string CacheGroupName(uint64_t weights, std::string_view workspace) {
-  std::string group = "w" + std::to_string(weights);
-  if (!workspace.empty()) group.append("/").append(workspace);
-  return group;
+std::string CacheGroupName(uint64_t weights, std::string_view scope) {
+  return ("w" + std::to_string(weights)).append(scope);
 }
 
 uint64_t PartKey(const PromptPart& part, std::string_view cache_group) {
--- a/src/libserving/placement_test.cc
+++ b/src/libserving/placement_test.cc
@@ -100,10 +100,10 @@
   CHECK_FALSE(policy.Choose(targets, expired, At(0)).has_value());
 }
 
-TEST_CASE("weights versions and isolated workspaces share no cache group") {
+TEST_CASE("weights versions and cache scopes share no cache group") {
   CHECK(CacheGroupName(1, "") != CacheGroupName(2, ""));
-  CHECK(CacheGroupName(1, "") != CacheGroupName(1, "north"));
-  CHECK(CacheGroupName(1, "north") != CacheGroupName(1, "south"));
+  CHECK(CacheGroupName(1, "") != CacheGroupName(1, "/north"));
+  CHECK(CacheGroupName(1, "/north") != CacheGroupName(1, "/south"));
   const PromptPart part{9, 100};
   CHECK(PartKey(part, "w1") != PartKey(part, "w2"));
 }
