Events: each byte of an event is searched once for its end

Cause: EventStreamSplitter searched the incomplete event from its start for each piece, line by line, so the cost grew with the square of the bytes. Ruled out: a lack of memory alone (an event of one line, which is searched quickly, kept the others served).

The splitter remembers where the last line begins and goes on there.

--- a/src/include/dogwoodlatch/serving/event_stream.h
+++ b/src/include/dogwoodlatch/serving/event_stream.h
@@ -25,6 +25,9 @@
   /// True while the last event is incomplete.
   bool has_partial() const { return !partial_.empty(); }
 
+  /// Size of the incomplete event, in bytes.
+  size_t partial_size() const { return partial_.size(); }
+
   /// True if the last event is longer than any event may be.
   bool is_too_long() const { return partial_.size() > kMaxEventBytes; }
 
@@ -34,7 +37,8 @@
   /// Discards the incomplete event. The sequence of ids continues, with the
   /// next event of another run.
   void DropPartial() {
-    partial_.clear();
+    partial_ = {};
+    line_ = 0;
     is_continuing_ = last_id_.has_value();
   }
 
@@ -47,6 +51,7 @@
   void Scan(std::string_view event);
 
   std::string partial_;
+  size_t line_ = 0;  ///< start of the last line in `partial_`
   std::optional<uint64_t> last_id_;
   uint64_t events_ = 0;
   bool in_sequence_ = true;
--- a/src/libserving/event_stream.cc
+++ b/src/libserving/event_stream.cc
@@ -9,35 +9,27 @@
 
 constexpr std::string_view kIdField = "id:";
 
-// Returns the end of the first complete event in `text`, or npos. An event ends
-// with an empty line; lines end with LF or CRLF.
-size_t FindEventEnd(std::string_view text) {
-  size_t line = 0;
-  while (line < text.size()) {
-    const size_t end = text.find('\n', line);
-    if (end == std::string_view::npos) return end;
-    const bool is_empty =
-        end == line || (end == line + 1 && text[line] == '\r');
-    if (is_empty) return end + 1;
-    line = end + 1;
-  }
-  return std::string_view::npos;
-}
-
 }  // namespace
 
+// An event ends with an empty line; lines end with LF or CRLF. Each byte is
+// looked at once, as an event may come in many small pieces.
 std::string EventStreamSplitter::Feed(std::string_view bytes) {
+  size_t searched = partial_.size();
   partial_.append(bytes);
-  std::string_view rest = partial_;
+  const std::string_view text = partial_;
   size_t complete_size = 0;
-  for (size_t end = FindEventEnd(rest); end != std::string_view::npos;
-       end = FindEventEnd(rest)) {
-    Scan(rest.substr(0, end));
-    rest.remove_prefix(end);
-    complete_size += end;
+  for (size_t end = text.find('\n', searched); end != std::string_view::npos;
+       end = text.find('\n', searched)) {
+    searched = end + 1;
+    const std::string_view line = text.substr(line_, end - line_);
+    line_ = searched;
+    if (!line.empty() && line != "\r") continue;
+    Scan(text.substr(complete_size, searched - complete_size));
+    complete_size = searched;
   }
   std::string events = partial_.substr(0, complete_size);
   partial_.erase(0, complete_size);
+  line_ -= complete_size;
   return events;
 }
 
--- a/src/libserving/event_stream_test.cc
+++ b/src/libserving/event_stream_test.cc
@@ -2,7 +2,9 @@
 
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <ctime>
 #include <string>
 
 namespace dogwoodlatch::serving {
@@ -95,4 +97,30 @@
   CHECK(bytes <= EventStreamSplitter::kMaxEventBytes + 2048);
 }
 
+// Bytes without end (issue 46): the start of an event was searched again for
+// each piece that came, so that an event of many short lines kept the event
+// loop busy for seconds. Time must be linear in the bytes: the factor leaves
+// room for noise, and is far below that of a search from the start.
+TEST_CASE("an event of many short lines is read in linear time") {
+  constexpr size_t kPieceBytes = 16;
+  const std::string piece = "e\ne\ne\ne\ne\ne\ne\ne\n";
+  REQUIRE(piece.size() == kPieceBytes);
+  // Processor time, which does not pass while other processes run.
+  const auto time_to_read = [&](size_t bytes) {
+    EventStreamSplitter splitter;
+    const std::clock_t start = std::clock();
+    for (size_t at = 0; at < bytes; at += kPieceBytes) splitter.Feed(piece);
+    return std::clock() - start;
+  };
+  constexpr size_t kBytes = 32UL * 1024;
+  constexpr std::clock_t kFactor = EventStreamSplitter::kMaxEventBytes / kBytes;
+  const auto least_time = [&](size_t bytes) {
+    std::clock_t least = time_to_read(bytes);
+    for (int i = 0; i < 4; ++i) least = std::min(least, time_to_read(bytes));
+    return least;
+  };
+  CHECK(least_time(EventStreamSplitter::kMaxEventBytes) <
+        3 * kFactor * least_time(kBytes));
+}
+
 }  // namespace dogwoodlatch::serving
