Bytes without end: incomplete events and heads share bounds on memory

What was seen (trials on, 630 streams of one target, 8 KB every 0.1 s): the router's memory peaks at 188 MB with an event that never ends, 60 MB with a head, where the smallest deployment allows 110 MB.

Cause: each connection has its own limit (256 KB and 64 KB), but nothing bounds them together; bytes that come slowly stay below it on all connections at once.

Events count against the budget of bodies, incomplete heads against one of their own, and the first 4 KB of each message are not counted. Heads may have 16 KB.

--- a/src/include/dogwoodlatch/daemon/exchange.h
+++ b/src/include/dogwoodlatch/daemon/exchange.h
@@ -47,7 +47,8 @@
   RouterCount routers;  ///< that share the retries
   /// An older configuration does not prove that a route or key is unknown.
   Duration max_configuration_age;
-  /// Bodies of responses that are read whole before they are returned.
+  /// Bodies and events of responses that are read whole before they are
+  /// returned.
   dataplane::ByteBudget response_budget;
   /// Set once the router is stopping.
   std::optional<serving::ShutdownPlan> stop{};
@@ -104,6 +105,8 @@
   void RecordSend(const std::vector<uint64_t>& shared_parts);
   bool ContinuesStream(TargetAttempt& attempt);
   void RelayEvents(std::string_view events);
+  /// Accounts for the incomplete events; false if there is no memory for them.
+  bool ReservePartialEvents();
   void OnNotRun(TargetAttempt& attempt);
   void OnFailure(int status);
   void OnResponseLost(TargetAttempt& attempt, std::string_view why);
@@ -176,6 +179,7 @@
   serving::TargetHistory history_;
   serving::RequestProgress progress_;
   serving::EventStreamSplitter splitter_;
+  dataplane::ByteReservation partial_event_bytes_;
   int stream_status_ = 0;  ///< of the response, once it has begun
   std::optional<TimePoint> first_event_at_;
   std::optional<TimePoint> last_event_at_;
--- a/src/include/dogwoodlatch/dataplane/byte_budget.h
+++ b/src/include/dogwoodlatch/dataplane/byte_budget.h
@@ -6,10 +6,17 @@
 
 namespace dogwoodlatch::dataplane {
 
-/// Bytes that all messages in progress may occupy together.
+/// Size up to which a message does not count against its budget. Almost all
+/// messages of sound peers are smaller, and so do not depend on what endless
+/// messages of others have taken.
+constexpr size_t kSmallMessageBytes = 4UL * 1024;
+
+/// Bytes that all messages in progress may occupy together, besides the first
+/// `uncounted` bytes of each.
 class ByteBudget {
  public:
-  explicit ByteBudget(size_t capacity) : capacity_(capacity) {}
+  explicit ByteBudget(size_t capacity, size_t uncounted = 0)
+      : capacity_(capacity), uncounted_(uncounted) {}
 
   void SetCapacity(size_t capacity) { capacity_ = capacity; }
   size_t used() const { return used_; }
@@ -18,6 +25,7 @@
   friend class ByteReservation;
 
   size_t capacity_;
+  size_t uncounted_;
   size_t used_ = 0;
 };
 
@@ -32,11 +40,17 @@
 
   /// Adds `bytes`. Returns false, and adds nothing, if the message would exceed
   /// `limit` or the budget its capacity.
-  bool Grow(size_t bytes, size_t limit);
+  bool Grow(size_t bytes, size_t limit) { return Resize(held_ + bytes, limit); }
+
+  /// Changes the size of the message. Returns false, and changes nothing, if it
+  /// grows beyond `limit` or the budget's capacity.
+  bool Resize(size_t bytes, size_t limit);
 
   void Release();
 
  private:
+  size_t Counted(size_t bytes) const;
+
   ByteBudget& budget_;
   size_t held_ = 0;
 };
--- a/src/include/dogwoodlatch/dataplane/http_server_session.h
+++ b/src/include/dogwoodlatch/dataplane/http_server_session.h
@@ -64,7 +64,7 @@
   /// Holds the input of one read operation at a time.
   std::array<char, 16UL * 1024> read_buffer{};
   /// Bodies of all requests that are being read or served.
-  ByteBudget body_budget{32UL * 1024 * 1024};
+  ByteBudget body_budget{32UL * 1024 * 1024, kSmallMessageBytes};
   /// Called once for each connection that ends; may be empty.
   std::function<void(const ConnectionEnd&)> on_connection_end;
 };
--- a/src/include/dogwoodlatch/dataplane/upstream_connection.h
+++ b/src/include/dogwoodlatch/dataplane/upstream_connection.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dogwoodlatch/dataplane/byte_budget.h"
 #include "dogwoodlatch/dataplane/http_reader.h"
 #include "dogwoodlatch/time.h"
 
@@ -33,7 +34,11 @@
  public:
   using Pointer = std::shared_ptr<UpstreamConnection>;
 
-  explicit UpstreamConnection(asio::io_context& context);
+  /// `pending_input` bounds the input of many connections that is kept until
+  /// more of it arrives; null for a connection with no such bound.
+  explicit UpstreamConnection(
+      asio::io_context& context,
+      std::shared_ptr<ByteBudget> pending_input = nullptr);
   ~UpstreamConnection() override;
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
@@ -116,6 +121,8 @@
   asio::steady_timer connect_timer_;
   std::vector<uint64_t> carried_;  ///< hashes of request ids
   std::string input_;
+  std::shared_ptr<ByteBudget> pending_input_budget_;
+  std::optional<ByteReservation> pending_input_;
   std::string read_buffer_;
   std::string head_;
   std::shared_ptr<const std::string> body_;
@@ -136,7 +143,12 @@
 /// Idle connections for reuse, keyed by target.
 class ConnectionPool {
  public:
-  explicit ConnectionPool(asio::io_context& context) : context_(context) {}
+  /// The connections together keep up to `max_pending_input` bytes of input
+  /// that is incomplete, besides kSmallMessageBytes each.
+  ConnectionPool(asio::io_context& context, size_t max_pending_input)
+      : context_(context),
+        pending_input_(std::make_shared<ByteBudget>(max_pending_input,
+                                                    kSmallMessageBytes)) {}
 
   /// Removes a reusable connection from the pool and returns it, or returns
   /// null if none has been idle for at most `max_idle` and less than its peer's
@@ -166,6 +178,7 @@
 
  private:
   asio::io_context& context_;
+  std::shared_ptr<ByteBudget> pending_input_;
   std::unordered_map<std::string, std::vector<UpstreamConnection::Pointer>>
       idle_;
 };
--- a/src/libdaemon/exchange.cc
+++ b/src/libdaemon/exchange.cc
@@ -48,7 +48,8 @@
       arrived_at_(SteadyNow()),
       response_deadline_(arrived_at_),
       deadline_timer_(context.io),
-      handover_timer_(context.io) {
+      handover_timer_(context.io),
+      partial_event_bytes_(context.response_budget) {
   context_.exchanges.insert(this);
 }
 
--- a/src/libdaemon/exchange_attempts.cc
+++ b/src/libdaemon/exchange_attempts.cc
@@ -50,11 +50,19 @@
   // Until another target has sent a whole event, the silent one may go on.
   if (!events.empty() && splitter_.in_sequence()) SelectAnswering(attempt);
   RelayEvents(events);
-  if (attempt_ && splitter_.is_too_long()) {
-    OnResponseLost(*attempt_, "event too long");
+  if (attempt_ && !ReservePartialEvents()) {
+    OnResponseLost(*attempt_, splitter_.is_too_long()
+                                  ? "event too long"
+                                  : "no memory for its event");
   }
 }
 
+bool Exchange::ReservePartialEvents() {
+  const size_t bytes = splitter_.partial_size() +
+                       (silent_ ? silent_splitter_.partial_size() : 0);
+  return !splitter_.is_too_long() && partial_event_bytes_.Resize(bytes, bytes);
+}
+
 // A stream that has begun is continued only by an answer of the same kind. Any
 // other one is lost: its head or body must not reach the caller.
 bool Exchange::ContinuesStream(TargetAttempt& attempt) {
@@ -372,13 +380,14 @@
   StopHandoverTimer();
   ReleaseRetry();
   attempt_ = std::move(silent_);
-  splitter_ = silent_splitter_;
+  splitter_ = std::exchange(silent_splitter_, {});
 }
 
 void Exchange::DropSilent() {
   StopHandoverTimer();
   silent_->Cancel();
   silent_.reset();
+  silent_splitter_ = {};
 }
 
 // The request was sent and its response is lost or unusable, so it may have
@@ -390,6 +399,7 @@
     return;
   }
   splitter_.DropPartial();
+  ReservePartialEvents();
   AbandonAttempt();
   if (splitter_.in_sequence() && MayRunAgain() &&
       WithdrawRetry(RepeatPurpose())) {
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -59,11 +59,14 @@
 // routers, and it may be lost.
 constexpr Duration kLeavingRepeatTime = milliseconds(1500);
 
-// Share of the process's memory for bodies of requests, and for bodies of
-// responses that are read whole. Buffers may be twice as large as their
-// content.
+// Share of the process's memory for bodies of requests, and for bodies and
+// events of responses that are read whole. Buffers may be twice as large as
+// their content.
 constexpr size_t kBodyMemoryDivisor = 8;
 
+// Share of the process's memory for incomplete heads of responses.
+constexpr size_t kPendingInputMemoryDivisor = 16;
+
 // Share of the process's memory and descriptors for connections of callers, and
 // what a connection needs without a request. Other descriptors are for files
 // and connections to targets.
@@ -115,7 +118,7 @@
                  settings_.bounds.key_revocation - kKeyRevocationMargin,
              .weights = settings_.bounds.weights,
              .target_heartbeat = settings_.target_heartbeat}),
-      pool_(context),
+      pool_(context, settings_.memory_bytes / kPendingInputMemoryDivisor),
       context_{.io = context,
                .view = view_,
                .pool = pool_,
@@ -126,8 +129,9 @@
                    settings_.bounds.retry_window + kRouterCountSettleTime,
                    kUnknownRouterCount, SteadyNow()),
                .max_configuration_age = settings_.bounds.configuration,
-               .response_budget = dataplane::ByteBudget(settings_.memory_bytes /
-                                                        kBodyMemoryDivisor),
+               .response_budget = dataplane::ByteBudget(
+                   settings_.memory_bytes / kBodyMemoryDivisor,
+                   dataplane::kSmallMessageBytes),
                .poison = {},
                .retry_windows = {},
                .retry_queue = RetryQueue(context)},
--- a/src/libdataplane/byte_budget.cc
+++ b/src/libdataplane/byte_budget.cc
@@ -1,18 +1,26 @@
 #include "dogwoodlatch/dataplane/byte_budget.h"
 
+#include <algorithm>
+
 namespace dogwoodlatch::dataplane {
 
-bool ByteReservation::Grow(size_t bytes, size_t limit) {
-  const size_t free =
-      budget_.capacity_ > budget_.used_ ? budget_.capacity_ - budget_.used_ : 0;
-  if (bytes > free || held_ + bytes > limit) return false;
-  held_ += bytes;
-  budget_.used_ += bytes;
+size_t ByteReservation::Counted(size_t bytes) const {
+  return bytes - std::min(bytes, budget_.uncounted_);
+}
+
+bool ByteReservation::Resize(size_t bytes, size_t limit) {
+  const size_t used_by_others = budget_.used_ - Counted(held_);
+  const size_t used = used_by_others + Counted(bytes);
+  const bool exceeds_budget =
+      Counted(bytes) > Counted(held_) && used > budget_.capacity_;
+  if (bytes > held_ && (bytes > limit || exceeds_budget)) return false;
+  budget_.used_ = used;
+  held_ = bytes;
   return true;
 }
 
 void ByteReservation::Release() {
-  budget_.used_ -= held_;
+  budget_.used_ -= Counted(held_);
   held_ = 0;
 }
 
--- a/src/libdataplane/byte_budget_test.cc
+++ b/src/libdataplane/byte_budget_test.cc
@@ -36,4 +36,33 @@
   CHECK(budget.used() == 100);
 }
 
+TEST_CASE("a reservation that shrinks returns the difference at once") {
+  ByteBudget budget(100);
+  ByteReservation first(budget);
+  ByteReservation second(budget);
+  CHECK(first.Resize(90, 100));
+  CHECK_FALSE(second.Resize(20, 100));
+  CHECK(first.Resize(70, 60));  // a lower limit does not keep it from shrinking
+  CHECK_FALSE(first.Resize(71, 60));
+  CHECK(second.Resize(20, 100));
+  CHECK(budget.used() == 90);
+}
+
+// Bytes without end (issue 46): what endless messages had taken was missing to
+// the short answers of sound targets, whose callers got 502.
+TEST_CASE("short messages do not depend on what long ones have taken") {
+  ByteBudget budget(1000, 100);
+  ByteReservation endless(budget);
+  while (endless.Grow(10, 5000)) {
+  }
+  CHECK(budget.used() == 1000);
+  ByteReservation small(budget);
+  CHECK(small.Resize(100, 5000));
+  CHECK_FALSE(small.Resize(101, 5000));
+  endless.Release();
+  CHECK(budget.used() == 0);
+  CHECK(small.Resize(101, 5000));
+  CHECK(budget.used() == 1);
+}
+
 }  // namespace dogwoodlatch::dataplane
--- a/src/libdataplane/http_reader.cc
+++ b/src/libdataplane/http_reader.cc
@@ -13,7 +13,7 @@
 using boost::beast::error_code;
 
 // Response heads of targets normally have a few hundred bytes.
-constexpr uint32_t kMaxResponseHeadBytes = 64 * 1024;
+constexpr uint32_t kMaxResponseHeadBytes = 16 * 1024;
 
 // Bytes of interim and discarded responses before a response. A late second
 // answer is as long as an answer; anything longer belongs to no request.
--- a/src/libdataplane/upstream_connection.cc
+++ b/src/libdataplane/upstream_connection.cc
@@ -92,10 +92,14 @@
   return asio::ip::tcp::endpoint(ip, port);
 }
 
-UpstreamConnection::UpstreamConnection(asio::io_context& context)
+UpstreamConnection::UpstreamConnection(
+    asio::io_context& context, std::shared_ptr<ByteBudget> pending_input)
     : socket_(context),
       connect_timer_(context),
-      read_buffer_(kReadBufferBytes, '\0') {}
+      pending_input_budget_(std::move(pending_input)),
+      read_buffer_(kReadBufferBytes, '\0') {
+  if (pending_input_budget_) pending_input_.emplace(*pending_input_budget_);
+}
 
 // A socket that Asio's destructor closes would linger in the background.
 UpstreamConnection::~UpstreamConnection() { Cancel(); }
@@ -159,6 +163,7 @@
 void UpstreamConnection::Cancel() {
   listener_ = nullptr;
   is_open_ = false;
+  if (pending_input_) pending_input_->Release();
   std::error_code ignored;
   socket_.close(ignored);
 }
@@ -245,7 +250,9 @@
   const Pointer self = shared_from_this();
   const bool is_valid = reader_.Feed(input_, *this);
   if (listener_ == nullptr) return;
-  if (!is_valid) {
+  const bool has_room =
+      !pending_input_ || pending_input_->Resize(input_.size(), input_.size());
+  if (!is_valid || !has_room) {
     BreakConnection();
     return;
   }
@@ -300,7 +307,7 @@
 }
 
 UpstreamConnection::Pointer ConnectionPool::Make() {
-  return std::make_shared<UpstreamConnection>(context_);
+  return std::make_shared<UpstreamConnection>(context_, pending_input_);
 }
 
 void ConnectionPool::Return(const std::string& key,
--- a/src/libdataplane/upstream_connection_test.cc
+++ b/src/libdataplane/upstream_connection_test.cc
@@ -3,12 +3,15 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <memory>
+#include <vector>
 
 namespace dogwoodlatch::dataplane {
 namespace {
 
 using std::chrono::milliseconds;
 
+constexpr size_t kMaxPendingInput = 64UL * 1024;
+
 // What the peer does with the connection after a response.
 enum class Ending { kStayOpen, kClose, kReset };
 
@@ -213,7 +216,7 @@
   asio::io_context context{1};
   asio::ip::tcp::acceptor acceptor(context,
                                    {asio::ip::address_v4::loopback(), 0});
-  ConnectionPool pool(context);
+  ConnectionPool pool(context, kMaxPendingInput);
   const UpstreamConnection::Pointer connection = pool.Make();
   connection->Connect(acceptor.local_endpoint(), milliseconds(1000),
                       [](std::error_code error) { REQUIRE_FALSE(error); });
@@ -247,7 +250,7 @@
   asio::io_context context;
   asio::ip::tcp::acceptor acceptor(context,
                                    {asio::ip::address_v4::loopback(), 0});
-  ConnectionPool pool(context);
+  ConnectionPool pool(context, kMaxPendingInput);
   std::vector<asio::ip::tcp::socket> peers;
   for (int i = 0; i < 3; ++i) {
     const auto connection = pool.Make();
@@ -274,7 +277,7 @@
   asio::io_context context;
   asio::ip::tcp::acceptor acceptor(context,
                                    {asio::ip::address_v4::loopback(), 0});
-  ConnectionPool pool(context);
+  ConnectionPool pool(context, kMaxPendingInput);
   std::vector<asio::ip::tcp::socket> peers;
   for (const char* id : {"r1", "r2"}) {
     const auto connection = pool.Make();
@@ -303,7 +306,7 @@
   asio::io_context context;
   asio::ip::tcp::acceptor acceptor(context,
                                    {asio::ip::address_v4::loopback(), 0});
-  ConnectionPool pool(context);
+  ConnectionPool pool(context, kMaxPendingInput);
   const auto connection = pool.Make();
   connection->Connect(acceptor.local_endpoint(), milliseconds(1000),
                       [](std::error_code error) { REQUIRE_FALSE(error); });
@@ -316,4 +319,36 @@
   CHECK_FALSE(connection->IsReusable());
 }
 
+// Bytes without end (issue 46): heads that never ended took 64 KB each, on as
+// many connections as targets accept.
+TEST_CASE("incomplete heads share a budget, which short ones do not need") {
+  asio::io_context context{1};
+  const auto incomplete_head = [](size_t bytes) {
+    return ScriptedResponse{.bytes = "HTTP/1.1 200 OK\r\nid: 1\r\nX: " +
+                                     std::string(bytes, 'x')};
+  };
+  ScriptedPeer first_peer(context, {incomplete_head(12000)});
+  ScriptedPeer second_peer(context, {incomplete_head(12000)});
+  ScriptedPeer short_peer(context, {incomplete_head(1000)});
+  ConnectionPool pool(context, 9000);
+  std::deque<Recorder> recorders;
+  std::vector<UpstreamConnection::Pointer> connections;
+  for (const ScriptedPeer* peer : {&first_peer, &second_peer, &short_peer}) {
+    recorders.emplace_back().expected_id = "1";
+    connections.push_back(pool.Make());
+    connections.back()->Connect(peer->endpoint(), milliseconds(1000),
+                                [](std::error_code error) { CHECK(!error); });
+    context.restart();
+    context.run_for(milliseconds(20));
+    connections.back()->Send(BuildRequestHead("GET", "/", {{"Host", "x"}}, 0),
+                             nullptr, &recorders.back());
+    context.restart();
+    context.run_for(milliseconds(50));
+  }
+  CHECK_FALSE(recorders[0].is_lost);
+  CHECK(recorders[1].is_lost);
+  CHECK_FALSE(recorders[2].is_lost);
+  for (const auto& connection : connections) connection->Cancel();
+}
+
 }  // namespace dogwoodlatch::dataplane
