--- a/src/dogwoodlatchd/main.cc
+++ b/src/dogwoodlatchd/main.cc
@@ -15,6 +15,7 @@
 
 #include "dogwoodlatch/daemon/agent.h"
 #include "dogwoodlatch/daemon/router.h"
+#include "dogwoodlatch/util/event_loop.h"
 #include "dogwoodlatch/util/log.h"
 #include "dogwoodlatch/util/program.h"
 #include "platform/node_settings.h"
@@ -109,7 +110,7 @@
     });
   };
   await_signal();
-  context.run();
+  RunEventLoop(context);
   EndLog();
   return ExitCode::kOk;
 }
--- a/src/include/dogwoodlatch/daemon/agent.h
+++ b/src/include/dogwoodlatch/daemon/agent.h
@@ -69,6 +69,7 @@
   ObjectFeed* weights_feed_ = nullptr;  ///< one of `feeds_`
   serving::LagDetector weights_lag_;
   std::unique_ptr<AgentLink> link_;
+  DatagramFaults datagram_faults_;
   ProbePort probe_port_;
   dataplane::HttpClient report_client_;
   dataplane::HttpClient order_client_;
--- a/src/include/dogwoodlatch/daemon/agent_link.h
+++ b/src/include/dogwoodlatch/daemon/agent_link.h
@@ -127,6 +127,17 @@
 /// Fails with kBadMessage or kBadVersion.
 Result<Datagram> DecodeDatagram(std::span<const uint8_t> bytes);
 
+/// Logs datagrams that cannot be decoded, at a bounded rate.
+class DatagramFaults {
+ public:
+  void Record(const Error& fault, const asio::ip::udp::endpoint& from,
+              TimePoint now);
+
+ private:
+  TimePoint next_log_{};
+  uint64_t unlogged_ = 0;
+};
+
 /// A UDP socket for datagrams between routers and agents.
 class AgentLink {
  public:
--- a/src/include/dogwoodlatch/daemon/router.h
+++ b/src/include/dogwoodlatch/daemon/router.h
@@ -67,6 +67,8 @@
   /// Targets that have said lately that they leave.
   std::vector<RouterUpdate::Leaving> CollectLeaving(TimePoint now);
   void Tick();
+  /// What a tick does besides stopping the router.
+  void UpdateState(TimePoint now);
   void RegisterRetryGauges();
   void SendUpdate(RouterUpdate update, const std::vector<size_t>& receivers);
   bool IsReady() const;
@@ -87,6 +89,7 @@
   FreshnessKeeper freshness_keeper_;
   VmProber vm_prober_;
   std::unique_ptr<AgentLink> link_;
+  DatagramFaults datagram_faults_;
   asio::steady_timer tick_timer_;
   TimePoint next_subscription_{};
   TimePoint next_sweep_{};
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -22,6 +22,7 @@
   kSettingsFileRefused = 110,
   kListenFailed = 111,
   kLogDropped = 120,
+  kHandlerFailed = 130,
   kPlatformUnavailable = 200,
   kPlatformBack = 201,
   kStoreRestored = 202,
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "dogwoodlatch/daemon/boot_clock.h"
+#include "dogwoodlatch/util/event_loop.h"
 #include "dogwoodlatch/util/log.h"
 #include "platform/requests.h"
 
@@ -130,7 +131,7 @@
   const TimePoint now = SteadyNow();
   Result<Datagram> datagram = DecodeDatagram(bytes);
   if (!datagram) {
-    LogEvent(EventId::kBadMessage, {{"fault", ToString(datagram.error())}});
+    datagram_faults_.Record(datagram.error(), from, now);
     return;
   }
   if (const auto* subscription = std::get_if<Subscription>(&datagram.value())) {
@@ -151,11 +152,13 @@
 }
 
 void Agent::Tick() {
-  const TimePoint now = SteadyNow();
-  view_.Tick(now);
-  if (now >= next_report_ && !is_report_pending_) RequestReport();
-  ConsiderRollout(now);
-  PublishStatus(now);
+  RunGuarded("tick", [&] {
+    const TimePoint now = SteadyNow();
+    view_.Tick(now);
+    if (now >= next_report_ && !is_report_pending_) RequestReport();
+    ConsiderRollout(now);
+    PublishStatus(now);
+  });
   FlushLog();
   tick_timer_.expires_after(kTickPeriod);
   tick_timer_.async_wait([this](std::error_code error) {
--- a/src/libdaemon/agent_link.cc
+++ b/src/libdaemon/agent_link.cc
@@ -6,6 +6,8 @@
 #include <utility>
 
 #include "dogwoodlatch/json_reader.h"
+#include "dogwoodlatch/util/event_loop.h"
+#include "dogwoodlatch/util/log.h"
 
 namespace dogwoodlatch::daemon {
 namespace {
@@ -17,22 +19,54 @@
 // during an upgrade.
 constexpr int kProtocolVersion = 4;
 
+// Times of other processes are limited to this where they are read, so that
+// they can be added to and subtracted from the present.
+constexpr Duration kMaxTime = std::chrono::hours(24 * 365 * 100);
+
+// Limits of counts of requests and of tokens, so that they can be added up.
+constexpr int kMaxCount = 1'000'000;
+constexpr int64_t kMaxTokens = 1'000'000'000'000;
+
+// Lines about datagrams that cannot be decoded are at least this far apart.
+constexpr Duration kFaultLogPeriod = std::chrono::seconds(1);
+
 // The functions below throw an exception of the JSON library when a field is
 // missing or of the wrong type.
+Duration ReadDuration(const json& value) {
+  return std::clamp(Duration(value.get<int64_t>()), Duration{0}, kMaxTime);
+}
+
+int ReadCount(const json& value) {
+  const auto count = value.get<int64_t>();
+  return static_cast<int>(std::clamp<int64_t>(count, 0, kMaxCount));
+}
+
+int64_t ReadTokens(const json& value) {
+  return std::clamp<int64_t>(value.get<int64_t>(), 0, kMaxTokens);
+}
+
+// No field is a fraction. The library converts one to an integer without a
+// check of its range.
+bool HasFraction(const json& value) {
+  return value.is_number_float() ||
+         (value.is_structured() &&
+          std::any_of(value.begin(), value.end(), HasFraction));
+}
+
 Result<Datagram> ReadTargetStatus(const json& message) {
   TargetStatus status;
   message.at("target").get_to(status.target_id);
   message.at("weights").get_to(status.weights);
-  const int phase = message.at("phase").get<int>();
+  const auto phase = message.at("phase").get<int64_t>();
   if (phase < 0 || phase >= serving::kRolloutPhases) {
     return Error{ErrorCode::kBadMessage, "phase", std::to_string(phase)};
   }
   status.phase = static_cast<serving::RolloutPhase>(phase);
-  message.at("queued").get_to(status.queued);
-  message.at("active").get_to(status.active);
-  message.at("prefilling").get_to(status.prefilling);
-  message.at("memory").at(0).get_to(status.memory_used);
-  message.at("memory").at(1).get_to(status.memory_total);
+  status.queued = ReadCount(message.at("queued"));
+  status.active = ReadCount(message.at("active"));
+  status.prefilling = ReadCount(message.at("prefilling"));
+  status.memory_used = ReadTokens(message.at("memory").at(0));
+  status.memory_total = ReadTokens(message.at("memory").at(1));
   message.at("routers").get_to(status.routers);
   status.is_leaving = message.value("leaving", false);
   return Datagram(std::move(status));
@@ -44,13 +78,13 @@
   report.suspect = {
       is_part ? serving::SuspectKind::kPart : serving::SuspectKind::kRequest,
       entry.at(1).get<uint64_t>()};
-  report.wanted_ago = Duration(entry.at(2).get<int64_t>());
+  report.wanted_ago = ReadDuration(entry.at(2));
   if (!entry.at(3).is_null()) {
-    report.answered_ago = Duration(entry.at(3).get<int64_t>());
+    report.answered_ago = ReadDuration(entry.at(3));
   }
   for (const json& crash : entry.at(4)) {
     report.crashes.push_back({.target = crash.at(0).get<uint64_t>(),
-                              .age = Duration(crash.at(1).get<int64_t>()),
+                              .age = ReadDuration(crash.at(1)),
                               .was_answering = crash.at(2).get<bool>()});
   }
   return report;
@@ -73,7 +107,7 @@
   for (const json& entry : message.at("sent")) {
     RouterUpdate::TargetLoad target;
     entry.at(0).get_to(target.target_id);
-    target.prefill_backlog = Duration(entry.at(1).get<int64_t>());
+    target.prefill_backlog = ReadDuration(entry.at(1));
     entry.at(2).get_to(target.parts_used);
     update.targets.push_back(std::move(target));
   }
@@ -87,15 +121,14 @@
   }
   for (const json& entry : message.value("leaving", json::array())) {
     update.targets_leaving.push_back(
-        {entry.at(0).get<std::string>(),
-         WallTime(Duration(entry.at(1).get<int64_t>()))});
+        {entry.at(0).get<std::string>(), WallTime(ReadDuration(entry.at(1)))});
   }
-  const int phase = message.value("phase", 0);
+  const auto phase = message.value("phase", int64_t{0});
   if (phase >= 0 &&
       phase <= static_cast<int>(serving::RouterPhase::kStopping)) {
     update.phase = static_cast<serving::RouterPhase>(phase);
   }
-  update.stopping_for = Duration(message.value("stopping", int64_t{0}));
+  update.stopping_for = ReadDuration(message.value("stopping", json(0)));
   return update;
 }
 
@@ -175,6 +208,9 @@
   if (!message.is_object()) {
     return Error{ErrorCode::kBadMessage, "datagram", "not a CBOR map"};
   }
+  if (HasFraction(message)) {
+    return Error{ErrorCode::kBadMessage, "datagram", "a number is a fraction"};
+  }
   if (message.value("v", json()) != kProtocolVersion) {
     return Error{ErrorCode::kBadVersion, "datagram", ""};
   }
@@ -205,6 +241,18 @@
   }
 }
 
+void DatagramFaults::Record(const Error& fault,
+                            const asio::ip::udp::endpoint& from,
+                            TimePoint now) {
+  ++unlogged_;
+  if (now < next_log_) return;
+  next_log_ = now + kFaultLogPeriod;
+  LogEvent(EventId::kBadMessage,
+           {{"from", from.address().to_string()},
+            {"fault", ToString(fault)},
+            {"count", std::to_string(std::exchange(unlogged_, 0))}});
+}
+
 AgentLink::AgentLink(asio::io_context& context, Receiver receiver)
     : socket_(context), receiver_(std::move(receiver)) {}
 
@@ -240,8 +288,10 @@
                                  return;
                                }
                                if (!error) {
-                                 receiver_(from_,
-                                           std::span(buffer_).first(count));
+                                 RunGuarded("datagram", [&] {
+                                   receiver_(from_,
+                                             std::span(buffer_).first(count));
+                                 });
                                }
                                Receive();
                              });
--- a/src/libdaemon/agent_link_test.cc
+++ b/src/libdaemon/agent_link_test.cc
@@ -3,20 +3,13 @@
 #include <rapidcheck/catch.h>
 
 #include <catch2/catch.hpp>
+#include <limits>
+#include <vector>
 
 namespace dogwoodlatch::daemon {
+namespace {
 
-TEST_CASE("decoding restores encoded datagrams") {
-  TargetStatus status;
-  status.target_id = "i-1";
-  status.weights = {{"m", 4}};
-  status.phase = serving::RolloutPhase::kLoading;
-  status.active = 3;
-  status.memory_used = 90000;
-  status.memory_total = 173918;
-  status.routers = {"10.0.0.1:7340"};
-  status.is_leaving = true;
-  CHECK(DecodeDatagram(Encode(status)).value() == Datagram(status));
+RouterUpdate MakeUpdate() {
   RouterUpdate update;
   update.targets.push_back({"i-1", std::chrono::milliseconds(12), {1, ~0ULL}});
   update.parts_saved = {{9, 5382}};
@@ -32,6 +25,68 @@
       {"i-2", WallTime(std::chrono::seconds(1790000000))}};
   update.phase = serving::RouterPhase::kStopping;
   update.stopping_for = std::chrono::milliseconds(2600);
+  return update;
+}
+
+TargetStatus MakeStatus() {
+  TargetStatus status;
+  status.target_id = "i-1";
+  status.weights = {{"m", 4}};
+  status.phase = serving::RolloutPhase::kLoading;
+  status.active = 3;
+  status.memory_used = 90000;
+  status.memory_total = 173918;
+  status.routers = {"10.0.0.1:7340"};
+  status.is_leaving = true;
+  return status;
+}
+
+std::vector<std::vector<uint8_t>> AllDatagrams() {
+  return {Encode(MakeStatus()),
+          Encode(MakeUpdate()),
+          Encode(RouterDirectory{{"10.0.0.1:7340", "10.0.0.2:7340"}}),
+          Encode(Subscription{7}),
+          Encode(FreshnessQuestion{~0ULL}),
+          Encode(FreshnessAnswer{~0ULL, 12, 2, 700, 900})};
+}
+
+// Times and counts can be used with the present and with one another.
+void CheckNumbers(const Datagram& datagram) {
+  if (const auto* status = std::get_if<TargetStatus>(&datagram)) {
+    for (const int count :
+         {status->queued, status->active, status->prefilling}) {
+      REQUIRE((count >= 0 && count <= 1'000'000));
+    }
+    for (const int64_t tokens : {status->memory_used, status->memory_total}) {
+      REQUIRE((tokens >= 0 && tokens <= 1'000'000'000'000));
+    }
+  }
+  const auto* update = std::get_if<RouterUpdate>(&datagram);
+  if (update == nullptr) return;
+  std::vector<Duration> times = {update->stopping_for};
+  for (const auto& target : update->targets) {
+    times.push_back(target.prefill_backlog);
+  }
+  for (const auto& target : update->targets_leaving) {
+    times.push_back(target.started.time_since_epoch());
+  }
+  for (const serving::SuspectReport& report : update->suspects) {
+    times.push_back(report.wanted_ago);
+    if (report.answered_ago) times.push_back(*report.answered_ago);
+    for (const auto& crash : report.crashes) times.push_back(crash.age);
+  }
+  constexpr Duration kCentury = std::chrono::hours(24 * 365 * 100);
+  for (const Duration time : times) {
+    REQUIRE((time >= Duration{0} && time <= kCentury));
+  }
+}
+
+}  // namespace
+
+TEST_CASE("decoding restores encoded datagrams") {
+  const TargetStatus status = MakeStatus();
+  CHECK(DecodeDatagram(Encode(status)).value() == Datagram(status));
+  const RouterUpdate update = MakeUpdate();
   CHECK(DecodeDatagram(Encode(update)).value() == Datagram(update));
   const RouterDirectory directory{{"10.0.0.1:7340", "10.0.0.2:7340"}};
   CHECK(DecodeDatagram(Encode(directory)).value() == Datagram(directory));
@@ -62,4 +117,60 @@
   });
 }
 
+// LOST (review/1): one changed byte in a datagram ended routers and agents.
+TEST_CASE("a datagram with any byte changed is decoded or refused") {
+  for (const std::vector<uint8_t>& datagram : AllDatagrams()) {
+    REQUIRE(DecodeDatagram(datagram));
+    for (size_t at = 0; at < datagram.size(); ++at) {
+      for (int value = 0; value <= 0xFF; ++value) {
+        std::vector<uint8_t> changed = datagram;
+        changed[at] = static_cast<uint8_t>(value);
+        const Result<Datagram> decoded = DecodeDatagram(changed);
+        if (decoded) CheckNumbers(decoded.value());
+      }
+    }
+  }
+}
+
+TEST_CASE("datagrams with several changes are decoded or refused") {
+  rc::prop("changed, inserted and removed bytes", [] {
+    const auto datagrams = AllDatagrams();
+    std::vector<uint8_t> bytes =
+        datagrams[*rc::gen::inRange<size_t>(0, datagrams.size())];
+    const auto changes = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < changes && !bytes.empty(); ++i) {
+      const auto at =
+          bytes.begin() + *rc::gen::inRange<std::ptrdiff_t>(
+                              0, static_cast<std::ptrdiff_t>(bytes.size()));
+      const auto kind = *rc::gen::inRange(0, 3);
+      if (kind == 0) *at = *rc::gen::arbitrary<uint8_t>();
+      if (kind == 1) bytes.insert(at, *rc::gen::arbitrary<uint8_t>());
+      if (kind == 2) bytes.erase(at);
+    }
+    const Result<Datagram> decoded = DecodeDatagram(bytes);
+    if (decoded) CheckNumbers(decoded.value());
+  });
+}
+
+// Guards against an overflow where a time of a datagram is subtracted from the
+// present (found by the review's random changes).
+TEST_CASE("times and counts beyond all bounds are limited") {
+  for (const int64_t number : {std::numeric_limits<int64_t>::min(), int64_t{-1},
+                               std::numeric_limits<int64_t>::max()}) {
+    RouterUpdate update = MakeUpdate();
+    const Duration time(number);
+    update.stopping_for = time;
+    update.targets[0].prefill_backlog = time;
+    update.targets_leaving[0].started = WallTime(time);
+    update.suspects[0].wanted_ago = time;
+    update.suspects[0].answered_ago = time;
+    update.suspects[0].crashes[0].age = time;
+    CheckNumbers(DecodeDatagram(Encode(update)).value());
+    TargetStatus status = MakeStatus();
+    status.memory_total = number;
+    status.queued = static_cast<int>(number);
+    CheckNumbers(DecodeDatagram(Encode(status)).value());
+  }
+}
+
 }  // namespace dogwoodlatch::daemon
--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "dogwoodlatch/daemon/boot_clock.h"
+#include "dogwoodlatch/util/event_loop.h"
 
 namespace dogwoodlatch::daemon {
 namespace {
@@ -157,7 +158,9 @@
   has_failed_ = false;
   has_list_ = !options_.poll_period;
   revision_ = list_revision_;
-  handlers_.on_list(std::exchange(listed_, {}), list_sent_);
+  RunGuarded("list", [&] {
+    handlers_.on_list(std::exchange(listed_, {}), list_sent_);
+  });
   if (!options_.is_on_demand) ScheduleNext(false);
 }
 
@@ -205,7 +208,7 @@
   if (!changes.empty()) {
     revision_ = std::max(revision_, page.value().revision);
   }
-  handlers_.on_changes(changes, call_sent_);
+  RunGuarded("changes", [&] { handlers_.on_changes(changes, call_sent_); });
   ScheduleNext(!changes.empty());
 }
 
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "dogwoodlatch/daemon/boot_clock.h"
+#include "dogwoodlatch/util/event_loop.h"
 #include "dogwoodlatch/util/log.h"
 
 namespace dogwoodlatch::daemon {
@@ -193,6 +194,8 @@
   metrics_.RegisterGauge("dogwoodlatch_requests_in_progress", [this] {
     return static_cast<double>(context_.exchanges.size());
   });
+  metrics_.RegisterGauge("dogwoodlatch_handler_failures",
+                         [] { return static_cast<double>(HandlerFailures()); });
   metrics_.RegisterGauge("dogwoodlatch_caller_connections", [this] {
     return static_cast<double>(frontend_.server_state().sessions);
   });
@@ -351,12 +354,15 @@
 
 void Router::OnDatagram(const asio::ip::udp::endpoint& from,
                         std::span<const uint8_t> bytes) {
+  const TimePoint now = SteadyNow();
   const Result<Datagram> datagram = DecodeDatagram(bytes);
   if (!datagram) {
-    LogEvent(EventId::kBadMessage, {{"fault", ToString(datagram.error())}});
+    metrics_.Count(
+        "dogwoodlatch_bad_datagrams_total",
+        "kind=\"" + std::string(ToString(datagram.error().code)) + "\"");
+    datagram_faults_.Record(datagram.error(), from, now);
     return;
   }
-  const TimePoint now = SteadyNow();
   if (std::holds_alternative<Subscription>(datagram.value())) {
     subscribers_[from] = now;
     OnRoutersListed(
@@ -609,6 +615,19 @@
 
 void Router::Tick() {
   const TimePoint now = SteadyNow();
+  RunGuarded("tick", [&] { UpdateState(now); });
+  FlushLog();
+  if (stop_ && stop_->Advance(now)) {
+    FlushLog();
+    io_.stop();
+  }
+  tick_timer_.expires_after(kTickPeriod);
+  tick_timer_.async_wait([this](std::error_code error) {
+    if (!error) Tick();
+  });
+}
+
+void Router::UpdateState(TimePoint now) {
   view_.Tick(now);
   freshness_keeper_.Tick(routers_, now);
   vm_prober_.Tick(view_.fleet(), now);
@@ -623,15 +642,6 @@
     pool_.Sweep(now);
     next_sweep_ = now + kSweepPeriod;
   }
-  FlushLog();
-  if (stop_ && stop_->Advance(now)) {
-    FlushLog();
-    io_.stop();
-  }
-  tick_timer_.expires_after(kTickPeriod);
-  tick_timer_.async_wait([this](std::error_code error) {
-    if (!error) Tick();
-  });
 }
 
 void Router::Stop() {
--- a/src/libdogwoodlatch/json_reader.cc
+++ b/src/libdogwoodlatch/json_reader.cc
@@ -219,7 +219,9 @@
   return Json::parse(text, nullptr, false);
 }
 
-Json ParseCbor(std::span<const uint8_t> bytes) {
+// The library throws for a size that no array or map can have, whether it may
+// throw or not.
+Json ParseCbor(std::span<const uint8_t> bytes) try {
   // Each array or map has a byte of its own in this range, and few messages
   // have enough of them to be nested too deeply.
   const auto is_container = [](uint8_t byte) {
@@ -234,6 +236,8 @@
     }
   }
   return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+} catch (const Json::exception&) {
+  return Json(Json::value_t::discarded);
 }
 
 bool ReadText(const Json& object, const char* key, std::string& value) {
--- a/src/libdogwoodlatch/json_reader_test.cc
+++ b/src/libdogwoodlatch/json_reader_test.cc
@@ -121,4 +121,25 @@
   CHECK(ParseCbor(Json::to_cbor(list)) == list);
 }
 
+// LOST (review/1): the JSON library throws for such sizes although it was told
+// not to, which ended the process.
+TEST_CASE("CBOR with sizes that nothing can have is malformed") {
+  for (const uint8_t head : {0x9B, 0xBB, 0x5B, 0x7B}) {
+    for (const uint8_t high : {0x00, 0x0F, 0x7F, 0xFF}) {
+      std::vector<uint8_t> bytes(9, 0xFF);
+      bytes[0] = head;
+      bytes[1] = high;
+      CHECK(ParseCbor(bytes).is_discarded());
+      // Within a value, and behind more containers than are nested normally.
+      std::vector<uint8_t> nested(kMaxNesting - 1, 0x81);
+      nested.insert(nested.end(), bytes.begin(), bytes.end());
+      CHECK(ParseCbor(nested).is_discarded());
+      std::vector<uint8_t> later = {0x82, 0x98, 100};
+      later.insert(later.end(), 100, 0x80);
+      later.insert(later.end(), bytes.begin(), bytes.end());
+      CHECK(ParseCbor(later).is_discarded());
+    }
+  }
+}
+
 }  // namespace dogwoodlatch
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -40,6 +40,9 @@
     EventSpec{EventId::kLogDropped, Severity::kWarning, "log_dropped",
               "Log lines were dropped: the rate limit was exceeded or the "
               "output was not read in time."},
+    EventSpec{EventId::kHandlerFailed, Severity::kError, "handler_failed",
+              "An unexpected exception ended the handling of one message, "
+              "answer or tick; the process goes on."},
     EventSpec{
         EventId::kPlatformUnavailable, Severity::kWarning,
         "platform_unavailable",
