ROUTE: an entry that is not whole names no target

Cause: DecodeTarget asked for three fields and replaced what else was missing or of another type by defaults. The same class opened access: `isolated` or `public` of another type counted as false.

Ruled out: a server that pretends to be a target.

Entries in three other tests got the missing fields.

--- a/src/include/dogwoodlatch/daemon/platform_view.h
+++ b/src/include/dogwoodlatch/daemon/platform_view.h
@@ -78,6 +78,8 @@
 
   /// Null until the first configuration has been received.
   const ConfigurationPtr& configuration() const { return configuration_; }
+  /// How many versions of the configuration could not be used.
+  uint64_t refused_configurations() const { return refused_configurations_; }
   const serving::FreshnessGuard& freshness() const { return freshness_; }
   serving::Fleet& fleet() { return fleet_; }
   const serving::Fleet& fleet() const { return fleet_; }
@@ -112,6 +114,7 @@
   Duration target_heartbeat_;
   serving::StoreEra era_;
   ConfigurationPtr configuration_;
+  uint64_t refused_configurations_ = 0;
   /// Newest version that the store has returned in the current era.
   uint64_t stored_configuration_ = 0;
   TimePoint restored_at_{};  ///< on the clock of `sent`
--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -173,6 +173,7 @@
              {{"object", object.name}, {"fault", ToString(fault)}});
   }
   if (!decoded) {
+    ++refused_configurations_;
     LogEvent(EventId::kBadObject,
              {{"object", object.name}, {"fault", ToString(decoded.error())}});
     return;
--- a/src/libdaemon/platform_view_test.cc
+++ b/src/libdaemon/platform_view_test.cc
@@ -28,7 +28,12 @@
   return Object(id, revision,
                 {{"service", "m"},
                  {"addr", "10.0.0.1:80"},
+                 {"zone", "a"},
+                 {"version", "v1"},
+                 {"slots", 8},
                  {"state", "ready"},
+                 {"cold_left_ms", 0},
+                 {"seq", 1},
                  {"born", 1}});
 }
 
--- a/src/libdaemon/routed_request_test.cc
+++ b/src/libdaemon/routed_request_test.cc
@@ -63,7 +63,12 @@
   view.OnList(ObjectKind::kTargets,
               {Object("t1", {{"service", "models"},
                              {"addr", "10.0.0.1:80"},
+                             {"zone", "a"},
+                             {"version", "v1"},
+                             {"slots", 8},
                              {"state", "ready"},
+                             {"cold_left_ms", 0},
+                             {"seq", 1},
                              {"born", 1},
                              {"models", {{{"name", "m"}, {"version", 1}}}}})},
               At(0), At(0));
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -194,6 +194,9 @@
   metrics_.RegisterGauge("dogwoodlatch_requests_in_progress", [this] {
     return static_cast<double>(context_.exchanges.size());
   });
+  metrics_.RegisterGauge("dogwoodlatch_configurations_refused", [this] {
+    return static_cast<double>(view_.refused_configurations());
+  });
   metrics_.RegisterGauge("dogwoodlatch_handler_failures",
                          [] { return static_cast<double>(HandlerFailures()); });
   metrics_.RegisterGauge("dogwoodlatch_caller_connections", [this] {
--- a/src/libdaemon/target_departure_test.cc
+++ b/src/libdaemon/target_departure_test.cc
@@ -16,9 +16,10 @@
   StoredObject object;
   object.name = id;
   object.revision = revision;
-  object.content = {{"service", "m"},
-                    {"addr", "10.0.0.1:80"},
-                    {"state", "ready"},
+  object.content = {{"service", "m"},    {"addr", "10.0.0.1:80"},
+                    {"zone", "a"},       {"version", "v1"},
+                    {"slots", 8},        {"state", "ready"},
+                    {"cold_left_ms", 0}, {"seq", 1},
                     {"born", 1}};
   return object;
 }
