Tests: objects and fields of the platform come from platform/

Targets' entries and configurations for tests of the daemon are built in platform/object_examples.h (three tests had a copy of the entry), raw requests and lists of fields in the stand-in.

--- a/src/libdaemon/platform_view_test.cc
+++ b/src/libdaemon/platform_view_test.cc
@@ -3,42 +3,23 @@
 #include <catch2/catch.hpp>
 
 #include "dogwoodlatch/testing/virtual_time.h"
+#include "platform/object_examples.h"
 
 namespace dogwoodlatch::daemon {
 namespace {
 
+using platform::MakeObject;
+using platform::MakeTargetEntry;
 using platform::ObjectKind;
 using platform::StoredObject;
 using std::chrono::milliseconds;
 
-StoredObject Object(std::string name, uint64_t revision,
-                    nlohmann::json content) {
-  StoredObject object;
-  object.name = std::move(name);
-  object.revision = revision;
-  object.content = std::move(content);
-  return object;
-}
-
 StoredObject Configuration(uint64_t version) {
-  return Object("main", version, {{"version", version}});
-}
-
-StoredObject TargetEntry(const std::string& id, uint64_t revision) {
-  return Object(id, revision,
-                {{"service", "m"},
-                 {"addr", "10.0.0.1:80"},
-                 {"zone", "a"},
-                 {"version", "v1"},
-                 {"slots", 8},
-                 {"state", "ready"},
-                 {"cold_left_ms", 0},
-                 {"seq", 1},
-                 {"born", 1}});
+  return MakeObject("main", version, {{"version", version}});
 }
 
 StoredObject Weights(uint64_t version, uint64_t revision) {
-  return Object("w", revision, {{"model", "w"}, {"version", version}});
+  return MakeObject("w", revision, {{"model", "w"}, {"version", version}});
 }
 
 PlatformView MakeView() {
@@ -56,7 +37,7 @@
                  At(15));
   view.OnList(ObjectKind::kConfiguration, {Configuration(8)}, At(20), At(25));
   CHECK(view.configuration()->version() == 9);
-  view.OnChanges(ObjectKind::kConfiguration, {Object("main", 30, "torn")},
+  view.OnChanges(ObjectKind::kConfiguration, {MakeObject("main", 30, "torn")},
                  At(30), At(35));
   CHECK(view.configuration()->version() == 9);
 }
@@ -78,11 +59,12 @@
   std::vector<std::string> removed;
   view.SetRemovalListener(
       [&](const std::string& id) { removed.push_back(id); });
-  view.OnList(ObjectKind::kTargets, {TargetEntry("a", 1), TargetEntry("b", 2)},
-              At(0), At(5));
+  view.OnList(ObjectKind::kTargets,
+              {MakeTargetEntry("a", 1), MakeTargetEntry("b", 2)}, At(0), At(5));
   view.OnFailure(ObjectKind::kTargets, "refused", At(4000), At(5000));
   CHECK_FALSE(view.is_reachable());
-  view.OnList(ObjectKind::kTargets, {TargetEntry("a", 1)}, At(9000), At(9005));
+  view.OnList(ObjectKind::kTargets, {MakeTargetEntry("a", 1)}, At(9000),
+              At(9005));
   CHECK(view.fleet().Serving("m", At(9100)).size() == 2);
   view.Tick(At(11600));
   CHECK(view.fleet().Serving("m", At(11600)).size() == 1);
@@ -91,9 +73,9 @@
 
 TEST_CASE("a target that is deleted from a settled store is removed at once") {
   PlatformView view = MakeView();
-  view.OnList(ObjectKind::kTargets, {TargetEntry("a", 1)}, At(10000),
+  view.OnList(ObjectKind::kTargets, {MakeTargetEntry("a", 1)}, At(10000),
               At(10005));
-  StoredObject gone = TargetEntry("a", 5);
+  StoredObject gone = MakeTargetEntry("a", 5);
   gone.deleted = true;
   view.OnChanges(ObjectKind::kTargets, {gone}, At(11000), At(11005));
   CHECK(view.fleet().Serving("m", At(11005)).empty());
@@ -103,8 +85,8 @@
     "an entry that cannot be decoded is skipped and the others are kept") {
   PlatformView view = MakeView();
   view.OnList(ObjectKind::kTargets,
-              {TargetEntry("a", 1), Object("b", 2, {{"service", 5}})}, At(0),
-              At(5));
+              {MakeTargetEntry("a", 1), MakeObject("b", 2, {{"service", 5}})},
+              At(0), At(5));
   CHECK(view.fleet().targets().size() == 1);
 }
 
@@ -176,14 +158,14 @@
 TEST_CASE("revisions of an earlier era do not hide entries of the new one") {
   PlatformView view = MakeView();
   view.OnEra(1, At(0), At(0));
-  view.OnList(ObjectKind::kTargets, {TargetEntry("a", 500)}, At(5000),
+  view.OnList(ObjectKind::kTargets, {MakeTargetEntry("a", 500)}, At(5000),
               At(5005));
   view.OnList(ObjectKind::kWeights, {Weights(4, 490)}, At(5000), At(5005));
   const uint64_t fence = view.newest_fence();
   view.OnEra(2, At(9000), At(9000));
-  view.OnList(ObjectKind::kTargets, {TargetEntry("a", 300)}, At(9100),
+  view.OnList(ObjectKind::kTargets, {MakeTargetEntry("a", 300)}, At(9100),
               At(9105));
-  StoredObject draining = TargetEntry("a", 310);
+  StoredObject draining = MakeTargetEntry("a", 310);
   draining.content["state"] = "draining";
   view.OnChanges(ObjectKind::kTargets, {draining}, At(9200), At(9205));
   CHECK(view.fleet().Serving("m", At(9300)).empty());
@@ -195,13 +177,14 @@
 TEST_CASE("targets that the copy lacks are kept until they are written again") {
   PlatformView view = MakeView();
   view.OnEra(1, At(0), At(0));
-  view.OnList(ObjectKind::kTargets, {TargetEntry("a", 1), TargetEntry("b", 2)},
-              At(10000), At(10005));
+  view.OnList(ObjectKind::kTargets,
+              {MakeTargetEntry("a", 1), MakeTargetEntry("b", 2)}, At(10000),
+              At(10005));
   view.OnEra(2, At(20000), At(20000));
-  view.OnList(ObjectKind::kTargets, {TargetEntry("a", 1)}, At(20100),
+  view.OnList(ObjectKind::kTargets, {MakeTargetEntry("a", 1)}, At(20100),
               At(20105));
   CHECK(view.fleet().Serving("m", At(20200)).size() == 2);
-  view.OnChanges(ObjectKind::kTargets, {TargetEntry("b", 3)}, At(21000),
+  view.OnChanges(ObjectKind::kTargets, {MakeTargetEntry("b", 3)}, At(21000),
                  At(21005));
   view.Tick(At(24000));
   CHECK(view.fleet().Serving("m", At(24000)).size() == 2);
--- a/src/libdaemon/routed_request_test.cc
+++ b/src/libdaemon/routed_request_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "dogwoodlatch/testing/virtual_time.h"
+#include "platform/object_examples.h"
 
 namespace dogwoodlatch::daemon {
 namespace {
@@ -12,26 +13,9 @@
 using platform::StoredObject;
 using std::chrono::milliseconds;
 
-StoredObject Object(std::string name, nlohmann::json content) {
-  StoredObject object;
-  object.name = std::move(name);
-  object.revision = 1;
-  object.content = std::move(content);
-  return object;
-}
-
 StoredObject Configuration(uint64_t version, bool north_is_isolated) {
-  const nlohmann::json route = {{"name", "r"},         {"host", "h"},
-                                {"path_prefix", "/"},  {"kind", "stream"},
-                                {"service", "models"}, {"sticky", true},
-                                {"slo_ms", 500},       {"attempts", 2}};
-  const nlohmann::json north = {
-      {"name", "north"}, {"api_keys", {"k1"}}, {"isolated", north_is_isolated}};
-  const nlohmann::json south = {
-      {"name", "south"}, {"api_keys", {"k2"}}, {"isolated", false}};
-  return Object(
-      "main",
-      {{"version", version}, {"routes", {route}}, {"tenants", {north, south}}});
+  return platform::MakePromptConfiguration(
+      version, {{"north", "k1", north_is_isolated}, {"south", "k2", false}});
 }
 
 void Adopt(PlatformView& view, const StoredObject& configuration,
@@ -43,8 +27,8 @@
   RoutedRequest request{.metadata = {}, .configuration = view.configuration()};
   request.route = request.configuration->FindRoute("h", "/x");
   request.workspace = request.configuration->FindWorkspace(key);
-  request.service = "models";
-  request.metadata.prompt = {.model = "m",
+  request.service = "m";
+  request.metadata.prompt = {.model = "w",
                              .input_tokens = 1200,
                              .max_output_tokens = 8,
                              .parts = {{1, 500}, {2, 700}}};
@@ -61,17 +45,7 @@
                      .target_heartbeat = milliseconds(1200)});
   Adopt(view, Configuration(1, false), At(0));
   view.OnList(ObjectKind::kTargets,
-              {Object("t1", {{"service", "models"},
-                             {"addr", "10.0.0.1:80"},
-                             {"zone", "a"},
-                             {"version", "v1"},
-                             {"slots", 8},
-                             {"state", "ready"},
-                             {"cold_left_ms", 0},
-                             {"seq", 1},
-                             {"born", 1},
-                             {"models", {{{"name", "m"}, {"version", 1}}}}})},
-              At(0), At(0));
+              {platform::MakeModelTargetEntry("t1", 1, "w", 1)}, At(0), At(0));
   const serving::PlacementPolicy policy("a");
   const serving::SavedParts saved;
   const PlacementContext context{
--- a/src/libdaemon/target_departure_test.cc
+++ b/src/libdaemon/target_departure_test.cc
@@ -4,28 +4,18 @@
 
 #include "dogwoodlatch/daemon/platform_view.h"
 #include "dogwoodlatch/testing/virtual_time.h"
+#include "platform/object_examples.h"
 
 namespace dogwoodlatch::daemon {
 namespace {
 
+using platform::MakeTargetEntry;
 using platform::ObjectKind;
 using platform::StoredObject;
 using std::chrono::milliseconds;
 
-StoredObject Entry(const std::string& id, uint64_t revision) {
-  StoredObject object;
-  object.name = id;
-  object.revision = revision;
-  object.content = {{"service", "m"},    {"addr", "10.0.0.1:80"},
-                    {"zone", "a"},       {"version", "v1"},
-                    {"slots", 8},        {"state", "ready"},
-                    {"cold_left_ms", 0}, {"seq", 1},
-                    {"born", 1}};
-  return object;
-}
-
 StoredObject RemovedEntry(const std::string& id, uint64_t revision) {
-  StoredObject object = Entry(id, revision);
+  StoredObject object = MakeTargetEntry(id, revision);
   object.deleted = true;
   return object;
 }
@@ -36,7 +26,8 @@
   PlatformView view({.max_key_age = milliseconds(4750),
                      .weights = milliseconds(12000),
                      .target_heartbeat = milliseconds(1200)});
-  view.OnList(ObjectKind::kTargets, {Entry("a", 1), Entry("b", 2)},
+  view.OnList(ObjectKind::kTargets,
+              {MakeTargetEntry("a", 1), MakeTargetEntry("b", 2)},
               At(last_answer_ms - 4), At(last_answer_ms));
   view.OnFailure(ObjectKind::kConfiguration, "no answer in time",
                  At(last_answer_ms + 100), At(last_answer_ms + 300));
@@ -80,15 +71,18 @@
 
 TEST_CASE("a complete list after a short failure of a call removes at once") {
   PlatformView view = ViewAfterOutage(10000, 10700);
-  view.OnList(ObjectKind::kTargets, {Entry("b", 2)}, At(11000), At(11010));
+  view.OnList(ObjectKind::kTargets, {MakeTargetEntry("b", 2)}, At(11000),
+              At(11010));
   CHECK(CountServing(view, 11011) == 1);
 }
 
 TEST_CASE("entries that lapsed in an outage may return within their time") {
   PlatformView view = ViewAfterOutage(6000, 11400);
-  view.OnList(ObjectKind::kTargets, {Entry("b", 2)}, At(11400), At(11410));
+  view.OnList(ObjectKind::kTargets, {MakeTargetEntry("b", 2)}, At(11400),
+              At(11410));
   CHECK(CountServing(view, 13300) == 2);
-  view.OnChanges(ObjectKind::kTargets, {Entry("a", 9)}, At(13400), At(13410));
+  view.OnChanges(ObjectKind::kTargets, {MakeTargetEntry("a", 9)}, At(13400),
+                 At(13410));
   CHECK(CountServing(view, 20000) == 2);
 }
 
--- a/testsuite/endless_events/run.py
+++ b/testsuite/endless_events/run.py
@@ -20,6 +20,7 @@
 MEMORY_MB = 110
 STREAMS = 630
 PLAY_SECONDS = 4.5  # the events exceed their limit within 3.3 s
+CALLER_SECONDS = 12
 MAX_ANSWER_SECONDS = 1.0
 BEHAVIOURS = ["trickled_head", "trickled_event", "trickled_lines"]
 
@@ -59,11 +60,7 @@
         except OSError:
             return
         caller_sockets.append(caller)
-        caller.sendall(f"POST /once/x HTTP/1.1\r\nHost: h.example\r\n"
-                       f"X-Dogwoodlatch-Request-Id: {fleet.new_request_id()}\r\n"
-                       "X-Dogwoodlatch-Deadline-Ms: 12000\r\nX-Api-Key: k1\r\nX-Dogwoodlatch-Model: m\r\n"
-                       "X-Dogwoodlatch-Token-Count: 10,8\r\n"
-                       f"X-Dogwoodlatch-Prompt-Prefix: a1:3,{number + 9:x}:7\r\nContent-Length: 0\r\n\r\n".encode())
+        fleet.send_stream_request(caller, "/once/x", ["a1:3", f"{number + 9:x}:7"], CALLER_SECONDS)
         if number % 50 == 0:
             time.sleep(0.05)
 
--- a/testsuite/partial_entries/run.py
+++ b/testsuite/partial_entries/run.py
@@ -14,12 +14,9 @@
 
 ROUTER, MODEL = "127.0.1.2", "127.0.1.11"
 PLAIN = ["127.0.1.21", "127.0.1.22"]
-REQUIRED_FIELDS = ["service", "addr", "zone", "version", "slots", "state", "cold_left_ms", "seq"]
 REQUESTS = 30
 SHORT_DEADLINE = fleet.deadline(0.6)
 OTHER_PORT = fleet.TARGET_PORT + 1  # of the other writer, at all addresses
-ODD_FIELDS = {"zone": 3, "version": [], "slots": "8", "cold_left_ms": None, "seq": {}, "born": "1790000000000",
-              "models": {"name": "m"}, "stage": 7}
 
 
 class OtherServer(fleet.StandIn):
@@ -39,11 +36,11 @@
     addresses = (f"127.0.2.{number}:{OTHER_PORT}" for number in itertools.count(1))
     for service in ("plain", "model-service"):
         models = [{"name": "m", "version": 1}] if service == "model-service" else []
-        for field in REQUIRED_FIELDS:
+        for field in fleet.REQUIRED_TARGET_FIELDS:
             entry = fleet.target_entry(next(addresses), service, models)
             del entry[field]
             store.put("servers", f"lacks-{field}-{service}", entry)
-        for field, value in ODD_FIELDS.items():
+        for field, value in fleet.ODD_TARGET_FIELDS.items():
             entry = fleet.target_entry(next(addresses), service, models)
             store.put("servers", f"odd-{field}-{service}", {**entry, field: value})
 
