A signal during the end of a daemon does not end it

Cause: the end of the signal set restores the default action, so that a further signal ends the process while it cleans up.

--- a/src/dogwoodlatchd/main.cc
+++ b/src/dogwoodlatchd/main.cc
@@ -76,6 +76,15 @@
   }
 }
 
+void BlockHandledSignals() {
+  sigset_t handled;
+  sigemptyset(&handled);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&handled, number);
+  }
+  pthread_sigmask(SIG_BLOCK, &handled, nullptr);
+}
+
 // Runs a daemon until it stops its event loop.
 template <typename Daemon>
 ExitCode Run(const CommandLine& line, platform::NodeSettings settings) {
@@ -111,6 +120,9 @@
   };
   await_signal();
   RunEventLoop(context);
+  // The end of `signals` restores the default action, which would end the
+  // process by a further signal while it cleans up.
+  BlockHandledSignals();
   EndLog();
   return ExitCode::kOk;
 }
