--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,42 +7,14 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, ".."))
 
-from common2 import (BROKEN, FRONT_MEMORY_MB, HELD, SIDE_MEMORY_MB, TROUBLE, PagedStore, fleet,  # noqa: E402
-                     run_case)
+from common2 import (BROKEN, FRONT_MEMORY_MB, HELD, SIDE_MEMORY_MB, TROUBLE, Machine, PagedStore,  # noqa: E402
+                     fleet, run_case)
 
 SECONDS = 75
-RESTART_DELAY = 0.5  # the platform starts a process that it has killed again after a short delay
 ODD_NAMES = ["lab%20list", "lab%20list-2"]
 ODD_BYTES = 600_000  # value_bytes is 1,048,576
 
 
-class Machine:
-    """Plays the platform for one daemon: kills it over its memory, and starts it again."""
-
-    def __init__(self, record, daemon, memory_mb):
-        self.record, self.daemon, self.memory_mb = record, daemon, memory_mb
-        self.kills, self.most, self.down_since = 0, 0.0, None
-
-    def look(self):
-        now = time.monotonic()
-        if self.down_since is not None:
-            if now - self.down_since >= RESTART_DELAY:
-                self.down_since = None
-                self.daemon.start()
-            return
-        memory = self.daemon.memory_mb()
-        self.most = max(self.most, memory)
-        ended = self.daemon.process.poll()
-        if ended is None and memory <= self.memory_mb:
-            return
-        self.kills += 1
-        self.record(f"{self.daemon.role} {self.daemon.ip}:",
-                    f"killed at {memory:.0f} MB of {self.memory_mb} MB" if ended is None else f"ended with {ended}")
-        self.daemon.process.kill()
-        self.daemon.process.wait()
-        self.down_since = now
-
-
 def case(site):
     record = site.record
     store = PagedStore()
--- a/review/common2.py
+++ b/review/common2.py
@@ -136,6 +136,35 @@
         self.process.wait()
 
 
+class Machine:
+    """Plays the platform for one daemon: kills it over its memory, and starts it again."""
+
+    RESTART_DELAY = 0.5  # the platform starts a process that it has killed again after a short delay
+
+    def __init__(self, record, daemon, memory_mb):
+        self.record, self.daemon, self.memory_mb = record, daemon, memory_mb
+        self.kills, self.most, self.down_since = 0, 0.0, None
+
+    def look(self):
+        now = time.monotonic()
+        if self.down_since is not None:
+            if now - self.down_since >= self.RESTART_DELAY:
+                self.down_since = None
+                self.daemon.start()
+            return
+        memory = self.daemon.memory_mb()
+        self.most = max(self.most, memory)
+        ended = self.daemon.process.poll()
+        if ended is None and memory <= self.memory_mb:
+            return
+        self.kills += 1
+        self.record(f"{self.daemon.role} {self.daemon.ip}:",
+                    f"killed at {memory:.0f} MB of {self.memory_mb} MB" if ended is None else f"ended with {ended}")
+        self.daemon.process.kill()
+        self.daemon.process.wait()
+        self.down_since = now
+
+
 class Site:
     """Addresses, store and daemons of one run; all of them end with it."""
 
