Names are encoded in URLs, and a list that does not advance ends

Cause: the name after which the next page starts was put into the query as it was. The store decoded it to "lab list", which precedes "lab%20list", and returned the same page. The feed took has_more for progress and added each page to the list that it held.

Change: PercentEncode for names in queries and paths; ListCursor sends each name back once. A list that cannot be continued is logged (E215) and counted (dogwoodlatch_lists_incomplete); what targets and weights it holds is used, and it proves nothing about the configuration. The same on related paths: `check`, objects and histories of the product's own store, the decoded path of a service call (a caller could add header lines to the service's request), names that are not UTF-8, and a page without a name, which was taken for the end of the list.

Why this works: the store reads the name that it returned, so each page starts behind the last one; and a cursor that repeats cannot start another page.

--- a/src/dogwoodlatch-agent/target_client.cc
+++ b/src/dogwoodlatch-agent/target_client.cc
@@ -10,6 +10,7 @@
 #include "dogwoodlatch/agent_core.h"
 #include "dogwoodlatch/dataplane/http_client.h"
 #include "dogwoodlatch/json_reader.h"
+#include "dogwoodlatch/percent_encoding.h"
 #include "dogwoodlatch/util/address.h"
 #include "dogwoodlatch/util/log.h"
 
@@ -174,7 +175,8 @@
                                 std::chrono::milliseconds timeout) {
   dataplane::Call call;
   call.method = order.method;
-  call.target = order.path;
+  // The front end has decoded the path.
+  call.target = PercentEncodePath(order.path);
   call.body = order.body;
   call.timeout = timeout;
   call.max_body_bytes = kMaxServiceBodyBytes;
--- a/src/dogwoodlatch-agent/target_client_test.cc
+++ b/src/dogwoodlatch-agent/target_client_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <string_view>
@@ -32,7 +33,9 @@
     thread_ = std::thread([this, bytes = std::move(bytes), ending] {
       const int connection = accept(listener_, nullptr, nullptr);
       std::string request(4096, '\0');
-      static_cast<void>(recv(connection, request.data(), request.size(), 0));
+      const ssize_t count = recv(connection, request.data(), request.size(), 0);
+      request_ =
+          request.substr(0, static_cast<size_t>(std::max(count, ssize_t{0})));
       static_cast<void>(
           send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL));
       if (ending == Ending::kReset) {
@@ -47,35 +50,66 @@
   CutTarget(const CutTarget&) = delete;
   CutTarget& operator=(const CutTarget&) = delete;
   ~CutTarget() {
-    thread_.join();
+    Join();
     close(listener_);
   }
 
+  // What was received, once the connection has ended.
+  const std::string& request() {
+    Join();
+    return request_;
+  }
+
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
  private:
+  void Join() {
+    if (thread_.joinable()) thread_.join();
+  }
+
   int listener_;
   uint16_t port_ = 0;
+  std::string request_;
   std::thread thread_;
 };
 
+Submit ServiceOrder(const char* path) {
+  Submit order;
+  order.kind = RequestKind::kService;
+  order.method = std::string("GET");
+  order.path = std::string(path);
+  return order;
+}
+
 CallResult CallTarget(std::string bytes, Ending ending, std::string& body) {
   const CutTarget target(std::move(bytes), ending);
   AgentSettings settings;
   settings.target_kind = RequestKind::kService;
   settings.target_address = target.address();
   settings.target_timeout = std::chrono::seconds(2);
-  Submit order;
-  order.kind = RequestKind::kService;
-  order.method = std::string("GET");
-  order.path = std::string("/x");
   Cancellation cancellation;
   return TargetClient(settings).Run(
-      order, cancellation, [&](const std::string& part) { body += part; });
+      ServiceOrder("/x"), cancellation,
+      [&](const std::string& part) { body += part; });
 }
 
 }  // namespace
 
+// Guards against a caller who adds lines to the request that a service gets, by
+// line breaks that are encoded in the path: the front end decodes it.
+TEST_CASE("the path of a service call is encoded") {
+  CutTarget target("HTTP/1.1 204 X\r\n\r\n", Ending::kClose);
+  AgentSettings settings;
+  settings.target_kind = RequestKind::kService;
+  settings.target_address = target.address();
+  settings.target_timeout = std::chrono::seconds(2);
+  Cancellation cancellation;
+  TargetClient(settings).Run(ServiceOrder("/a b%/c?d\r\nX-Forged: 1"),
+                             cancellation, [](const std::string&) {});
+  CHECK(target.request().starts_with(
+      "GET /a%20b%25/c%3Fd%0D%0AX-Forged:%201 HTTP/1.1\r\n"));
+}
+
 // Guards against a response that stops in its head, or short of its length, and
 // reaches the caller as a whole one.
 TEST_CASE("a response that is cut is not complete") {
--- a/src/dogwoodlatch/check_command.cc
+++ b/src/dogwoodlatch/check_command.cc
@@ -44,10 +44,10 @@
   }
   const PlatformClient client = options.OpenPlatform();
   std::vector<platform::StoredObject> objects;
+  platform::ListCursor cursor;
   for (bool has_more = true; has_more;) {
-    const std::string after = objects.empty() ? "" : objects.back().name;
     const auto body = client.GetText(
-        platform::ListPath(platform::ObjectKind::kConfiguration, after,
+        platform::ListPath(platform::ObjectKind::kConfiguration, cursor.after(),
                            platform::ReadConsistency::kLinearizable));
     if (!body) {
       return Error{ErrorCode::kUnavailable, std::string(kInForce),
@@ -60,7 +60,13 @@
                    "the platform's store answered with something else: " +
                        ToString(page.error())};
     }
-    has_more = page.value().has_more && !page.value().objects.empty();
+    has_more = page.value().has_more;
+    if (has_more && !cursor.Advance(page.value())) {
+      return Error{ErrorCode::kUnavailable, std::string(kInForce),
+                   "the platform's store cannot be read: its list does not "
+                   "continue after " +
+                       Json(cursor.after()).dump()};
+    }
     std::ranges::move(page.value().objects, std::back_inserter(objects));
   }
   // Daemons keep the highest version that they can decode.
--- a/src/include/dogwoodlatch/daemon/object_feed.h
+++ b/src/include/dogwoodlatch/daemon/object_feed.h
@@ -39,6 +39,12 @@
   std::function<void(const std::vector<platform::StoredObject>&,
                      TimePoint sent)>
       on_list;
+  /// Receives what has been listed of a list that cannot be continued. Returns
+  /// false, as an empty function does, if only a complete list is of use: the
+  /// call has then failed.
+  std::function<bool(const std::vector<platform::StoredObject>&,
+                     TimePoint sent)>
+      on_incomplete_list;
   /// Receives the changes of a watch, possibly none.
   std::function<void(const std::vector<platform::StoredObject>&,
                      TimePoint sent)>
@@ -77,11 +83,14 @@
   /// Handles the era of an answer. Returns false if the answer must not be
   /// used; the next call is then already scheduled.
   bool CheckEra(const dataplane::CallResponse& response);
-  void ListFrom(std::string_view after);
+  void StartList();
+  void RequestPage();
   void Watch();
   void ScheduleNext(bool has_changed);
   void Pause(std::chrono::milliseconds pause);
   void OnListed(Result<dataplane::CallResponse> response);
+  void RecordList();
+  void OnListStuck(const std::vector<platform::StoredObject>& listed);
   void OnWatched(Result<dataplane::CallResponse> response);
   void Retry(const std::string& reason);
   void Continue();
@@ -98,6 +107,7 @@
   bool has_failed_ = false;      ///< the last call
   uint64_t revision_ = 0;        ///< the next watch starts here
   std::optional<uint64_t> era_;  ///< in which `revision_` is valid
+  platform::ListCursor cursor_;  ///< in the list in progress
   uint64_t list_revision_ = 0;   ///< revision of the list's first page
   TimePoint list_sent_{};
   TimePoint call_sent_{};
--- a/src/include/dogwoodlatch/daemon/platform_view.h
+++ b/src/include/dogwoodlatch/daemon/platform_view.h
@@ -56,6 +56,12 @@
   void OnList(platform::ObjectKind kind,
               const std::vector<platform::StoredObject>& objects,
               TimePoint sent, TimePoint now);
+
+  /// Handles the part of a list that could be read. Returns false if only a
+  /// complete list is of use.
+  bool OnIncompleteList(platform::ObjectKind kind,
+                        const std::vector<platform::StoredObject>& objects,
+                        TimePoint sent, TimePoint now);
   void OnChanges(platform::ObjectKind kind,
                  const std::vector<platform::StoredObject>& objects,
                  TimePoint sent, TimePoint now);
@@ -100,6 +106,8 @@
   const ConfigurationPtr& configuration() const { return configuration_; }
   /// How many versions of the configuration could not be used.
   uint64_t refused_configurations() const { return refused_configurations_; }
+  /// How many lists could not be continued.
+  uint64_t incomplete_lists() const { return incomplete_lists_; }
   const serving::FreshnessGuard& freshness() const { return freshness_; }
   serving::Fleet& fleet() { return fleet_; }
   const serving::Fleet& fleet() const { return fleet_; }
@@ -138,6 +146,7 @@
   bool was_restored_ = false;  ///< since this process started
   ConfigurationPtr configuration_;
   uint64_t refused_configurations_ = 0;
+  uint64_t incomplete_lists_ = 0;
   /// Newest version that the store has returned in the current era.
   uint64_t stored_configuration_ = 0;
   /// When this process first saw the current era; on the clock of `sent`.
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -31,6 +31,7 @@
   kConfigurationAdopted = 212,
   kBadObject = 213,
   kWeightsNamed = 214,
+  kListIncomplete = 215,
   kVmListAdopted = 220,
   kTargetListed = 221,
   kTargetUnlisted = 222,
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -89,6 +89,10 @@
     handlers.on_list = [this, kind](const auto& objects, TimePoint sent) {
       view_.OnList(kind, objects, sent, SteadyNow());
     };
+    handlers.on_incomplete_list = [this, kind](const auto& objects,
+                                               TimePoint sent) {
+      return view_.OnIncompleteList(kind, objects, sent, SteadyNow());
+    };
     handlers.on_changes = [this, kind](const auto& objects, TimePoint sent) {
       view_.OnChanges(kind, objects, sent, SteadyNow());
     };
--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -6,6 +6,7 @@
 
 #include "dogwoodlatch/daemon/boot_clock.h"
 #include "dogwoodlatch/util/event_loop.h"
+#include "dogwoodlatch/util/log.h"
 
 namespace dogwoodlatch::daemon {
 namespace {
@@ -48,12 +49,12 @@
       retry_pause_(kInitialRetryPause) {}
 
 void ObjectFeed::Start() {
-  if (!options_.is_on_demand) ListFrom("");
+  if (!options_.is_on_demand) StartList();
 }
 
 bool ObjectFeed::ListNow() {
   if (is_listing_) return false;
-  ListFrom("");
+  StartList();
   return true;
 }
 
@@ -101,22 +102,25 @@
   if (has_list_) {
     Watch();
   } else {
-    ListFrom("");
+    StartList();
   }
 }
 
-void ObjectFeed::ListFrom(std::string_view after) {
+void ObjectFeed::StartList() {
+  listed_.clear();
+  cursor_ = {};
+  list_revision_ = 0;
+  list_sent_ = BootNow();
+  RequestPage();
+}
+
+void ObjectFeed::RequestPage() {
   is_listing_ = true;
   call_sent_ = BootNow();
   call_due_ = call_sent_;
   if (handlers_.on_call) handlers_.on_call();
-  if (after.empty()) {
-    listed_.clear();
-    list_sent_ = call_sent_;
-    list_revision_ = 0;
-  }
   Call call = Call::Get(
-      platform::ListPath(options_.kind, after,
+      platform::ListPath(options_.kind, cursor_.after(),
                          options_.poll_period
                              ? platform::ReadConsistency::kSerializable
                              : platform::ReadConsistency::kLinearizable),
@@ -150,18 +154,46 @@
   // changes made while the later pages were listed.
   if (list_revision_ == 0) list_revision_ = page.value().revision;
   std::ranges::move(objects, std::back_inserter(listed_));
-  if (page.value().has_more && !listed_.empty()) {
-    ListFrom(listed_.back().name);
+  if (page.value().has_more && cursor_.Advance(page.value())) {
+    RequestPage();
+    return;
+  }
+  // A handler may start the next list.
+  const auto listed = std::exchange(listed_, {});
+  if (page.value().has_more) {
+    OnListStuck(listed);
+    return;
+  }
+  RecordList();
+  RunGuarded("list", [&] { handlers_.on_list(listed, list_sent_); });
+  if (!options_.is_on_demand) ScheduleNext(false);
+}
+
+// To ask for the same page again would never end.
+void ObjectFeed::OnListStuck(
+    const std::vector<platform::StoredObject>& listed) {
+  bool is_used = false;
+  RunGuarded("list", [&] {
+    is_used = handlers_.on_incomplete_list &&
+              handlers_.on_incomplete_list(listed, list_sent_);
+  });
+  LogEvent(EventId::kListIncomplete,
+           {{"feed", std::string(ToString(options_.kind))},
+            {"objects", std::to_string(listed.size())},
+            {"used", is_used ? "yes" : "no"}});
+  if (!is_used) {
+    Retry("the list cannot be continued");
     return;
   }
+  RecordList();
+  if (!options_.is_on_demand) ScheduleNext(false);
+}
+
+void ObjectFeed::RecordList() {
   retry_pause_ = kInitialRetryPause;
   has_failed_ = false;
   has_list_ = !options_.poll_period;
   revision_ = list_revision_;
-  RunGuarded("list", [&] {
-    handlers_.on_list(std::exchange(listed_, {}), list_sent_);
-  });
-  if (!options_.is_on_demand) ScheduleNext(false);
 }
 
 void ObjectFeed::Watch() {
@@ -186,7 +218,7 @@
   if (!CheckEra(response.value())) return;
   if (response.value().status == kStatusGone) {
     has_list_ = false;
-    ListFrom("");
+    StartList();
     return;
   }
   if (response.value().status != kStatusOk) {
--- a/src/libdaemon/object_feed_test.cc
+++ b/src/libdaemon/object_feed_test.cc
@@ -106,6 +106,80 @@
   CHECK(changes == std::vector<size_t>{0});
 }
 
+std::string Page(const std::string& name, bool has_more) {
+  return JsonResponse(200,
+                      R"({"items":[{"metadata":{"name":")" + name +
+                          R"(","rev":3},"spec":{}}],"as_of":5,"has_more":)" +
+                          (has_more ? "true}" : "false}"));
+}
+
+// What a feed makes of the given pages.
+struct Listing {
+  std::vector<std::string> requests;
+  std::vector<size_t> complete, incomplete;  // objects of each list
+  int failures = 0;
+};
+
+Listing ListPages(std::deque<std::string> pages, bool uses_incomplete) {
+  asio::io_context context{1};
+  ScriptedStore store(context, std::move(pages));
+  Listing result;
+  FeedHandlers handlers;
+  handlers.on_list = [&](const auto& objects, TimePoint /*sent*/) {
+    result.complete.push_back(objects.size());
+  };
+  handlers.on_incomplete_list = [&](const auto& objects, TimePoint /*sent*/) {
+    result.incomplete.push_back(objects.size());
+    return uses_incomplete;
+  };
+  handlers.on_failure = [&](const std::string& /*reason*/,
+                            Duration /*overdue*/) { ++result.failures; };
+  FeedOptions options;
+  options.kind = platform::ObjectKind::kTargets;
+  options.store_address = store.address();
+  ObjectFeed feed(context, options, handlers);
+  feed.Start();
+  context.run_for(milliseconds(50));
+  result.requests = store.requests();
+  return result;
+}
+
+// Guards against a feed that asks for the same page for ever, as the name in
+// its request is not the one that the store has.
+TEST_CASE("a feed sends back the name on which a page ends") {
+  const Listing listing =
+      ListPages({Page("a b%20c", true), Page("z", false)}, true);
+  REQUIRE(listing.requests.size() == 3);
+  CHECK(listing.requests[1].ends_with("?after=a%20b%2520c HTTP/1.1"));
+  CHECK(WaitOf(listing.requests[2]) > 0);
+  CHECK(listing.complete == std::vector<size_t>{2});
+}
+
+TEST_CASE("a list that leads back to a page is used as far as it goes") {
+  const std::deque<std::string> pages = {Page("a", true), Page("b", true),
+                                         Page("a", true)};
+  const Listing used = ListPages(pages, true);
+  CHECK(used.incomplete == std::vector<size_t>{3});
+  CHECK(used.complete.empty());
+  CHECK(used.failures == 0);
+  REQUIRE(used.requests.size() == 4);
+  CHECK(WaitOf(used.requests[3]) > 0);  // goes on to watch
+  const Listing unused = ListPages(pages, false);
+  CHECK(unused.failures == 1);
+  CHECK(unused.complete.empty());
+  CHECK(unused.requests.size() == 3);  // lists again after a pause
+}
+
+// Guards against a list that is taken for a complete one, so that all targets
+// are dropped, because its first page holds no name.
+TEST_CASE("a page without a name does not complete a list") {
+  const std::string page =
+      JsonResponse(200, R"({"items":[{}],"has_more":true,"as_of":5})");
+  const Listing listing = ListPages({page}, true);
+  CHECK(listing.complete.empty());
+  CHECK(listing.incomplete == std::vector<size_t>{0});
+}
+
 // A feed that has listed and whose first watch is held for `wait` at most.
 class WatchingFeed {
  public:
--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -166,6 +166,19 @@
   if (kind == ObjectKind::kWeights) has_weights_ = true;
 }
 
+// Targets that were not listed may still be there, so none is removed. A newer
+// configuration may be among the objects that were not listed, so that such a
+// list proves nothing.
+bool PlatformView::OnIncompleteList(ObjectKind kind,
+                                    const std::vector<StoredObject>& objects,
+                                    TimePoint sent, TimePoint now) {
+  ++incomplete_lists_;
+  if (kind == ObjectKind::kConfiguration) return false;
+  OnChanges(kind, objects, sent, now);
+  if (kind == ObjectKind::kWeights) has_weights_ = true;
+  return true;
+}
+
 void PlatformView::OnChanges(ObjectKind kind,
                              const std::vector<StoredObject>& objects,
                              TimePoint sent, TimePoint now) {
--- a/src/libdaemon/platform_view_test.cc
+++ b/src/libdaemon/platform_view_test.cc
@@ -90,6 +90,19 @@
   CHECK(view.fleet().targets().size() == 1);
 }
 
+TEST_CASE("an incomplete list removes no target and proves no configuration") {
+  PlatformView view = MakeView();
+  view.OnList(ObjectKind::kTargets,
+              {MakeTargetEntry("a", 1), MakeTargetEntry("b", 2)}, At(0), At(5));
+  CHECK(view.OnIncompleteList(ObjectKind::kTargets, {MakeTargetEntry("c", 3)},
+                              At(1000), At(1005)));
+  CHECK(view.fleet().targets().size() == 3);
+  CHECK_FALSE(view.OnIncompleteList(ObjectKind::kConfiguration,
+                                    {Configuration(7)}, At(1000), At(1005)));
+  CHECK_FALSE(view.freshness().IsFresh(At(1010)));
+  CHECK(view.incomplete_lists() == 2);
+}
+
 TEST_CASE("old weights are excluded after the promised time") {
   PlatformView view = MakeView();
   view.OnList(ObjectKind::kWeights, {}, At(0), At(5));
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -171,6 +171,9 @@
   metrics_.RegisterGauge("dogwoodlatch_configurations_refused", [this] {
     return static_cast<double>(view_.refused_configurations());
   });
+  metrics_.RegisterGauge("dogwoodlatch_lists_incomplete", [this] {
+    return static_cast<double>(view_.incomplete_lists());
+  });
   metrics_.RegisterGauge("dogwoodlatch_handler_failures",
                          [] { return static_cast<double>(HandlerFailures()); });
   metrics_.RegisterGauge("dogwoodlatch_caller_connections", [this] {
@@ -253,6 +256,10 @@
     if (was_unreachable) std::ranges::for_each(feeds_, &ObjectFeed::RetryNow);
     if (answers_questions) freshness_keeper_.OnConfigurationRead(sent);
   };
+  handlers.on_incomplete_list = [this, kind](const auto& objects,
+                                             TimePoint sent) {
+    return view_.OnIncompleteList(kind, objects, sent, SteadyNow());
+  };
   handlers.on_changes = [this, kind](const auto& objects, TimePoint sent) {
     const bool was_unreachable = !view_.is_reachable();
     view_.OnChanges(kind, objects, sent, SteadyNow());
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -65,6 +65,10 @@
               "and is ignored."},
     EventSpec{EventId::kWeightsNamed, Severity::kInfo, "weights_named",
               "The platform names a newer version of a model's weights."},
+    EventSpec{EventId::kListIncomplete, Severity::kWarning, "list_incomplete",
+              "A list of the platform's store cannot be continued after an "
+              "object whose name cannot be sent back; what it holds so far is "
+              "used, or the list fails."},
     EventSpec{EventId::kVmListAdopted, Severity::kInfo, "vm_list_adopted",
               "A new VM list is in force."},
     EventSpec{EventId::kTargetListed, Severity::kInfo, "target_listed",
--- a/src/libutil/platform_client.cc
+++ b/src/libutil/platform_client.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "dogwoodlatch/json_reader.h"
+#include "dogwoodlatch/percent_encoding.h"
 #include "dogwoodlatch/util/address.h"
 
 namespace dogwoodlatch {
@@ -104,15 +105,14 @@
   return changes;
 }
 
-std::string EncodeQueryParam(std::string_view name, std::string_view value) {
-  return std::string(name) + "=" +
-         httplib::detail::encode_query_param(std::string(value));
+std::string ObjectUrl(std::string_view path) {
+  return "/objects/" + PercentEncodePath(path);
 }
 
 std::string EncodePrefixes(const std::vector<std::string>& prefixes) {
   std::string query;
   for (const std::string& prefix : prefixes) {
-    query += EncodeQueryParam("prefix", prefix) + "&";
+    query += "prefix=" + PercentEncode(prefix) + "&";
   }
   return query;
 }
@@ -172,8 +172,7 @@
 
 Result<PlatformObject> PlatformClient::Get(std::string_view path) const {
   ActiveCalls::Call client(*active_calls_, options_, milliseconds(0));
-  const Result<Json> json =
-      ParseResponse(client->Get("/objects/" + std::string(path)), path);
+  const Result<Json> json = ParseResponse(client->Get(ObjectUrl(path)), path);
   if (!json) return json.error();
   return ParseObject(json.value());
 }
@@ -192,7 +191,7 @@
                                                   uint64_t version) const {
   ActiveCalls::Call client(*active_calls_, options_, milliseconds(0));
   const std::string url =
-      "/objects/" + std::string(path) + "?version=" + std::to_string(version);
+      ObjectUrl(path) + "?version=" + std::to_string(version);
   const Result<Json> json = ParseResponse(client->Get(url), path);
   if (!json) return json.error();
   return ParseObject(json.value());
@@ -203,8 +202,8 @@
   ActiveCalls::Call client(*active_calls_, options_, milliseconds(0));
   const httplib::Headers condition = {
       {"If-Match", std::to_string(expected_version)}};
-  const auto result = client->Put("/objects/" + std::string(path), condition,
-                                  value.dump(), "application/json");
+  const auto result =
+      client->Put(ObjectUrl(path), condition, value.dump(), "application/json");
   const Result<Json> json = ParseWriteResponse(result, path);
   if (!json) return json.error();
   return ReadRevision(json.value(), "version", 0);
@@ -215,8 +214,8 @@
   ActiveCalls::Call client(*active_calls_, options_, milliseconds(0));
   const httplib::Headers condition = {
       {"If-Match", std::to_string(expected_version)}};
-  const Result<Json> json = ParseWriteResponse(
-      client->Delete("/objects/" + std::string(path), condition), path);
+  const Result<Json> json =
+      ParseWriteResponse(client->Delete(ObjectUrl(path), condition), path);
   if (!json) return json.error();
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -241,7 +240,7 @@
 Result<ObjectHistory> PlatformClient::History(std::string_view path) const {
   ActiveCalls::Call client(*active_calls_, options_, milliseconds(0));
   const Result<Json> json =
-      ParseResponse(client->Get("/history/" + std::string(path)), path);
+      ParseResponse(client->Get("/history/" + PercentEncodePath(path)), path);
   if (!json) return json.error();
   return ParseChangeList(json.value());
 }
--- a/src/libutil/platform_client_test.cc
+++ b/src/libutil/platform_client_test.cc
@@ -13,10 +13,12 @@
 class OddPlatform {
  public:
   OddPlatform() {
-    server_.Get(".*",
-                [this](const httplib::Request&, httplib::Response& response) {
-                  response.set_content(body, "application/json");
-                });
+    server_.Get(".*", [this](const httplib::Request& request,
+                             httplib::Response& response) {
+      target = request.target;
+      path = request.path;
+      response.set_content(body, "application/json");
+    });
     port_ = server_.bind_to_any_port("127.0.0.1");
     thread_ = std::thread([this] { server_.listen_after_bind(); });
     while (!server_.is_running()) std::this_thread::yield();
@@ -31,6 +33,8 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
   std::string body;
+  std::string target;  // of the last request, as sent
+  std::string path;    // decoded
 
  private:
   httplib::Server server_;
@@ -72,6 +76,25 @@
   }
 }
 
+// Guards against reading another object than the one that was listed, because
+// its name holds characters with a meaning in URLs.
+TEST_CASE("paths of objects are encoded") {
+  OddPlatform platform;
+  platform.body = R"({"changes":[]})";
+  const PlatformClient client(
+      {.address = platform.address(), .timeout = std::chrono::seconds(2)});
+  const std::string odd = "settings/a%20b c?d#e+f&g";
+  CHECK(client.Get(odd));
+  CHECK(platform.path == "/objects/" + odd);
+  CHECK(client.GetVersion(odd, 3));
+  CHECK(platform.path == "/objects/" + odd);
+  CHECK(platform.target.ends_with("?version=3"));
+  CHECK(client.History(odd));
+  CHECK(platform.path == "/history/" + odd);
+  CHECK(client.List("a&b=c+d e"));
+  CHECK(platform.target == "/objects?prefix=a%26b%3Dc%2Bd%20e&");
+}
+
 TEST_CASE("answers of another type are failed calls") {
   OddPlatform platform;
   const PlatformClient client(
