A request is never refused to make room for itself

Cause: AccountInput asks the ledger for room while the session parses its request. MakeRoom chose among all connections and could refuse that request, which resets its reader; with others refused as well, the reservation succeeded and ParseNext went on with the reader that was gone. Where the room did not suffice, the caller got two answers.

Evidence: the new case with AddressSanitizer on the code before reports a heap-use-after-free in TakeContinueExpectation, called by ParseNext, on a reader that RejectUnreadable had freed below MakeRoom, AccountInput and the same ParseNext.

Change: MakeRoom takes the claimant and never chooses it. Why this works: only requests of other sessions end in the call, none of which is being parsed.

--- a/src/include/dogwoodlatch/dataplane/connection_ledger.h
+++ b/src/include/dogwoodlatch/dataplane/connection_ledger.h
@@ -69,9 +69,9 @@
   }
   void Remove(Position position) { connections_.erase(position); }
 
-  /// Refuses requests of other connections until a request can grow by `bytes`.
-  /// Returns false, and refuses none, if that is not possible.
-  bool MakeRoom(bool claimant_has_key, size_t bytes, TimePoint now);
+  /// Refuses requests of other connections until that of `claimant` can grow by
+  /// `bytes`. Returns false, and refuses none, if that is not possible.
+  bool MakeRoom(const LedgerConnection& claimant, size_t bytes, TimePoint now);
 
   /// Closes the slowest readers while unsent answers exceed their limit.
   void RelieveOutput(TimePoint now);
--- a/src/libdataplane/connection_ledger.cc
+++ b/src/libdataplane/connection_ledger.cc
@@ -20,18 +20,21 @@
   output_.SetCapacity(limits.output_bytes);
 }
 
-bool ConnectionLedger::MakeRoom(bool claimant_has_key, size_t bytes,
+// The claimant is parsing its request, which must not end meanwhile.
+bool ConnectionLedger::MakeRoom(const LedgerConnection& claimant, size_t bytes,
                                 TimePoint now) {
   std::vector<ConnectionLoad> loads;
   std::ranges::transform(connections_, std::back_inserter(loads),
                          [&](const LedgerConnection* connection) {
-                           return connection->InputLoad(now);
+                           return connection == &claimant
+                                      ? ConnectionLoad{}
+                                      : connection->InputLoad(now);
                          });
   const size_t used = input_.used() + bytes;
   const size_t needed = used - std::min(used, limits_.input_bytes);
   const std::vector<size_t> chosen =
       ConnectionPressure(std::move(loads))
-          .MakeRoom(claimant_has_key, needed,
+          .MakeRoom(claimant.InputLoad(now).has_key, needed,
                     std::max(needed, limits_.input_bytes / kReliefDivisor));
   const std::vector<LedgerConnection*> connections(connections_.begin(),
                                                    connections_.end());
--- a/src/libdataplane/http_server_memory.cc
+++ b/src/libdataplane/http_server_memory.cc
@@ -162,7 +162,7 @@
   constexpr size_t kUnlimited = std::numeric_limits<size_t>::max();
   if (input_bytes_.Resize(held, kUnlimited)) return true;
   if (reader_->has_head() && !AcceptHead()) return false;
-  if (ledger_.MakeRoom(has_key_, input_bytes_.Growth(held), SteadyNow()) &&
+  if (ledger_.MakeRoom(*this, input_bytes_.Growth(held), SteadyNow()) &&
       input_bytes_.Resize(held, kUnlimited)) {
     return true;
   }
--- a/src/libdataplane/http_server_memory_test.cc
+++ b/src/libdataplane/http_server_memory_test.cc
@@ -19,9 +19,7 @@
 class Server {
  public:
   Server() : acceptor_(context_, {asio::ip::address_v4::loopback(), 0}) {
-    state->ledger->SetLimits({.input_bytes = kInputBytes,
-                              .output_bytes = 4UL * 1024 * 1024,
-                              .header_lines = 32});
+    LimitInput(kInputBytes);
     state->ledger->on_refusal = [this](RefusalReason reason) {
       reasons.push_back(reason);
     };
@@ -50,12 +48,30 @@
     Tcp::socket client(context_);
     client.connect(acceptor_.local_endpoint());
     client.non_blocking(true);
-    std::error_code ignored;
-    client.write_some(asio::buffer(bytes), ignored);
-    Run();
+    SendMore(client, bytes);
     return client;
   }
 
+  // Sends in steps, as the socket takes no more than its buffer.
+  void SendMore(Tcp::socket& client, const std::string& bytes) {
+    std::error_code error;
+    size_t sent = 0;
+    for (int steps = 0; sent < bytes.size() && steps < 100; ++steps) {
+      sent += client.write_some(
+          asio::buffer(bytes.data() + sent, bytes.size() - sent), error);
+      if (sent < bytes.size()) Run(milliseconds(2));
+    }
+    Run();
+  }
+
+  void LimitInput(size_t bytes) {
+    state->ledger->SetLimits({.input_bytes = bytes,
+                              .output_bytes = 4UL * 1024 * 1024,
+                              .header_lines = 32});
+  }
+
+  size_t used() const { return state->ledger->input().used(); }
+
   static std::string Read(Tcp::socket& client) {
     std::string text(65536, '\0');
     std::error_code error;
@@ -94,6 +110,22 @@
          std::string(sent, 'b');
 }
 
+// The next byte of the body doubles its buffer.
+constexpr size_t kFullBuffer = 64UL * 1024;
+constexpr size_t kLargeBody = 100000;
+constexpr const char* kLastByte = "1\r\nz\r\n0\r\n\r\n";
+
+// A chunked upload that has filled its buffer and stops.
+Tcp::socket SendFullBuffer(Server& server) {
+  Tcp::socket client = server.Send(
+      "POST /x HTTP/1.1\r\nHost: h\r\nKey: good\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n");
+  for (size_t sent = 0; sent < kFullBuffer; sent += 1024) {
+    server.SendMore(client, "400\r\n" + std::string(1024, 'b') + "\r\n");
+  }
+  return client;
+}
+
 }  // namespace
 
 // Guards against a crowd that keeps sound callers out by stopping short.
@@ -113,6 +145,40 @@
   CHECK(server.state->sessions == 1);
 }
 
+// Guards against a process that ends (review/6): the request for which room was
+// made was refused to make it, while its bytes were being parsed.
+TEST_CASE("a request that goes on is not refused to make room for itself") {
+  Server server;
+  Tcp::socket caller = SendFullBuffer(server);
+  server.Run(milliseconds(1000));  // it has stalled longest
+  Tcp::socket large = server.Send(Post("good", kLargeBody, kLargeBody - 1));
+  Tcp::socket small = server.Send(Post("good", 2000, 1999));
+  server.Run(kMinStall);
+  server.LimitInput(server.used());
+  server.SendMore(caller, kLastByte);
+  CHECK(Server::Read(caller).starts_with("HTTP/1.1 200"));
+  CHECK(server.lacked_body == std::vector{false});
+  CHECK(server.reasons == std::vector{RefusalReason::kMemory});
+  CHECK(Server::Read(large).starts_with("HTTP/1.1 503"));
+  CHECK(Server::Read(small).empty());
+}
+
+// The same where no other request gives way: it is refused once, and not
+// served.
+TEST_CASE("a request that gets no room is refused once") {
+  Server server;
+  Tcp::socket caller = SendFullBuffer(server);
+  server.Run(kMinStall);
+  Tcp::socket other = server.Send(Post("good", kLargeBody, kLargeBody - 1));
+  server.LimitInput(server.used());
+  server.SendMore(caller, kLastByte);
+  const std::string answer = Server::Read(caller);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+  CHECK(server.reasons == std::vector{RefusalReason::kMemory});
+  CHECK(server.lacked_body.empty());
+}
+
 // Guards against bodies that are held for callers who will be refused.
 TEST_CASE("a body is not held once its head is denied") {
   Server server;
