A feed arms its pause before it reports a failure

Cause: the handler of a failed call makes the target feed probe. Where the failed call is the target feed's own, the probe was sent at once and then cancelled and repeated when the pause ended, which Retry armed afterwards. Found while looking for calls that end a connection in whose code they are made.

Change: the pause is armed first, so that the probe leaves a pausing feed alone.

Test: the new case of object_feed_test failed before (four calls instead of three) and passes now.

--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -273,13 +273,15 @@
 // receive the calls of all processes at once.
 void ObjectFeed::Retry(const std::string& reason) {
   has_failed_ = true;
+  if (!options_.is_on_demand) {
+    std::uniform_real_distribution<double> spread(0.6, 1.2);
+    const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
+        retry_pause_ * spread(random_));
+    retry_pause_ = std::min(retry_pause_ * 2, options_.max_retry_pause);
+    Pause(pause);
+  }
+  // The handler may probe: not this feed, which pauses already.
   handlers_.on_failure(reason, std::max(Duration{0}, BootNow() - call_due_));
-  if (options_.is_on_demand) return;
-  std::uniform_real_distribution<double> spread(0.6, 1.2);
-  const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
-      retry_pause_ * spread(random_));
-  retry_pause_ = std::min(retry_pause_ * 2, options_.max_retry_pause);
-  Pause(pause);
 }
 
 }  // namespace dogwoodlatch::daemon
--- a/src/libdaemon/object_feed_test.cc
+++ b/src/libdaemon/object_feed_test.cc
@@ -221,6 +221,28 @@
   CHECK(WaitOf(watching.requests()[2]) <= 1);
 }
 
+// Guards against a call that is cancelled and repeated: the failure of a feed
+// made it probe, and its pause was armed only then.
+TEST_CASE("a feed whose own call has failed pauses before the next one") {
+  ObjectFeed* probed = nullptr;
+  bool has_failed = false;
+  FeedHandlers handlers;
+  handlers.on_failure = [&](const std::string& /*reason*/,
+                            Duration /*overdue*/) {
+    has_failed = true;
+    probed->Probe();
+  };
+  WatchingFeed watching(milliseconds(100), std::move(handlers));
+  probed = &watching.feed();
+  for (int i = 0; i < 300 && !has_failed; ++i) {
+    watching.RunFor(milliseconds(10));
+  }
+  REQUIRE(has_failed);
+  CHECK(watching.requests().size() == 2);
+  watching.RunFor(milliseconds(300));
+  CHECK(watching.requests().size() == 3);
+}
+
 // The failure of a watch that was to be held is as old as its late answer, not
 // as the watch.
 TEST_CASE("a failed call tells since when its answer is overdue") {
