Objects of the store are decoded in bounded memory

Cause: an answer was decoded as a whole, each object was copied out of it, and all pages were held until the last one, whether they name a target or not. A list of empty objects takes some 30 times its text; the store bounds an object, and nothing bounded how many are held.

Change: lists and changes are read object by object, without fields that are not read, each up to a limit of its kind; what is kept is bounded together, and the largest give way. What is refused is logged (E213, E216) and counted (dogwoodlatch_objects_refused_form, _size); the others hold.

Why this works: one object at a time is held beyond what is kept, and both have limits that do not depend on how many objects there are.

--- a/src/dogwoodlatch/check_command.cc
+++ b/src/dogwoodlatch/check_command.cc
@@ -23,6 +23,9 @@
 
 constexpr int kJsonIndent = 2;
 
+// As daemons hold of a list.
+constexpr size_t kMaxListBytes = 16UL * 1024 * 1024;
+
 // Reads one byte more than a document may have, as a file may be endless.
 Result<std::string> ReadBounded(const std::string& file) {
   const Error unreadable{ErrorCode::kIo, file, "cannot be read"};
@@ -43,7 +46,7 @@
                  "no address of the platform; pass --platform"};
   }
   const PlatformClient client = options.OpenPlatform();
-  std::vector<platform::StoredObject> objects;
+  platform::ObjectCollector listed(kMaxListBytes);
   platform::ListCursor cursor;
   for (bool has_more = true; has_more;) {
     const auto body = client.GetText(
@@ -54,7 +57,8 @@
                    "the platform's store at " + options.platform +
                        " cannot be read: " + body.error().detail};
     }
-    auto page = platform::DecodeList(body.value());
+    const auto page = platform::DecodeList(platform::ObjectKind::kConfiguration,
+                                           body.value(), listed);
     if (!page) {
       return Error{ErrorCode::kUnavailable, std::string(kInForce),
                    "the platform's store answered with something else: " +
@@ -67,7 +71,6 @@
                    "continue after " +
                        Json(cursor.after()).dump()};
     }
-    std::ranges::move(page.value().objects, std::back_inserter(objects));
   }
   // Daemons keep the highest version that they can decode.
   const auto version = [](const platform::StoredObject& object) {
@@ -75,12 +78,13 @@
     const auto decoded = platform::DecodeConfiguration(object.content, faults);
     return decoded ? std::optional(decoded.value().version()) : std::nullopt;
   };
+  const auto& objects = listed.objects();
   const auto newest = std::ranges::max_element(objects, {}, version);
   if (newest == objects.end() || !version(*newest)) {
     return Error{ErrorCode::kNotFound, std::string(kInForce),
                  "the platform's store holds no usable configuration"};
   }
-  return std::move(newest->content);
+  return newest->content;
 }
 
 Result<Json> ReadOther(const ClientOptions& options, const std::string& other) {
--- a/src/include/dogwoodlatch/daemon/object_feed.h
+++ b/src/include/dogwoodlatch/daemon/object_feed.h
@@ -32,6 +32,9 @@
   /// When set, the feed makes one linearizable list for each ListNow and
   /// nothing else.
   bool is_on_demand = false;
+  /// Limit on the memory of the objects of a list, or of the answer of a watch,
+  /// as decoded. Above it, the largest ones are refused.
+  size_t max_held_bytes = 16UL * 1024 * 1024;
 };
 
 struct FeedHandlers {
@@ -49,6 +52,9 @@
   std::function<void(const std::vector<platform::StoredObject>&,
                      TimePoint sent)>
       on_changes;
+  /// Receives the objects of an answer that are not used, if there are any; may
+  /// be empty.
+  std::function<void(const platform::ObjectRefusals&)> on_refused;
   /// A call has failed whose answer was due `overdue` ago.
   std::function<void(const std::string& reason, Duration overdue)> on_failure;
   std::function<void()> on_call;  ///< a call is sent; may be empty
@@ -91,6 +97,7 @@
   void OnListed(Result<dataplane::CallResponse> response);
   void RecordList();
   void OnListStuck(const std::vector<platform::StoredObject>& listed);
+  void ReportRefusals(const platform::ObjectRefusals& refusals);
   void OnWatched(Result<dataplane::CallResponse> response);
   void Retry(const std::string& reason);
   void Continue();
@@ -111,8 +118,8 @@
   uint64_t list_revision_ = 0;   ///< revision of the list's first page
   TimePoint list_sent_{};
   TimePoint call_sent_{};
-  TimePoint call_due_{};  ///< when the answer is expected
-  std::vector<platform::StoredObject> listed_;
+  TimePoint call_due_{};              ///< when the answer is expected
+  platform::ObjectCollector listed_;  ///< of the list in progress
 };
 
 /// Lets all feeds but the one at `index` list again. That one has received the
--- a/src/include/dogwoodlatch/daemon/platform_view.h
+++ b/src/include/dogwoodlatch/daemon/platform_view.h
@@ -2,6 +2,7 @@
 /// weights. Configurations and weights are only replaced by newer versions.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -33,6 +34,9 @@
   Duration target_heartbeat;
   /// Keys that were revoked are refused in time also by processes that start.
   bool is_revocation_strict = false;
+  /// Limit on the memory of all targets. Entries that would exceed it are
+  /// refused.
+  size_t target_bytes = 16UL * 1024 * 1024;
 };
 
 class PlatformView {
@@ -62,6 +66,9 @@
   bool OnIncompleteList(platform::ObjectKind kind,
                         const std::vector<platform::StoredObject>& objects,
                         TimePoint sent, TimePoint now);
+  /// Records objects that are not used.
+  void OnRefused(platform::ObjectKind kind,
+                 const platform::ObjectRefusals& refusals);
   void OnChanges(platform::ObjectKind kind,
                  const std::vector<platform::StoredObject>& objects,
                  TimePoint sent, TimePoint now);
@@ -106,6 +113,10 @@
   const ConfigurationPtr& configuration() const { return configuration_; }
   /// How many versions of the configuration could not be used.
   uint64_t refused_configurations() const { return refused_configurations_; }
+  /// How many objects were refused.
+  uint64_t refused_objects(platform::RefusalCause cause) const {
+    return refused_objects_.at(static_cast<size_t>(cause));
+  }
   /// How many lists could not be continued.
   uint64_t incomplete_lists() const { return incomplete_lists_; }
   const serving::FreshnessGuard& freshness() const { return freshness_; }
@@ -134,6 +145,13 @@
   void AdoptConfiguration(const platform::StoredObject& object);
   void AdoptTargets(const std::vector<platform::StoredObject>& objects,
                     TimePoint now, bool is_full_list);
+  void ForgetRevisionsExcept(const std::vector<platform::StoredObject>& listed);
+  /// Whether the targets stay within their limit if `record` replaces that of
+  /// `known`, which may be null. If so, `used_bytes` is updated.
+  bool HasRoomFor(const serving::TargetRecord& record,
+                  const serving::Target* known, size_t& used_bytes) const;
+  void Refuse(const platform::StoredObject& object,
+              platform::RefusalCause cause, const std::string& fault);
   void ReportUnlisted(const std::string& id, TimePoint now);
   void AdoptWeights(const platform::StoredObject& object, TimePoint now);
 
@@ -147,6 +165,8 @@
   ConfigurationPtr configuration_;
   uint64_t refused_configurations_ = 0;
   uint64_t incomplete_lists_ = 0;
+  std::array<uint64_t, platform::kRefusalCauses.size()> refused_objects_{};
+  size_t max_target_bytes_;
   /// Newest version that the store has returned in the current era.
   uint64_t stored_configuration_ = 0;
   /// When this process first saw the current era; on the clock of `sent`.
--- a/src/include/dogwoodlatch/json_reader.h
+++ b/src/include/dogwoodlatch/json_reader.h
@@ -22,6 +22,17 @@
 /// Returns a discarded value if the document is malformed otherwise.
 nlohmann::json ParseJson(std::string_view text);
 
+enum class JsonText {
+  kMalformed,  ///< or the events ended the parsing
+  kRepaired,   ///< parts could not be represented and were replaced
+  kExact
+};
+
+/// Passes the parts of a document to `events`, with what cannot be represented
+/// replaced as ParseJson does.
+JsonText VisitJson(std::string_view text,
+                   nlohmann::json_sax<nlohmann::json>& events);
+
 /// Parses a JSON document that is passed on as it was written. Returns a
 /// discarded value also if anything in it cannot be represented.
 nlohmann::json ParseExactJson(std::string_view text);
--- a/src/include/dogwoodlatch/serving/fleet.h
+++ b/src/include/dogwoodlatch/serving/fleet.h
@@ -231,6 +231,9 @@
   void UpdateWeights(const std::map<std::string, uint64_t>& weights);
 };
 
+/// Memory that a target with this record occupies, roughly.
+size_t HeldBytes(const TargetRecord& record);
+
 /// The targets by id. Targets are reference-counted, so a request in flight can
 /// still use a target that has been removed.
 class Fleet {
@@ -269,6 +272,9 @@
   /// The targets of a service that may get new requests.
   std::vector<TargetPtr> Serving(std::string_view service, TimePoint now) const;
 
+  /// Memory that all targets occupy, roughly.
+  size_t HeldBytes() const;
+
   const std::map<std::string, TargetPtr, std::less<>>& targets() const {
     return targets_;
   }
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -32,6 +32,7 @@
   kBadObject = 213,
   kWeightsNamed = 214,
   kListIncomplete = 215,
+  kObjectsRefused = 216,
   kVmListAdopted = 220,
   kTargetListed = 221,
   kTargetUnlisted = 222,
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -54,7 +54,8 @@
       settings_(std::move(settings)),
       view_({.max_key_age = settings_.bounds.key_revocation,
              .weights = settings_.bounds.weights,
-             .target_heartbeat = settings_.target_heartbeat}),
+             .target_heartbeat = settings_.target_heartbeat,
+             .target_bytes = settings_.TargetBytes()}),
       weights_lag_(kMaxBehindRouters),
       probe_port_(context),
       report_client_(context, settings_.target_address),
@@ -93,6 +94,9 @@
                                                TimePoint sent) {
       return view_.OnIncompleteList(kind, objects, sent, SteadyNow());
     };
+    handlers.on_refused = [this, kind](const auto& refusals) {
+      view_.OnRefused(kind, refusals);
+    };
     handlers.on_changes = [this, kind](const auto& objects, TimePoint sent) {
       view_.OnChanges(kind, objects, sent, SteadyNow());
     };
@@ -113,6 +117,7 @@
     options.store_address = settings_.store_address;
     options.wait = kWatchWait;
     options.max_retry_pause = kMaxRetryPause;
+    options.max_held_bytes = settings_.ListBytes();
     if (kind == ObjectKind::kTargets) options.poll_period = kTargetPollPeriod;
     feeds_.push_back(
         std::make_unique<ObjectFeed>(io_, options, std::move(handlers)));
--- a/src/libdaemon/object_feed.cc
+++ b/src/libdaemon/object_feed.cc
@@ -46,7 +46,8 @@
       client_(context, options_.store_address),
       pause_timer_(context),
       random_(std::random_device{}()),
-      retry_pause_(kInitialRetryPause) {}
+      retry_pause_(kInitialRetryPause),
+      listed_(options_.max_held_bytes) {}
 
 void ObjectFeed::Start() {
   if (!options_.is_on_demand) StartList();
@@ -107,7 +108,7 @@
 }
 
 void ObjectFeed::StartList() {
-  listed_.clear();
+  listed_ = platform::ObjectCollector(options_.max_held_bytes);
   cursor_ = {};
   list_revision_ = 0;
   list_sent_ = BootNow();
@@ -143,32 +144,46 @@
     Retry("status " + std::to_string(response.value().status));
     return;
   }
-  Result<platform::ObjectPage> page =
-      platform::DecodeList(response.value().body);
+  const auto page =
+      platform::DecodeList(options_.kind, response.value().body, listed_);
   if (!page) {
     Retry(ToString(page.error()));
     return;
   }
-  auto& objects = page.value().objects;
   // The watch starts at the revision of the first page, so that it returns
   // changes made while the later pages were listed.
   if (list_revision_ == 0) list_revision_ = page.value().revision;
-  std::ranges::move(objects, std::back_inserter(listed_));
   if (page.value().has_more && cursor_.Advance(page.value())) {
     RequestPage();
     return;
   }
   // A handler may start the next list.
-  const auto listed = std::exchange(listed_, {});
+  const platform::ObjectCollector listed = std::exchange(
+      listed_, platform::ObjectCollector(options_.max_held_bytes));
+  ReportRefusals(listed.refusals());
   if (page.value().has_more) {
-    OnListStuck(listed);
+    OnListStuck(listed.objects());
     return;
   }
   RecordList();
-  RunGuarded("list", [&] { handlers_.on_list(listed, list_sent_); });
+  RunGuarded("list", [&] { handlers_.on_list(listed.objects(), list_sent_); });
   if (!options_.is_on_demand) ScheduleNext(false);
 }
 
+void ObjectFeed::ReportRefusals(const platform::ObjectRefusals& refusals) {
+  if (refusals.total() == 0) return;
+  for (const auto& [name, fault] : refusals.examples) {
+    LogEvent(EventId::kBadObject, {{"object", name}, {"fault", fault}});
+  }
+  LogEvent(
+      EventId::kObjectsRefused,
+      {{"feed", std::string(ToString(options_.kind))},
+       {"form", std::to_string(refusals.count(platform::RefusalCause::kForm))},
+       {"size",
+        std::to_string(refusals.count(platform::RefusalCause::kSize))}});
+  if (handlers_.on_refused) handlers_.on_refused(refusals);
+}
+
 // To ask for the same page again would never end.
 void ObjectFeed::OnListStuck(
     const std::vector<platform::StoredObject>& listed) {
@@ -225,8 +240,9 @@
     Retry("status " + std::to_string(response.value().status));
     return;
   }
-  Result<platform::ObjectPage> page =
-      platform::DecodeChanges(response.value().body);
+  platform::ObjectCollector changes(options_.max_held_bytes);
+  const auto page =
+      platform::DecodeChanges(options_.kind, response.value().body, changes);
   if (!page) {
     Retry(ToString(page.error()));
     return;
@@ -236,12 +252,12 @@
   // The revision only advances with changes. A store that has dropped its
   // history returns no changes for a while. As the feed keeps watching from its
   // old revision, the store answers 410 Gone, and the feed lists again.
-  const auto& changes = page.value().objects;
-  if (!changes.empty()) {
-    revision_ = std::max(revision_, page.value().revision);
-  }
-  RunGuarded("changes", [&] { handlers_.on_changes(changes, call_sent_); });
-  ScheduleNext(!changes.empty());
+  const bool has_changed = page.value().entries > 0;
+  if (has_changed) revision_ = std::max(revision_, page.value().revision);
+  ReportRefusals(changes.refusals());
+  RunGuarded("changes",
+             [&] { handlers_.on_changes(changes.objects(), call_sent_); });
+  ScheduleNext(has_changed);
 }
 
 void RelistOthers(const std::vector<std::unique_ptr<ObjectFeed>>& feeds,
--- a/src/libdaemon/object_feed_test.cc
+++ b/src/libdaemon/object_feed_test.cc
@@ -107,10 +107,10 @@
 }
 
 std::string Page(const std::string& name, bool has_more) {
-  return JsonResponse(200,
-                      R"({"items":[{"metadata":{"name":")" + name +
-                          R"(","rev":3},"spec":{}}],"as_of":5,"has_more":)" +
-                          (has_more ? "true}" : "false}"));
+  return JsonResponse(
+      200, R"({"items":[{"metadata":{"name":")" + name +
+               R"(","rev":3},"spec":{"model":"m","version":1}}],)" +
+               R"("as_of":5,"has_more":)" + (has_more ? "true}" : "false}"));
 }
 
 // What a feed makes of the given pages.
@@ -118,6 +118,7 @@
   std::vector<std::string> requests;
   std::vector<size_t> complete, incomplete;  // objects of each list
   int failures = 0;
+  uint64_t refused = 0;
 };
 
 Listing ListPages(std::deque<std::string> pages, bool uses_incomplete) {
@@ -132,10 +133,14 @@
     result.incomplete.push_back(objects.size());
     return uses_incomplete;
   };
+  handlers.on_changes = [](const auto& /*objects*/, TimePoint /*sent*/) {};
+  handlers.on_refused = [&](const platform::ObjectRefusals& refusals) {
+    result.refused += refusals.total();
+  };
   handlers.on_failure = [&](const std::string& /*reason*/,
                             Duration /*overdue*/) { ++result.failures; };
   FeedOptions options;
-  options.kind = platform::ObjectKind::kTargets;
+  options.kind = platform::ObjectKind::kWeights;
   options.store_address = store.address();
   ObjectFeed feed(context, options, handlers);
   feed.Start();
@@ -180,6 +185,18 @@
   CHECK(listing.incomplete == std::vector<size_t>{0});
 }
 
+// Guards against a watch that returns at once for ever, because what has
+// changed is of no use.
+TEST_CASE("a watch goes on after changes that are not used") {
+  const std::string changes =
+      JsonResponse(200, R"({"events":[{"object":{}},7],"as_of":9})");
+  const Listing listing = ListPages({Page("a", false), changes}, true);
+  REQUIRE(listing.requests.size() == 3);
+  CHECK(listing.requests[1].find("watch=5&") != std::string::npos);
+  CHECK(listing.requests[2].find("watch=9&") != std::string::npos);
+  CHECK(listing.refused == 2);
+}
+
 // A feed that has listed and whose first watch is held for `wait` at most.
 class WatchingFeed {
  public:
--- a/src/libdaemon/platform_view.cc
+++ b/src/libdaemon/platform_view.cc
@@ -1,6 +1,9 @@
 #include "dogwoodlatch/daemon/platform_view.h"
 
 #include <algorithm>
+#include <functional>
+#include <set>
+#include <string_view>
 #include <utility>
 
 #include "dogwoodlatch/util/log.h"
@@ -8,6 +11,7 @@
 namespace dogwoodlatch::daemon {
 
 using platform::ObjectKind;
+using platform::RefusalCause;
 using platform::StoredObject;
 
 namespace {
@@ -33,6 +37,9 @@
 // 2 s; the rest is for transmission.
 constexpr Duration kRelistTime = std::chrono::milliseconds(2500);
 
+// Models whose weights are followed; deployments have a few.
+constexpr size_t kMaxModels = 4096;
+
 // A restored store that still has an older configuration than this process is
 // not taken as confirmation for at most this time. Operators repeat their
 // writes much sooner.
@@ -44,7 +51,8 @@
     : weights_bound_(bounds.weights - kWeightsMargin),
       freshness_(bounds.max_key_age),
       target_heartbeat_(bounds.target_heartbeat),
-      startup_(bounds.is_revocation_strict) {}
+      startup_(bounds.is_revocation_strict),
+      max_target_bytes_(bounds.target_bytes) {}
 
 uint64_t PlatformView::OldestUsableWeights(const std::string& model,
                                            TimePoint now) const {
@@ -236,6 +244,7 @@
 void PlatformView::AdoptTargets(const std::vector<StoredObject>& objects,
                                 TimePoint now, bool is_full_list) {
   std::vector<serving::TargetRecord> present;
+  size_t used_bytes = fleet_.HeldBytes();
   for (const StoredObject& object : objects) {
     uint64_t& revision = target_revisions_[object.name];
     newest_targets_revision_ =
@@ -251,11 +260,15 @@
     }
     Result<serving::TargetRecord> record = platform::DecodeTarget(object);
     if (!record) {
-      LogEvent(EventId::kBadObject,
-               {{"object", object.name}, {"fault", ToString(record.error())}});
+      Refuse(object, RefusalCause::kForm, ToString(record.error()));
       continue;
     }
     const serving::Fleet::TargetPtr known = fleet_.Find(object.name);
+    if (!HasRoomFor(record.value(), known.get(), used_bytes)) {
+      Refuse(object, RefusalCause::kSize, "no memory for more targets");
+      if (known && is_full_list) present.push_back(known->record);
+      continue;
+    }
     if (!known || known->record != record.value()) {
       LogEvent(EventId::kTargetListed,
                {{"target", object.name},
@@ -274,10 +287,46 @@
     const std::vector<std::string> missing =
         fleet_.Replace(present, relist_deadline_, now);
     for (const std::string& id : missing) ReportUnlisted(id, now);
+    ForgetRevisionsExcept(objects);
   }
   has_targets_ = true;
 }
 
+void PlatformView::ForgetRevisionsExcept(
+    const std::vector<StoredObject>& listed) {
+  std::set<std::string_view> names;
+  for (const StoredObject& object : listed) names.insert(object.name);
+  std::erase_if(target_revisions_, [&](const auto& entry) {
+    return !names.contains(entry.first);
+  });
+}
+
+bool PlatformView::HasRoomFor(const serving::TargetRecord& record,
+                              const serving::Target* known,
+                              size_t& used_bytes) const {
+  const size_t bytes = serving::HeldBytes(record);
+  const size_t known_bytes = known ? serving::HeldBytes(known->record) : 0;
+  const size_t used = used_bytes - known_bytes + bytes;
+  if (bytes > known_bytes && used > max_target_bytes_) return false;
+  used_bytes = used;
+  return true;
+}
+
+void PlatformView::OnRefused(ObjectKind kind,
+                             const platform::ObjectRefusals& refusals) {
+  std::ranges::transform(refused_objects_, refusals.counts,
+                         refused_objects_.begin(), std::plus{});
+  if (kind != ObjectKind::kTargets) return;
+  newest_targets_revision_ =
+      std::max(newest_targets_revision_, refusals.newest_revision);
+}
+
+void PlatformView::Refuse(const StoredObject& object, RefusalCause cause,
+                          const std::string& fault) {
+  ++refused_objects_.at(static_cast<size_t>(cause));
+  LogEvent(EventId::kBadObject, {{"object", object.name}, {"fault", fault}});
+}
+
 void PlatformView::ReportUnlisted(const std::string& id, TimePoint now) {
   const bool is_kept = fleet_.Find(id) != nullptr;
   LogEvent(EventId::kTargetUnlisted,
@@ -293,8 +342,12 @@
   const Result<platform::NamedWeights> named =
       platform::DecodeNamedWeights(object);
   if (!named) {
-    LogEvent(EventId::kBadObject,
-             {{"object", object.name}, {"fault", ToString(named.error())}});
+    Refuse(object, RefusalCause::kForm, ToString(named.error()));
+    return;
+  }
+  if (!weights_.contains(named.value().model) &&
+      weights_.size() >= kMaxModels) {
+    Refuse(object, RefusalCause::kSize, "too many models");
     return;
   }
   newest_fence_ =
--- a/src/libdaemon/platform_view_test.cc
+++ b/src/libdaemon/platform_view_test.cc
@@ -8,9 +8,11 @@
 namespace dogwoodlatch::daemon {
 namespace {
 
+using platform::MakeModelTargetEntry;
 using platform::MakeObject;
 using platform::MakeTargetEntry;
 using platform::ObjectKind;
+using platform::RefusalCause;
 using platform::StoredObject;
 using std::chrono::milliseconds;
 
@@ -103,6 +105,54 @@
   CHECK(view.incomplete_lists() == 2);
 }
 
+// Load: another writer's entries that could be targets, without end.
+TEST_CASE("targets beyond the memory for them are refused") {
+  const size_t bytes = serving::HeldBytes(
+      platform::DecodeTarget(MakeTargetEntry("a", 1)).value());
+  PlatformView view({.max_key_age = milliseconds(4750),
+                     .weights = milliseconds(12000),
+                     .target_heartbeat = milliseconds(1200),
+                     .target_bytes = 3 * bytes});
+  const auto names = [&] {
+    std::string text;
+    for (const auto& [id, target] : view.fleet().targets()) text += id;
+    return text;
+  };
+  view.OnList(ObjectKind::kTargets,
+              {MakeTargetEntry("a", 1), MakeTargetEntry("b", 2)}, At(0), At(5));
+  view.OnChanges(ObjectKind::kTargets,
+                 {MakeTargetEntry("c", 3), MakeTargetEntry("d", 4)}, At(10),
+                 At(15));
+  CHECK(names() == "abc");
+  CHECK(view.refused_objects(RefusalCause::kSize) == 1);
+  CHECK(view.newest_targets_revision() == 4);
+  // A target in use stays, also if its entry has grown too large.
+  view.OnList(ObjectKind::kTargets,
+              {MakeTargetEntry("a", 1),
+               MakeModelTargetEntry("b", 5, std::string(1000, 'm'), 2),
+               MakeTargetEntry("c", 3)},
+              At(20), At(25));
+  CHECK(names() == "abc");
+  CHECK(view.fleet().Find("b")->record.weights.empty());
+  CHECK(view.refused_objects(RefusalCause::kSize) == 2);
+  view.OnList(ObjectKind::kTargets,
+              {MakeTargetEntry("a", 1), MakeTargetEntry("c", 3)}, At(5000),
+              At(5005));
+  view.OnChanges(ObjectKind::kTargets, {MakeTargetEntry("e", 7)}, At(5010),
+                 At(5015));
+  CHECK(names() == "ace");
+}
+
+TEST_CASE("refused objects are counted, and their revisions are known") {
+  PlatformView view = MakeView();
+  platform::ObjectRefusals refusals;
+  refusals.Add(RefusalCause::kForm, MakeObject("x", 12, nullptr), "addr");
+  view.OnRefused(ObjectKind::kTargets, refusals);
+  view.OnRefused(ObjectKind::kWeights, refusals);
+  CHECK(view.refused_objects(RefusalCause::kForm) == 2);
+  CHECK(view.newest_targets_revision() == 12);
+}
+
 TEST_CASE("old weights are excluded after the promised time") {
   PlatformView view = MakeView();
   view.OnList(ObjectKind::kWeights, {}, At(0), At(5));
--- a/src/libdaemon/router.cc
+++ b/src/libdaemon/router.cc
@@ -16,6 +16,7 @@
 namespace {
 
 using platform::ObjectKind;
+using platform::RefusalCause;
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickPeriod{50};
@@ -82,12 +83,12 @@
 Router::Router(asio::io_context& context, platform::NodeSettings settings)
     : io_(context),
       settings_(std::move(settings)),
-      view_(
-          {.max_key_age =
-               settings_.bounds.key_revocation - kKeyRevocationMargin,
-           .weights = settings_.bounds.weights,
-           .target_heartbeat = settings_.target_heartbeat,
-           .is_revocation_strict = settings_.bounds.is_key_revocation_strict}),
+      view_({.max_key_age =
+                 settings_.bounds.key_revocation - kKeyRevocationMargin,
+             .weights = settings_.bounds.weights,
+             .target_heartbeat = settings_.target_heartbeat,
+             .is_revocation_strict = settings_.bounds.is_key_revocation_strict,
+             .target_bytes = settings_.TargetBytes()}),
       pool_(context, settings_.memory_bytes / kPendingInputMemoryDivisor),
       client_refusals_(metrics_),
       context_{.io = context,
@@ -171,6 +172,13 @@
   metrics_.RegisterGauge("dogwoodlatch_configurations_refused", [this] {
     return static_cast<double>(view_.refused_configurations());
   });
+  for (const auto cause : {RefusalCause::kForm, RefusalCause::kSize}) {
+    metrics_.RegisterGauge(
+        "dogwoodlatch_objects_refused_" + std::string(ToString(cause)),
+        [this, cause] {
+          return static_cast<double>(view_.refused_objects(cause));
+        });
+  }
   metrics_.RegisterGauge("dogwoodlatch_lists_incomplete", [this] {
     return static_cast<double>(view_.incomplete_lists());
   });
@@ -260,6 +268,9 @@
                                              TimePoint sent) {
     return view_.OnIncompleteList(kind, objects, sent, SteadyNow());
   };
+  handlers.on_refused = [this, kind](const auto& refusals) {
+    view_.OnRefused(kind, refusals);
+  };
   handlers.on_changes = [this, kind](const auto& objects, TimePoint sent) {
     const bool was_unreachable = !view_.is_reachable();
     view_.OnChanges(kind, objects, sent, SteadyNow());
@@ -301,6 +312,7 @@
   AddFeed(options);
   configuration_reader_ = feeds_.back().get();
   options.is_on_demand = false;
+  options.max_held_bytes = settings_.ListBytes();
   options.kind = ObjectKind::kWeights;
   AddFeed(options);
   weights_feed_ = feeds_.back().get();
--- a/src/libdataplane/http_reader_memory_test.cc
+++ b/src/libdataplane/http_reader_memory_test.cc
@@ -1,45 +1,13 @@
 /// Compares what a reader says it holds with what it has allocated.
-#include <malloc.h>
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdlib>
-#include <new>
 #include <string>
 #include <vector>
 
 #include "dogwoodlatch/dataplane/http_reader.h"
-
-namespace {
-
-size_t live_bytes = 0;  // of all blocks, as the allocator rounds them
-
-}  // namespace
-
-void* operator new(size_t size) {
-  void* const block = std::malloc(size);
-  if (block == nullptr) throw std::bad_alloc();
-  live_bytes += malloc_usable_size(block);
-  return block;
-}
-
-// The test library allocates some of its objects by this form. The sanitizers
-// take a block of their own for a mismatch when it is freed below.
-void* operator new(size_t size, const std::nothrow_t& /*tag*/) noexcept {
-  void* const block = std::malloc(size);
-  if (block != nullptr) live_bytes += malloc_usable_size(block);
-  return block;
-}
-
-void operator delete(void* block) noexcept {
-  live_bytes -= malloc_usable_size(block);
-  std::free(block);
-}
-
-void operator delete(void* block, size_t /*size*/) noexcept {
-  ::operator delete(block);
-}
+#include "dogwoodlatch/testing/heap_meter.h"
 
 namespace dogwoodlatch::dataplane {
 namespace {
@@ -88,7 +56,7 @@
         8, rc::gen::inRange<size_t>(1, 20000));
     std::string input;
     input.reserve(bytes.size() + 1);  // allocates nothing more afterwards
-    const size_t before = live_bytes;
+    const testing::HeapMeter meter;
     RequestReader reader({.header_bytes = 64 * 1024});
     ReadState state = ReadState::kNeedMore;
     size_t fed = 0;
@@ -98,7 +66,7 @@
       input.append(bytes, fed, step);
       fed += step;
       state = reader.Feed(input);
-      const size_t held = live_bytes - before;
+      const size_t held = meter.held();
       const size_t said = reader.held_bytes();
       RC_ASSERT(said >= held);
     }
--- a/src/libdogwoodlatch/json_reader.cc
+++ b/src/libdogwoodlatch/json_reader.cc
@@ -8,6 +8,8 @@
 #include <string>
 #include <utility>
 
+#include "dogwoodlatch/bounded_json.h"
+
 namespace dogwoodlatch {
 namespace {
 
@@ -175,34 +177,17 @@
 };
 
 // Stops the parser, which is recursive, at values nested too deeply.
-class NestingLimit final : public nlohmann::json_sax<Json> {
+class NestingLimit final : public JsonEvents {
  public:
-  bool null() override { return true; }
-  bool boolean(bool /*value*/) override { return true; }
-  bool number_integer(int64_t /*value*/) override { return true; }
-  bool number_unsigned(uint64_t /*value*/) override { return true; }
-  bool number_float(double /*value*/, const std::string& /*text*/) override {
-    return true;
-  }
-  bool string(std::string& /*value*/) override { return true; }
-  bool binary(Json::binary_t& /*value*/) override { return true; }
-  bool start_object(size_t /*size*/) override { return Open(); }
-  bool key(std::string& /*value*/) override { return true; }
-  bool end_object() override { return Close(); }
-  bool start_array(size_t /*size*/) override { return Open(); }
-  bool end_array() override { return Close(); }
-  bool parse_error(size_t /*position*/, const std::string& /*token*/,
-                   const Json::exception& /*fault*/) override {
-    return false;
-  }
-
- private:
-  bool Open() { return ++depth_ <= kMaxNesting; }
-  bool Close() {
+  bool OnScalar(Json /*value*/) override { return true; }
+  bool OnOpen(Json /*container*/) override { return ++depth_ <= kMaxNesting; }
+  bool OnKey(std::string& /*key*/) override { return true; }
+  bool OnClose() override {
     --depth_;
     return true;
   }
 
+ private:
   size_t depth_ = 0;
 };
 
@@ -214,6 +199,15 @@
                      false);
 }
 
+JsonText VisitJson(std::string_view text, nlohmann::json_sax<Json>& events) {
+  const std::optional<std::string> repaired = Repair(text).Run();
+  if (!Json::sax_parse(repaired ? std::string_view{*repaired} : text,
+                       &events)) {
+    return JsonText::kMalformed;
+  }
+  return repaired ? JsonText::kRepaired : JsonText::kExact;
+}
+
 Json ParseExactJson(std::string_view text) {
   if (Repair(text).Run()) return Json(Json::value_t::discarded);
   return Json::parse(text, nullptr, false);
--- a/src/libserving/fleet.cc
+++ b/src/libserving/fleet.cc
@@ -1,6 +1,7 @@
 #include "dogwoodlatch/serving/fleet.h"
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
 #include <set>
 #include <span>
@@ -62,6 +63,9 @@
   return std::accumulate(backlogs.begin(), backlogs.end(), Duration{0});
 }
 
+// Links and header of a node of a map.
+constexpr size_t kNodeOverhead = 6 * sizeof(void*);
+
 }  // namespace
 
 void TargetSignals::OnPlaced(Duration prefill, int priority) {
@@ -242,6 +246,24 @@
   }
 }
 
+size_t HeldBytes(const TargetRecord& record) {
+  return std::transform_reduce(
+      record.weights.begin(), record.weights.end(),
+      sizeof(Target) + record.id.capacity() + record.service.capacity() +
+          record.address.capacity() + record.failure_domain.capacity(),
+      std::plus{}, [](const auto& entry) {
+        return sizeof(entry) + kNodeOverhead + entry.first.capacity();
+      });
+}
+
+size_t Fleet::HeldBytes() const {
+  return std::transform_reduce(
+      targets_.begin(), targets_.end(), size_t{0}, std::plus{},
+      [](const auto& entry) {
+        return serving::HeldBytes(entry.second->record);
+      });
+}
+
 void Fleet::Upsert(const TargetRecord& record, TimePoint now) {
   TargetPtr& target = targets_[record.id];
   const auto is_same = [&](WallTime started, std::string_view address) {
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -69,6 +69,9 @@
               "A list of the platform's store cannot be continued after an "
               "object whose name cannot be sent back; what it holds so far is "
               "used, or the list fails."},
+    EventSpec{EventId::kObjectsRefused, Severity::kWarning, "objects_refused",
+              "Objects in an answer of the platform's store are not used: of "
+              "another form, or too large, alone or together."},
     EventSpec{EventId::kVmListAdopted, Severity::kInfo, "vm_list_adopted",
               "A new VM list is in force."},
     EventSpec{EventId::kTargetListed, Severity::kInfo, "target_listed",
--- a/testsuite/hostile.py
+++ b/testsuite/hostile.py
@@ -97,11 +97,6 @@
         self.connections = {}
 
 
-def peak_memory_mb(daemon):
-    with open(f"/proc/{daemon.process.pid}/status", encoding="ascii") as status:
-        return int(next(line for line in status if line.startswith("VmHWM")).split()[1]) / 1024
-
-
 def count_descriptors(daemon):
     return len(os.listdir(f"/proc/{daemon.process.pid}/fd"))
 
@@ -109,7 +104,7 @@
 def report(name, daemon, descriptors):
     """Prints whether the daemon has lived within its bounds; what it has used goes to standard error."""
     is_alive = daemon.process.poll() is None
-    memory = peak_memory_mb(daemon) if is_alive else 0.0
+    memory = daemon.peak_memory_mb() if is_alive else 0.0
     print(f"{name}: alive", is_alive, "memory", memory < MEMORY_MB, "descriptors", descriptors < MAX_DESCRIPTORS)
     print(f"{name}: peak {memory:.1f} MB, {descriptors} descriptors", file=sys.stderr)
 
--- a/testsuite/measure/hostile_crowd.py
+++ b/testsuite/measure/hostile_crowd.py
@@ -56,7 +56,7 @@
         time.sleep(0.5)
         ordinary = fleet.request(hostile.ROUTER, "/read/x")[0]
         large = send_large()
-        print(f"{kind}, {count} connections: peak {hostile.peak_memory_mb(router):.1f} MB, "
+        print(f"{kind}, {count} connections: peak {router.peak_memory_mb():.1f} MB, "
               f"{hostile.count_descriptors(router)} descriptors, ordinary {ordinary}, large {large}", flush=True)
     finally:
         crowd.leave()
--- a/testsuite/odd_names/run.py
+++ b/testsuite/odd_names/run.py
@@ -69,15 +69,6 @@
     return bool(target.ran)
 
 
-def memory_mb(daemon):
-    """Returns the peak of the daemon's resident memory; more than any bound if it has ended."""
-    try:
-        with open(f"/proc/{daemon.process.pid}/status", encoding="ascii") as status:
-            return int(next(line for line in status if line.startswith("VmHWM")).split()[1]) / 1024
-    except (OSError, StopIteration):
-        return float("inf")
-
-
 def check(store, targets, daemons, when):
     calls = len(store.list_calls)
     print(when, "- ready:", fleet.wait_until(lambda: fleet.is_ready(ROUTER)))
@@ -86,4 +77,4 @@
     print(when, "- streams served:", sum(status == 200 and len(events) == 8 for status, events in answers))
     print(when, "- targets used:", sum(bool(target.ran) for target in targets))
     print(when, "- list calls bounded:", len(store.list_calls) - calls < MAX_LISTS)
-    print(when, "- memory bounded:", all(memory_mb(daemon) < MEMORY_MB for daemon in daemons))
+    print(when, "- memory bounded:", all(daemon.peak_memory_mb() < MEMORY_MB for daemon in daemons))
