An answer without a length is complete only once the request is taken

What callers saw: a target answers an upload before it has read it, with a 200 without a length, sends a part of the body and resets the connection.

Cause: the system reports a reset once. With the write of the request pending, it goes to the write, and the read that follows finds an orderly end, which completes a response that ends with its connection.

Change: a failed write of the request makes such a response a broken one; an end that is read during the write is judged when the write ends. Why this works: the error is seen by whichever side it is reported to, and a target that has taken the whole request has no input left that would turn its close into a reset.

--- a/src/include/dogwoodlatch/dataplane/http_reader.h
+++ b/src/include/dogwoodlatch/dataplane/http_reader.h
@@ -138,6 +138,9 @@
   bool done() const;
   const ResponseHead& head() const;
 
+  /// True once the head of a response has been read that a close completes.
+  bool awaits_close() const;
+
  private:
   class Parser;
 
--- a/src/include/dogwoodlatch/dataplane/upstream_connection.h
+++ b/src/include/dogwoodlatch/dataplane/upstream_connection.h
@@ -112,7 +112,11 @@
   /// What the system has received that the event loop has not read yet.
   Input Peek();
   void ReadMore();
+  void OnWritten(std::error_code error);
   void OnBytes(std::error_code error, size_t count);
+  /// Nothing more can be read: the peer has closed or, if not `is_orderly`,
+  /// reset the connection.
+  void OnInputEnded(bool is_orderly);
   void Consume();
   void FinishResponse();
   void BreakConnection();
@@ -134,6 +138,8 @@
   bool is_reading_ = false;
   bool is_paused_ = false;
   bool is_writing_ = false;
+  bool has_write_failed_ = false;  ///< of the request
+  bool has_input_ended_ = false;   ///< in order, while the request is written
   bool keeps_alive_ = true;
   std::optional<std::chrono::seconds> idle_limit_;
   TimePoint idle_since_{};
--- a/src/libdataplane/http_reader.cc
+++ b/src/libdataplane/http_reader.cc
@@ -301,4 +301,9 @@
 bool ResponseReader::done() const { return parser_->is_done(); }
 const ResponseHead& ResponseReader::head() const { return parser_->head; }
 
+bool ResponseReader::awaits_close() const {
+  return parser_->is_header_done() && !parser_->is_done() &&
+         !parser_->is_skipped && parser_->head.ends_at_close;
+}
+
 }  // namespace dogwoodlatch::dataplane
--- a/src/libdataplane/upstream_connection.cc
+++ b/src/libdataplane/upstream_connection.cc
@@ -136,6 +136,7 @@
   is_writing_ = true;
   is_paused_ = false;
   has_received_ = false;
+  has_write_failed_ = false;
   reader_.Reset();
   head_ = std::move(head);
   body_ = std::move(body);
@@ -144,14 +145,22 @@
   asio::async_write(
       socket_, buffers,
       [self = shared_from_this()](std::error_code error, size_t /*count*/) {
-        self->is_writing_ = false;
-        // The read side reports the lost connection, after it has delivered any
-        // response that arrived before the failure.
-        if (error) self->keeps_alive_ = false;
+        self->OnWritten(error);
       });
   ReadMore();
 }
 
+// The read side reports the lost connection, after it has delivered any
+// response that arrived before the failure.
+void UpstreamConnection::OnWritten(std::error_code error) {
+  is_writing_ = false;
+  if (error) {
+    keeps_alive_ = false;
+    has_write_failed_ = true;
+  }
+  if (has_input_ended_ && is_open_) OnInputEnded(true);
+}
+
 void UpstreamConnection::RecordRequest(std::string_view request_id) {
   carried_.push_back(HashId(request_id));
 }
@@ -225,13 +234,7 @@
 void UpstreamConnection::OnBytes(std::error_code error, size_t count) {
   if (!is_open_) return;
   if (error) {
-    const bool is_complete = error == asio::error::eof &&
-                             listener_ != nullptr && reader_.FinishAtClose();
-    keeps_alive_ = false;
-    if (is_complete) {
-      FinishResponse();
-    }
-    BreakConnection();
+    OnInputEnded(error == asio::error::eof);
     return;
   }
   has_received_ = true;
@@ -244,6 +247,22 @@
   Consume();
 }
 
+// Without a length, only an orderly end of the connection shows that a response
+// is complete. The system reports a reset once: to the write of the request if
+// one is pending, after which reads find an orderly end. So the end counts only
+// once the peer has taken the whole request.
+void UpstreamConnection::OnInputEnded(bool is_orderly) {
+  keeps_alive_ = false;
+  if (is_orderly && is_writing_ && reader_.awaits_close()) {
+    has_input_ended_ = true;
+    return;
+  }
+  const bool is_complete = is_orderly && !has_write_failed_ &&
+                           listener_ != nullptr && reader_.FinishAtClose();
+  if (is_complete) FinishResponse();
+  BreakConnection();
+}
+
 void UpstreamConnection::Consume() {
   // The listener's callbacks may cancel this connection or release its last
   // reference.
--- a/src/libdataplane/upstream_connection_test.cc
+++ b/src/libdataplane/upstream_connection_test.cc
@@ -98,6 +98,84 @@
          std::string(body);
 }
 
+// Answers a request once its head has arrived, and reads its body only later.
+class EarlyPeer {
+ public:
+  explicit EarlyPeer(asio::io_context& context)
+      : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
+        socket_(context) {
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(64 * 1024));
+    acceptor_.async_accept(socket_, [this](std::error_code error) {
+      REQUIRE_FALSE(error);
+      socket_.async_read_some(
+          asio::buffer(buffer_), [this](std::error_code failed, size_t) {
+            REQUIRE_FALSE(failed);
+            asio::write(socket_, asio::buffer(std::string_view(
+                                     "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nbody")));
+          });
+    });
+  }
+
+  asio::ip::tcp::endpoint endpoint() const {
+    return acceptor_.local_endpoint();
+  }
+
+  void Reset() {
+    socket_.set_option(asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
+  void CloseWithUnreadInput() { socket_.close(); }
+  void ShutDown() { socket_.shutdown(asio::ip::tcp::socket::shutdown_send); }
+  void ReadAll() {
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [this](std::error_code error, size_t) {
+                              if (!error) ReadAll();
+                            });
+  }
+
+ private:
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket socket_;
+  std::array<char, 4096> buffer_{};
+};
+
+// An upload that is larger than the buffers of the sockets, and whose response
+// has no length.
+class EarlyAnswer {
+ public:
+  EarlyAnswer() {
+    recorder.expected_id = "1";
+    connection_->Connect(peer.endpoint(), milliseconds(1000),
+                         [](std::error_code error) { REQUIRE_FALSE(error); });
+    Run();
+    const auto body = std::make_shared<const std::string>(16UL << 20, 'u');
+    connection_->Send(
+        BuildRequestHead("POST", "/", {{"Host", "x"}}, body->size()), body,
+        &recorder);
+    Run();
+    REQUIRE(recorder.body == "body");
+  }
+  ~EarlyAnswer() { connection_->Cancel(); }
+  EarlyAnswer(const EarlyAnswer&) = delete;
+  EarlyAnswer& operator=(const EarlyAnswer&) = delete;
+
+  void Run(Duration duration = milliseconds(50)) {
+    context_.restart();
+    context_.run_for(duration);
+  }
+
+ private:
+  asio::io_context context_{1};
+
+ public:
+  EarlyPeer peer{context_};
+  Recorder recorder;
+
+ private:
+  std::shared_ptr<UpstreamConnection> connection_ =
+      std::make_shared<UpstreamConnection>(context_);
+};
+
 // A connection to a scripted peer, with its event loop.
 class ConnectionFixture {
  public:
@@ -351,4 +429,34 @@
   for (const auto& connection : connections) connection->Cancel();
 }
 
+// Guards against a part of a response that is taken for a whole one, as the
+// reset that ended it was reported to the write of the request.
+TEST_CASE("a reset during an upload does not complete a response") {
+  EarlyAnswer answer;
+  SECTION("by a peer that resets") { answer.peer.Reset(); }
+  SECTION("by a peer that has not read its input") {
+    answer.peer.CloseWithUnreadInput();
+  }
+  SECTION("after an orderly end") {
+    answer.peer.ShutDown();
+    answer.Run();
+    CHECK_FALSE(answer.recorder.has_ended);
+    answer.peer.Reset();
+  }
+  answer.Run();
+  CHECK(answer.recorder.is_lost);
+  CHECK_FALSE(answer.recorder.has_ended);
+}
+
+TEST_CASE("an orderly end completes a response once the upload is taken") {
+  EarlyAnswer answer;
+  answer.peer.ShutDown();
+  answer.Run();
+  CHECK_FALSE(answer.recorder.has_ended);
+  answer.peer.ReadAll();
+  answer.Run(milliseconds(2000));
+  CHECK(answer.recorder.has_ended);
+  CHECK_FALSE(answer.recorder.is_lost);
+}
+
 }  // namespace dogwoodlatch::dataplane
--- a/src/libdogwoodlatch/bounded_json.cc
+++ b/src/libdogwoodlatch/bounded_json.cc
@@ -85,8 +85,8 @@
 Json* JsonBuilder::Add(Json value, size_t bytes) {
   if (is_too_large()) return nullptr;
   const bool is_member = !open_.empty() && open_.back()->is_object();
-  bytes_ += bytes + (is_member ? kMemberBytes + TextBytes(key_.size())
-                               : kElementBytes);
+  bytes_ += bytes +
+            (is_member ? kMemberBytes + TextBytes(key_.size()) : kElementBytes);
   if (is_too_large()) {
     open_.clear();
     root_ = nullptr;
