A response needs a status that HTTP has

What callers saw: answers with the status 600 or 999 were passed on with the target's seal; after 000, 001, 099 or 101 a request that runs once got 504 only at its deadline.

Cause: the reader took any three digits for a status. Below 200 it waited for the response that follows an interim one.

Evidence: testsuite/odd_statuses on the code before; malformed status lines (+20, 2, 2000) got 502 at once already.

Change: a number outside of 100 to 599 (RFC 9110), and 101, which nothing asks for, makes the bytes no response. Why this works: they take the path of a malformed status line, which breaks the connection.

Tests: odd_statuses and the new case of http_reader_test failed before and pass now.

--- a/src/libdataplane/http_reader.cc
+++ b/src/libdataplane/http_reader.cc
@@ -45,6 +45,13 @@
   return {text.data(), text.size()};
 }
 
+// RFC 9110: other numbers are no status. A protocol switch is never asked for,
+// and no HTTP response would follow it.
+bool IsStatus(int code) {
+  constexpr int kSwitchingProtocols = 101;
+  return code >= 100 && code <= 599 && code != kSwitchingProtocols;
+}
+
 std::optional<std::chrono::seconds> ParseIdleLimit(const HeaderList& headers) {
   const std::string_view value = FindHeader(headers, "keep-alive");
   constexpr std::string_view kTimeout = "timeout=";
@@ -217,8 +224,9 @@
                        boost::beast::string_view /*target*/, int /*version*/,
                        error_code& /*ec*/) override {}
   void on_response_impl(int code, boost::beast::string_view /*reason*/,
-                        int /*version*/, error_code& /*ec*/) override {
+                        int /*version*/, error_code& ec) override {
     head.status = code;
+    if (!IsStatus(code)) ec = http::error::bad_status;
   }
   void on_field_impl(http::field /*field*/, boost::beast::string_view name,
                      boost::beast::string_view value,
--- a/src/libdataplane/http_reader_test.cc
+++ b/src/libdataplane/http_reader_test.cc
@@ -137,6 +137,36 @@
   CHECK(collector.heads == std::vector<int>{203, 200});
 }
 
+// Guards against a response without a status of HTTP that reaches the caller,
+// or that is skipped like an interim one, so that its request waits on.
+TEST_CASE("only a status of HTTP makes a response") {
+  const auto accepts = [](const std::string& status) {
+    ResponseReader reader;
+    Collector collector;
+    std::string input =
+        "HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\nnone";
+    const bool is_valid = reader.Feed(input, collector);
+    CHECK(is_valid != collector.heads.empty());
+    return is_valid;
+  };
+  for (const char* status : {"000", "001", "099", "101", "600", "999", "+20",
+                             "-20", "2", "20", "2000"}) {
+    CAPTURE(status);
+    CHECK_FALSE(accepts(status));
+  }
+  for (const char* status : {"200", "204", "299", "418", "500", "599"}) {
+    CAPTURE(status);
+    CHECK(accepts(status));
+  }
+  ResponseReader reader;
+  Collector collector;
+  std::string input =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 X\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew";
+  CHECK(reader.Feed(input, collector));
+  CHECK(collector.heads == std::vector<int>{200});
+}
+
 TEST_CASE("only an unframed response is completed by the close") {
   ResponseReader unframed;
   Collector collector;
