Signals that keep arriving do not hold up a daemon

Cause: asio's signal set reads its pipe until it is empty, in one operation. A sender that is as fast as this reading keeps the event loop there; neither the stop nor anything else runs. With four senders an agent was late in 14 of 14 starts; the debugger showed pipe_read_op::do_perform each time.

Change: SignalReader keeps the signals blocked and takes each pending number at most once a turn, the stop signals first. This replaces the blocking at the end.

--- a/src/dogwoodlatchd/main.cc
+++ b/src/dogwoodlatchd/main.cc
@@ -10,7 +10,6 @@
 #include <asio.hpp>
 // clang-format on
 #include <cxxopts.hpp>
-#include <functional>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -20,6 +19,7 @@
 #include "dogwoodlatch/util/event_loop.h"
 #include "dogwoodlatch/util/log.h"
 #include "dogwoodlatch/util/program.h"
+#include "dogwoodlatch/util/signal_reader.h"
 #include "platform/node_settings.h"
 
 namespace dogwoodlatch {
@@ -78,21 +78,13 @@
   }
 }
 
-void BlockHandledSignals() {
-  sigset_t handled;
-  sigemptyset(&handled);
-  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
-    sigaddset(&handled, number);
-  }
-  pthread_sigmask(SIG_BLOCK, &handled, nullptr);
-}
-
 // Runs a daemon until it stops its event loop.
 template <typename Daemon>
 ExitCode Run(const CommandLine& line, platform::NodeSettings settings) {
   asio::io_context context(1);
-  // Signals that arrive during the start are handled after it.
-  asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+  // Signals that arrive during the start are handled after it. The first
+  // numbers of the list are handled first.
+  SignalReader signals(context, {SIGTERM, SIGINT, SIGHUP});
   LogEvent(EventId::kStarted, {{"role", line.role},
                                {"vm", settings.vm},
                                {"failure_domain", settings.failure_domain}});
@@ -103,28 +95,22 @@
     EndLog();
     return ExitCode::kFailed;
   }
-  std::function<void()> await_signal = [&] {
-    signals.async_wait([&](std::error_code error, int number) {
-      if (error) return;
-      if (number == SIGHUP) {
-        const auto reread = platform::LoadNodeSettings(line.settings_path);
-        if (reread) {
-          daemon.Reload(reread.value());
-        } else {
-          LogEvent(EventId::kSettingsFileRefused,
-                   {{"fault", ToString(reread.error())}});
-        }
-      } else {
-        daemon.Stop();
-      }
-      await_signal();
-    });
-  };
-  await_signal();
+  const Result<void> reading = signals.Start([&](int number) {
+    if (number != SIGHUP) return daemon.Stop();
+    const auto reread = platform::LoadNodeSettings(line.settings_path);
+    if (reread) {
+      daemon.Reload(reread.value());
+    } else {
+      LogEvent(EventId::kSettingsFileRefused,
+               {{"fault", ToString(reread.error())}});
+    }
+  });
+  if (!reading) {
+    EndLog();
+    std::cerr << ToString(reading.error()) << "\n";
+    return ExitCode::kFailed;
+  }
   RunEventLoop(context);
-  // The end of `signals` restores the default action, which would end the
-  // process by a further signal while it cleans up.
-  BlockHandledSignals();
   EndLog();
   return ExitCode::kOk;
 }
