An agent's fence is above all that were used before it

The coordinator had ordered and was killed; the agent, back in touch, ordered with the revision of the naming.

Cause: the coordinator's fence is the revision of its lease, the agent's that of the naming, and which one had been used was kept only in memory.

Elsewhere nothing changes.

--- a/src/include/dogwoodlatch/daemon/agent.h
+++ b/src/include/dogwoodlatch/daemon/agent.h
@@ -13,6 +13,7 @@
 
 #include "dogwoodlatch/daemon/agent_link.h"
 #include "dogwoodlatch/daemon/object_feed.h"
+#include "dogwoodlatch/daemon/order_fence.h"
 #include "dogwoodlatch/daemon/platform_view.h"
 #include "dogwoodlatch/daemon/relay_link.h"
 #include "dogwoodlatch/daemon/vm_prober.h"
@@ -60,6 +61,8 @@
   void SendWeightsOrder(const std::string& model, uint64_t version);
   void OnOrderResponse(Result<dataplane::CallResponse> response);
   bool MayOrder(const serving::Target& own) const;
+  /// Highest fence known for orders; none if one has to be obtained first.
+  std::optional<uint64_t> Fence() const;
   void PublishStatus(TimePoint now);
   void PublishHeartbeat(TimePoint now);
   void LogTraffic(TimePoint now);
@@ -84,6 +87,7 @@
   dataplane::HttpClient order_client_;
   asio::steady_timer tick_timer_;
   serving::AgentOwnership ownership_;
+  OrderFence order_fence_;
   /// The coordinator's last order to a target here, as far as routers tell.
   serving::TargetKey ordered_target_ = 0;
   uint64_t other_fence_ = 0;
--- a/src/include/dogwoodlatch/serving/order_ownership.h
+++ b/src/include/dogwoodlatch/serving/order_ownership.h
@@ -44,9 +44,14 @@
   /// True while this agent owns its target.
   bool MayOrder(TimePoint now) const;
 
+  /// Number of the present time of ownership, or of the last one. Others may
+  /// have given orders between two of them.
+  uint64_t term() const { return term_; }
+
  private:
   Duration lease_;
   TimePoint ran_at_{};
+  uint64_t term_ = 0;
   std::optional<TimePoint> since_;  ///< messages arrive since then
   TimePoint confirmed_{};           ///< newest message known to have arrived
 };
--- a/src/include/dogwoodlatch/util/log.h
+++ b/src/include/dogwoodlatch/util/log.h
@@ -53,6 +53,7 @@
   kWeightsOrderAnswered = 331,
   kWeightsLoaded = 332,
   kCoordinatorChanged = 333,
+  kOrderFenceTaken = 334,
   kEngineProfileChanged = 340,
   kTargetSlow = 341,
   kTargetSpeedBack = 342,
--- a/src/libdaemon/agent.cc
+++ b/src/libdaemon/agent.cc
@@ -62,6 +62,7 @@
       order_client_(context, settings_.target_address),
       tick_timer_(context),
       ownership_(settings_.bounds.order_lease),
+      order_fence_(context, settings_.store_address, settings_.vm),
       relay_({serving::MakeDomainKey(settings_.failure_domain),
               kForwarderSilenceLimit},
              std::numeric_limits<size_t>::max()) {}
@@ -283,11 +284,19 @@
 
 // The coordinator's fence is the revision of its lease, which may be above that
 // of the naming. A target that does not compare fences would carry out an order
-// with a lower one.
+// with a lower one. Routers that have restarted do not know what they used.
+std::optional<uint64_t> Agent::Fence() const {
+  if (settings_.bounds.are_fences_compared) return view_.newest_fence();
+  const auto own = order_fence_.Of(ownership_.term());
+  if (!own) return std::nullopt;
+  return std::max(*own, view_.newest_fence());
+}
+
 bool Agent::MayOrder(const serving::Target& own) const {
+  const auto fence = Fence();
   const bool is_outbid =
-      serving::MakeTargetKey(own.record.id) == ordered_target_ &&
-      view_.newest_fence() <= other_fence_;
+      serving::MakeTargetKey(own.record.id) == ordered_target_ && fence &&
+      *fence <= other_fence_;
   return ownership_.MayOrder(BootNow()) && !is_outbid && !own.IsLeaving() &&
          !report_->is_leaving;
 }
@@ -312,6 +321,11 @@
     phase_ = RolloutPhase::kServing;
     return;
   }
+  if (!Fence()) {
+    order_fence_.Request(ownership_.term(), view_.era().current(), now);
+    phase_ = RolloutPhase::kServing;
+    return;
+  }
   const auto& [model, named] = *lagging;
   const auto peers = CollectRolloutPeers(model, now);
   const bool was_draining = phase_ == RolloutPhase::kDraining;
@@ -344,7 +358,7 @@
   order.model = model;
   order.version = version;
   order.holder = settings_.vm;
-  order.fence = view_.newest_fence();
+  order.fence = Fence().value_or(0);
   order.orders_taken = report_->orders_taken;
   LogEvent(EventId::kWeightsOrdered,
            {{"target", own->record.id},
--- a/src/libserving/order_ownership.cc
+++ b/src/libserving/order_ownership.cc
@@ -47,6 +47,7 @@
   if (!since_) {
     // Nothing that was sent before a pause proves a hand-over.
     since_ = now;
+    ++term_;
     confirmed_ = arrived;
   }
   confirmed_ = std::max(confirmed_, arrived);
--- a/src/libserving/order_ownership_test.cc
+++ b/src/libserving/order_ownership_test.cc
@@ -162,4 +162,26 @@
   });
 }
 
+// Others may have given orders between two terms.
+TEST_CASE("an agent that was out of touch begins another term") {
+  AgentOwnership agent(kLease);
+  CHECK(agent.term() == 0);
+  TimePoint now{seconds(100)};
+  const auto stay_in_touch = [&](Duration time) {
+    for (const TimePoint end = now + time; now < end; now += kTick) {
+      agent.OnConfirmed(Duration{0}, now);
+    }
+  };
+  stay_in_touch(seconds(5));
+  CHECK(agent.MayOrder(now));
+  CHECK(agent.term() == 1);
+  const bool is_suspended = GENERATE(true, false);
+  for (const TimePoint end = now + seconds(4); now < end; now += kTick) {
+    if (!is_suspended) agent.OnRunning(now);
+  }
+  stay_in_touch(seconds(5));
+  CHECK(agent.MayOrder(now));
+  CHECK(agent.term() == 2);
+}
+
 }  // namespace dogwoodlatch::serving
--- a/src/libutil/log.cc
+++ b/src/libutil/log.cc
@@ -128,6 +128,9 @@
               "coordinator_changed",
               "This router now orders weights for targets without an agent, or "
               "no longer does."},
+    EventSpec{EventId::kOrderFenceTaken, Severity::kInfo, "order_fence_taken",
+              "An agent has asked the platform's store for a fence for its "
+              "orders, as its target does not compare fences."},
     EventSpec{EventId::kEngineProfileChanged, Severity::kInfo,
               "engine_profile_changed",
               "The estimate of the speed of a service's engines has changed."},
