A crash is reported before other reports are repeated

Cause: each broken run makes its request a suspect. While many connections break there are more fresh suspects than the 24 of a datagram, and one that had just changed waited for its turn among those that had been reported.

Change: what has changed since it was last reported goes before repetitions.

The new case of poison_guard_test failed before.

--- a/src/include/dogwoodlatch/serving/poison_guard.h
+++ b/src/include/dogwoodlatch/serving/poison_guard.h
@@ -127,7 +127,8 @@
   size_t holding_back() const;
 
   /// Drops what has expired and returns the reports to send next: those of
-  /// suspects that hold requests back, fresh ones, and others in turn.
+  /// suspects that hold requests back, changes that have not been reported,
+  /// fresh ones, and others in turn.
   std::vector<SuspectReport> TakeReports(TimePoint now);
 
   /// Merges the reports of another router.
@@ -146,6 +147,7 @@
     TimePoint changed_at{};
     std::optional<TimePoint> tried_at;  ///< by this router
     bool holds_back = false;
+    bool is_reported = false;  ///< since the last change
   };
   using Records = std::map<Suspect, Record>;
 
--- a/src/libserving/poison_guard.cc
+++ b/src/libserving/poison_guard.cc
@@ -152,6 +152,7 @@
 void PoisonGuard::NoteChange(const Suspect& suspect, Record& record,
                              TimePoint now) {
   record.changed_at = now;
+  record.is_reported = false;
   const size_t crashes = record.crashes.size();
   const bool holds_back = HoldsBack(suspect, crashes);
   if (std::exchange(record.holds_back, holds_back) == holds_back) return;
@@ -278,13 +279,13 @@
 std::vector<SuspectReport> PoisonGuard::TakeReports(TimePoint now) {
   DropExpired(now);
   // From the suspect after the one that was reported last, once around.
-  std::vector<const Records::value_type*> in_turn;
+  std::vector<Records::value_type*> in_turn;
   const auto begin =
       last_reported_ ? records_.upper_bound(*last_reported_) : records_.begin();
   std::for_each(begin, records_.end(),
-                [&](const auto& entry) { in_turn.push_back(&entry); });
+                [&](auto& entry) { in_turn.push_back(&entry); });
   std::for_each(records_.begin(), begin,
-                [&](const auto& entry) { in_turn.push_back(&entry); });
+                [&](auto& entry) { in_turn.push_back(&entry); });
   const auto holds_back = [](const Records::value_type* entry) {
     return HoldsBack(entry->first, entry->second.crashes.size());
   };
@@ -295,12 +296,19 @@
       std::stable_partition(in_turn.begin(), in_turn.end(), holds_back);
   const auto rest =
       in_turn.begin() + std::min(held - in_turn.begin(), kMaxReportsOfHeldBack);
-  std::stable_partition(rest, in_turn.end(), is_fresh);
+  // While many connections break, innocent requests are suspects too. What has
+  // changed must not wait for its turn among them.
+  const auto reported = std::stable_partition(
+      rest, in_turn.end(), [](const Records::value_type* entry) {
+        return !entry->second.is_reported;
+      });
+  std::stable_partition(reported, in_turn.end(), is_fresh);
   in_turn.resize(std::min(in_turn.size(), kMaxReports));
   if (!in_turn.empty()) last_reported_ = in_turn.back()->first;
   std::vector<SuspectReport> reports;
   std::ranges::transform(in_turn, std::back_inserter(reports),
-                         [&](const Records::value_type* entry) {
+                         [&](Records::value_type* entry) {
+                           entry->second.is_reported = true;
                            return MakeReport(*entry, now);
                          });
   return reports;
--- a/src/libserving/poison_guard_test.cc
+++ b/src/libserving/poison_guard_test.cc
@@ -272,4 +272,36 @@
         reports.end());
 }
 
+// BUDGET. Guards against a fourth and fifth target that crash at other routers:
+// while many connections break, each request is a suspect, and the crash that
+// matters waited for its turn among those that others had heard of.
+TEST_CASE("a crash is reported at once while there are many suspects") {
+  PoisonGuard here;
+  PoisonGuard there;
+  const std::vector<Suspect> poison = {{SuspectKind::kRequest, 1}};
+  for (uint64_t target = 1; target <= 200; ++target) {
+    Break(here, NewRequest({}), target, At(seconds(0)));
+    Exchange(here, there, At(seconds(0)));
+  }
+  for (size_t crashes = 1; crashes <= 3; ++crashes) {
+    Break(here, poison, 200 + crashes, At(seconds(1)));
+    Exchange(here, there, At(seconds(1)));
+    CHECK(there.Crashes(poison[0]) == crashes);
+  }
+  CHECK(IsHeldBack(there, poison, At(seconds(1))));
+}
+
+// Guards against the same for the change before the last one.
+TEST_CASE("all changes are reported before any is repeated") {
+  PoisonGuard here;
+  PoisonGuard there;
+  for (uint64_t target = 1; target <= 100; ++target) {
+    Break(here, {{SuspectKind::kRequest, target}}, target, At(seconds(0)));
+  }
+  for (int i = 0; i < 5; ++i) Exchange(here, there, At(seconds(1)));
+  for (uint64_t target = 1; target <= 100; ++target) {
+    CHECK(there.Crashes({SuspectKind::kRequest, target}) == 1);
+  }
+}
+
 }  // namespace dogwoodlatch::serving
