Signals are read without blocking them

Change: a handler sets its signal to be ignored and wakes the loop by a pipe, as asio's signal set does; the loop arms the signal again before it handles it. A flood costs one handler a turn, as before.

--- a/src/include/dogwoodlatch/util/signal_reader.h
+++ b/src/include/dogwoodlatch/util/signal_reader.h
@@ -11,6 +11,7 @@
 
 #include <asio.hpp>
 // clang-format on
+#include <array>
 #include <functional>
 #include <vector>
 
@@ -18,27 +19,34 @@
 
 namespace dogwoodlatch {
 
+/// A process has one at a time. A signal that has arrived is ignored until the
+/// loop handles it, so that several of one number count as one.
 class SignalReader {
  public:
-  /// Blocks the signals in this thread and in those that it starts later. They
-  /// stay blocked when the reader has ended, so that none ends the process
-  /// while it cleans up. Call it before any thread is started.
+  /// Begins to receive the signals, which Start then handles.
   SignalReader(asio::io_context& loop, std::vector<int> numbers);
+
+  /// From here on the signals are ignored, so that none ends the process while
+  /// it cleans up.
+  ~SignalReader();
   SignalReader(const SignalReader&) = delete;
   SignalReader& operator=(const SignalReader&) = delete;
 
-  /// Calls `handler` with the number of each signal that has arrived since the
-  /// last turn of the loop, also before this call. Signals of one number that
-  /// arrive within a turn count as one.
+  /// Calls `handler` in the loop with the number of each signal that arrives,
+  /// or has arrived; several of one turn in the order of the constructor's
+  /// list. Fails if the constructor could not open a pipe.
   Result<void> Start(std::function<void(int)> handler);
 
  private:
   void AwaitSignals();
   void HandlePending();
 
-  asio::posix::stream_descriptor descriptor_;
+  asio::readable_pipe wakeups_;
+  asio::writable_pipe waker_;
+  std::error_code open_error_;
   std::vector<int> numbers_;
   std::function<void(int)> handler_;
+  std::array<char, 64> input_{};
 };
 
 }  // namespace dogwoodlatch
--- a/src/libutil/signal_reader.cc
+++ b/src/libutil/signal_reader.cc
@@ -1,10 +1,9 @@
 #include "dogwoodlatch/util/signal_reader.h"
 
-#include <sys/signalfd.h>
+#include <unistd.h>
 
+#include <atomic>
 #include <cerrno>
-#include <cstring>
-#include <ctime>
 #include <utility>
 
 #include "dogwoodlatch/util/event_loop.h"
@@ -12,56 +11,72 @@
 namespace dogwoodlatch {
 namespace {
 
-sigset_t MakeSignalSet(const std::vector<int>& numbers) {
-  sigset_t signals;
-  sigemptyset(&signals);
-  for (const int number : numbers) sigaddset(&signals, number);
-  return signals;
+std::array<std::atomic<bool>, NSIG> has_arrived{};
+std::atomic<int> waker_descriptor{-1};
+static_assert(std::atomic<bool>::is_always_lock_free &&
+              std::atomic<int>::is_always_lock_free);
+
+void SetDisposition(int number, void (*disposition)(int)) {
+  struct sigaction action {};
+  action.sa_handler = disposition;
+  action.sa_flags = SA_RESTART;
+  sigaction(number, &action, nullptr);
 }
 
-// Returns whether the signal was pending; it no longer is.
-bool TakePending(int number) {
-  const sigset_t signals = MakeSignalSet({number});
-  const timespec no_wait{};
-  return sigtimedwait(&signals, nullptr, &no_wait) == number;
+// Ignored signals cost their receiver nothing: a process that runs this for
+// each one of a flood may not get to anything else.
+void OnSignal(int number) {
+  const int saved_error = errno;
+  SetDisposition(number, SIG_IGN);
+  has_arrived[static_cast<size_t>(number)] = true;
+  const char wakeup = 0;
+  // The pipe holds at most one byte for each number.
+  static_cast<void>(!write(waker_descriptor, &wakeup, 1));
+  errno = saved_error;
 }
 
 }  // namespace
 
 SignalReader::SignalReader(asio::io_context& loop, std::vector<int> numbers)
-    : descriptor_(loop), numbers_(std::move(numbers)) {
-  const sigset_t signals = MakeSignalSet(numbers_);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    : wakeups_(loop), waker_(loop), numbers_(std::move(numbers)) {
+  asio::connect_pipe(wakeups_, waker_, open_error_);
+  if (open_error_) return;
+  waker_descriptor = waker_.native_handle();
+  for (const int number : numbers_) {
+    has_arrived.at(static_cast<size_t>(number)) = false;
+    SetDisposition(number, &OnSignal);
+  }
+}
+
+SignalReader::~SignalReader() {
+  for (const int number : numbers_) SetDisposition(number, SIG_IGN);
+  waker_descriptor = -1;
 }
 
 Result<void> SignalReader::Start(std::function<void(int)> handler) {
-  handler_ = std::move(handler);
-  const sigset_t signals = MakeSignalSet(numbers_);
-  const int descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-  if (descriptor < 0) {
-    return Error{ErrorCode::kIo, "signals", std::strerror(errno)};
+  if (open_error_) {
+    return Error{ErrorCode::kIo, "signals", open_error_.message()};
   }
-  descriptor_.assign(descriptor);
+  handler_ = std::move(handler);
   AwaitSignals();
   return boost::outcome_v2::success();
 }
 
 void SignalReader::AwaitSignals() {
-  descriptor_.async_wait(asio::posix::stream_descriptor::wait_read,
-                         [this](std::error_code error) {
-                           if (error) return;
-                           HandlePending();
-                           AwaitSignals();
-                         });
+  wakeups_.async_read_some(asio::buffer(input_),
+                           [this](std::error_code error, size_t /*count*/) {
+                             if (error) return;
+                             HandlePending();
+                             AwaitSignals();
+                           });
 }
 
-// The descriptor only wakes the loop: reading it would return the lowest number
-// first, and one that keeps arriving would hide the others.
 void SignalReader::HandlePending() {
   for (const int number : numbers_) {
-    if (TakePending(number)) {
-      RunGuarded("signal", [&] { handler_(number); });
-    }
+    if (!has_arrived.at(static_cast<size_t>(number)).exchange(false)) continue;
+    // Before the handler: what is signalled from here on is handled next time.
+    SetDisposition(number, &OnSignal);
+    RunGuarded("signal", [&] { handler_(number); });
   }
 }
 
