One scripted store serves the tests of its callers; a wakeup says why it holds

Checks are the same, but that order_fence_test looks at the number of requests and the begins of two request lines where it compared a list of methods.

--- a/src/libdaemon/object_feed_test.cc
+++ b/src/libdaemon/object_feed_test.cc
@@ -6,10 +6,13 @@
 #include <string>
 #include <vector>
 
+#include "dogwoodlatch/testing/scripted_store.h"
+
 namespace dogwoodlatch::daemon {
 namespace {
 
 using std::chrono::milliseconds;
+using testing::ScriptedStore;
 
 std::string JsonResponse(int status, const std::string& body) {
   return "HTTP/1.1 " + std::to_string(status) +
@@ -17,64 +20,6 @@
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// A store that gives scripted responses, then none, on one connection after the
-// other, and records the request lines.
-class ScriptedStore {
- public:
-  ScriptedStore(asio::io_context& context, std::deque<std::string> responses)
-      : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
-        socket_(context),
-        responses_(std::move(responses)) {
-    Accept();
-  }
-
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-  }
-  const std::vector<std::string>& requests() const { return requests_; }
-
- private:
-  void Accept() {
-    acceptor_.async_accept(
-        [this](std::error_code error, asio::ip::tcp::socket socket) {
-          if (error) return;
-          socket_ = std::move(socket);
-          input_.clear();
-          ReadRequest();
-          Accept();
-        });
-  }
-
-  // A long answer may be left unread.
-  void Answer() {
-    response_ = std::move(responses_.front());
-    responses_.pop_front();
-    asio::async_write(socket_, asio::buffer(response_),
-                      [this](std::error_code error, size_t /*count*/) {
-                        if (!error) ReadRequest();
-                      });
-  }
-
-  void ReadRequest() {
-    asio::async_read_until(
-        socket_, asio::dynamic_buffer(input_), "\r\n\r\n",
-        [this](std::error_code error, size_t count) {
-          if (error) return;
-          requests_.push_back(input_.substr(0, input_.find("\r\n")));
-          input_.erase(0, count);
-          if (responses_.empty()) return;
-          Answer();
-        });
-  }
-
-  asio::ip::tcp::acceptor acceptor_;
-  asio::ip::tcp::socket socket_;
-  std::deque<std::string> responses_;
-  std::string response_;  // that is being written
-  std::vector<std::string> requests_;
-  std::string input_;
-};
-
 // Returns the number after `wait_ms=` in a request line.
 int WaitOf(const std::string& request) {
   const size_t at = request.find("wait_ms=");
--- a/src/libdaemon/order_fence_test.cc
+++ b/src/libdaemon/order_fence_test.cc
@@ -1,6 +1,5 @@
 #include "dogwoodlatch/daemon/order_fence.h"
 
-#include <array>
 #include <catch2/catch.hpp>
 #include <deque>
 #include <string>
@@ -8,12 +7,14 @@
 #include <vector>
 
 #include "dogwoodlatch/serving/store_era.h"
+#include "dogwoodlatch/testing/scripted_store.h"
 #include "platform/object_examples.h"
 
 namespace dogwoodlatch::daemon {
 namespace {
 
 using std::chrono::milliseconds;
+using testing::ScriptedStore;
 
 std::string Answer(int status, uint64_t revision, uint64_t era) {
   const std::string body = R"({"metadata":{"name":"order-fence","rev":)" +
@@ -24,45 +25,6 @@
          body;
 }
 
-// A store that gives scripted answers on one connection.
-class ScriptedStore {
- public:
-  ScriptedStore(asio::io_context& context, std::deque<std::string> answers)
-      : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
-        socket_(context),
-        answers_(std::move(answers)) {
-    acceptor_.async_accept(socket_, [this](std::error_code error) {
-      if (!error) Read();
-    });
-  }
-
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-  }
-  const std::vector<std::string>& methods() const { return methods_; }
-
- private:
-  void Read() {
-    socket_.async_read_some(
-        asio::buffer(input_), [this](std::error_code error, size_t count) {
-          if (error) return;
-          const std::string text(input_.data(), count);
-          if (text.starts_with("P")) {
-            methods_.push_back(text.substr(0, text.find(' ')));
-            asio::write(socket_, asio::buffer(answers_.front()));
-            answers_.pop_front();
-          }
-          if (!answers_.empty()) Read();
-        });
-  }
-
-  asio::ip::tcp::acceptor acceptor_;
-  asio::ip::tcp::socket socket_;
-  std::deque<std::string> answers_;
-  std::vector<std::string> methods_;
-  std::array<char, 4096> input_{};
-};
-
 struct Play {
   explicit Play(std::deque<std::string> answers)
       : store(context, std::move(answers)),
@@ -73,7 +35,7 @@
   std::optional<uint64_t> Request(uint64_t term, uint64_t era,
                                   size_t calls = 100) {
     for (int i = 0; i < 500 && !fence.Of(term); ++i) {
-      if (store.methods().size() >= calls) break;
+      if (store.requests().size() >= calls) break;
       fence.Request(term, era, SteadyNow());
       context.restart();
       context.run_for(milliseconds(10));
@@ -102,14 +64,16 @@
 TEST_CASE("the object is created by the first write") {
   Play play({Answer(404, 0, 1), Answer(201, 9, 1)});
   CHECK(play.Request(1, 1) == serving::MakeFence(1, 9));
-  CHECK(play.store.methods() == std::vector<std::string>{"PUT", "POST"});
+  REQUIRE(play.store.requests().size() == 2);
+  CHECK(play.store.requests()[0].starts_with("PUT "));
+  CHECK(play.store.requests()[1].starts_with("POST "));
 }
 
 TEST_CASE("a refused write and an answer of an earlier era give no fence") {
   Play play({Answer(503, 0, 2), Answer(409, 30, 2), Answer(200, 41, 1),
              Answer(200, 12, 2)});
   CHECK(play.Request(1, 2, 3) == std::nullopt);
-  CHECK(play.store.methods().size() == 3);
+  CHECK(play.store.requests().size() == 3);
   CHECK(play.Request(1, 2) == serving::MakeFence(2, 12));
 }
 
--- a/src/libutil/signal_reader.cc
+++ b/src/libutil/signal_reader.cc
@@ -30,8 +30,9 @@
   SetDisposition(number, SIG_IGN);
   has_arrived[static_cast<size_t>(number)] = true;
   const char wakeup = 0;
-  // The pipe holds at most one byte for each number.
-  static_cast<void>(!write(waker_descriptor, &wakeup, 1));
+  // Cannot fail for want of room: the pipe holds one byte a number at most.
+  [[maybe_unused]] const ssize_t written =
+      write(waker_descriptor, &wakeup, sizeof(wakeup));
   errno = saved_error;
 }
 
