--- a/review/common3.py
+++ b/review/common3.py
@@ -4,6 +4,7 @@
 answers. Addresses are drawn anew for each run, so that all ports are free.
 """
 
+import contextlib
 import json
 import os
 import random
@@ -106,23 +107,24 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     deployment = None
+    broken, fault = [], None
     try:
         deployment = Deployment(record)
         broken = case(deployment, record, has_trouble)
-    except CannotRun as error:
-        print("the case could not run:", error)
-        record.write("could not run", why=str(error))
-        os._exit(CANNOT_RUN)
+    except Exception as error:  # pylint: disable=broad-exception-caught
+        fault = error  # whatever it is, the rule was not judged
     finally:
         if deployment:
             deployment.stop()
-    for line in broken:
-        print("BROKEN:", line)
-        record.write("broken", rule=line)
-    if not broken:
-        print("held")
-    sys.stdout.flush()
-    os._exit(BROKEN if broken else HOLDS)  # the threads of the stand-ins may still wait
+    lines = [f"BROKEN: {line}" for line in broken] or ["held"]
+    if fault is not None:
+        lines = [f"the case could not run: {fault!r}"]
+    with contextlib.suppress(OSError):  # nobody may read the output
+        for line in lines:
+            record.write("verdict", is_judged=fault is None, line=line)
+            print(line, flush=True)
+    # The threads of the stand-ins may still wait.
+    os._exit(CANNOT_RUN if fault is not None else BROKEN if broken else HOLDS)
 
 
 class StoreLink:
